Serve a request from caller to engine through separate processes

Cause: nothing existed. The path comes first, thin but whole: entry instances that are all alike, owners of pools, engines and services behind them, the platform's store for what must last.

Change: the core as state machines without clock or sockets, ports, adapters over the named libraries, stand-ins, command line, quick start. An owner grants a place and the instance that took the request sends it to the target itself, instead of the owner relaying the stream: then the death of an owner cuts no answer, and the instance always knows whether bytes were handed to a target.

Conclusion: the path stands; its promises are not proved yet.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the core in virtual time."""
--- /dev/null
+++ b/catkintrail/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the command line with `python -m catkintrail`."""
+
+import sys
+
+from catkintrail import cli
+
+sys.exit(cli.main())
--- /dev/null
+++ b/catkintrail/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""The ports over real libraries."""
--- /dev/null
+++ b/catkintrail/adapters/loops.py
@@ -0,0 +1,228 @@
+"""Threads that read the platform and the targets for the control actor."""
+
+import concurrent.futures
+import logging
+import random
+import threading
+import time
+from typing import Callable
+
+from catkintrail import errors
+from catkintrail import messages
+from catkintrail.adapters import actors
+from catkintrail.adapters import metrics as metrics_module
+from catkintrail.core import attempts
+from catkintrail.core import lease
+from catkintrail.core import orders
+from catkintrail.core import pool as pools
+from catkintrail.core import publication
+from catkintrail.ports import platform as platform_port
+from catkintrail.ports import targets as targets_port
+
+__all__ = ["Loops"]
+
+_LOG = logging.getLogger("catkintrail.platform")
+
+WATCH_SECONDS = 10.0
+TARGET_LIST_SECONDS = 1.0
+LOAD_SECONDS = 2.0
+ORDERS_SECONDS = 1.0
+RECORDS_SECONDS = 1.0
+ROLE_CHECK_SECONDS = 0.5
+FIRST_ERROR_PAUSE_SECONDS = 0.25
+LONGEST_ERROR_PAUSE_SECONDS = 4.0
+POLL_THREADS = 4
+
+
+class Loops:
+    """The periodic work of one instance that waits for others.
+
+    Attributes:
+        control: The control actor.
+        store: The platform.
+        targets: Calls to targets.
+    """
+
+    def __init__(
+        self,
+        control: actors.Control,
+        store: platform_port.Platform,
+        targets: targets_port.Targets,
+        metrics: metrics_module.Metrics,
+        ids: attempts.IdSource,
+        records: Callable[[], None],
+        rng: random.Random,
+    ) -> None:
+        self.control = control
+        self.store = store
+        self.targets = targets
+        self.metrics = metrics
+        self.ids = ids
+        self.records = records
+        self.rng = rng
+        self._stop = threading.Event()
+        self._threads: list[threading.Thread] = []
+        self._event_numbers: dict[str, int] = {}
+        self._head_version = 0
+        self._has_read_head = False
+        me = control.instance.membership.me
+        self._lease = lease.LeaseKeeper(
+            orders.lease_name(me.zone), f"{me.name}.{me.incarnation:x}"
+        )
+
+    def start(self) -> None:
+        """Starts all threads."""
+        loops = (
+            ("configuration", self._follow_configuration),
+            ("targets", self._follow_targets),
+            ("loads", self._poll_loads),
+            ("orders", self._keep_orders),
+        )
+        for name, target in loops:
+            thread = threading.Thread(target=target, name=name, daemon=True)
+            thread.start()
+            self._threads.append(thread)
+
+    def stop(self) -> None:
+        """Asks all threads to end; they may be waiting for an answer."""
+        self._stop.set()
+        self._lease.give_up(self.store)
+
+    # Configuration.
+
+    def _follow_configuration(self) -> None:
+        pause = FIRST_ERROR_PAUSE_SECONDS
+        while not self._stop.is_set():
+            try:
+                if not self._has_read_head:
+                    self._read_configuration()
+                elif self.control.instance.is_watcher():
+                    self._watch_configuration()
+                else:
+                    self._stop.wait(ROLE_CHECK_SECONDS)
+                pause = FIRST_ERROR_PAUSE_SECONDS
+            except (errors.PlatformError, errors.FrameError) as error:
+                self._note_error("configuration", error)
+                self._stop.wait(pause * self.rng.uniform(0.5, 1.0))
+                pause = min(LONGEST_ERROR_PAUSE_SECONDS, 2 * pause)
+            except errors.CheckError as error:
+                _LOG.error("configuration refused", extra={"error": str(error)})
+                self._stop.wait(LONGEST_ERROR_PAUSE_SECONDS)
+
+    def _watch_configuration(self) -> None:
+        version = self.store.watch(
+            publication.HEAD_NAME, self._head_version, WATCH_SECONDS
+        )
+        if version > self._head_version:
+            self._read_configuration()
+
+    def _read_configuration(self) -> None:
+        known = self.control.snapshot()
+        version, snapshot = publication.fetch(self.store, known)
+        # A stale read must not lower what is watched for.
+        self._head_version = max(self._head_version, version)
+        self._has_read_head = True
+        self.control.tell(actors.SnapshotTaken(snapshot))
+
+    # Targets.
+
+    def _follow_targets(self) -> None:
+        while not self._stop.is_set():
+            if self._should_list_targets():
+                try:
+                    listing = self.store.list_targets()
+                    self.control.tell(actors.TargetsTaken(listing))
+                except errors.PlatformError as error:
+                    self._note_error("targets", error)
+            self._stop.wait(TARGET_LIST_SECONDS)
+
+    def _should_list_targets(self) -> bool:
+        core = self.control.instance
+        return core.is_watcher() or not core.directory.listing.revision
+
+    def _poll_loads(self) -> None:
+        with concurrent.futures.ThreadPoolExecutor(
+            POLL_THREADS, "loads"
+        ) as executor:
+            while not self._stop.wait(LOAD_SECONDS):
+                polled = self._owned_targets()
+                list(executor.map(lambda one: self._read_load(*one), polled))
+                names = {record.name for _, record in polled}
+                self._event_numbers = {
+                    name: number
+                    for name, number in self._event_numbers.items()
+                    if name in names
+                }
+
+    def _owned_targets(
+        self,
+    ) -> list[tuple[pools.PoolKey, messages.TargetRecord]]:
+        try:
+            return [
+                (key, record)
+                for key, record, _ in self.control.instance.polled_targets()
+            ]
+        except RuntimeError:
+            # The pools changed under the iteration; the next round sees them.
+            return []
+
+    def _read_load(
+        self, key: pools.PoolKey, record: messages.TargetRecord
+    ) -> None:
+        after = self._event_numbers.get(record.name, 0)
+        try:
+            answer = self.targets.read_load(record.address, record.name, after)
+        except errors.TargetError as error:
+            _LOG.debug(
+                "load not read",
+                extra={"target": record.name, "error": str(error)},
+            )
+            return
+        if answer.events:
+            self._event_numbers[record.name] = answer.events[-1].sequence
+        self.control.tell(actors.LoadTaken(key, answer))
+
+    # Orders.
+
+    def _keep_orders(self) -> None:
+        while not self._stop.wait(ORDERS_SECONDS):
+            self.records()
+            core = self.control.instance
+            if core.order_holder() != core.membership.me.name:
+                self._lease.give_up(self.store)
+                continue
+            try:
+                self._lease.keep(self.store, time.monotonic())
+            except errors.PlatformError as error:
+                self._note_error("lease", error)
+                continue
+            self._give_orders()
+
+    def _give_orders(self) -> None:
+        core = self.control.instance
+        if not core.misplaced or not self._lease.is_held(time.monotonic()):
+            return
+        misplaced = list(core.misplaced.values())
+        core.misplaced.clear()
+        outcomes = orders.give_orders(
+            self._lease,
+            self.targets,
+            misplaced,
+            self.control.snapshot().objects.models,
+            self.ids.make,
+            time.monotonic,
+        )
+        for target, outcome in outcomes:
+            self.metrics.add("catkintrail_orders_total", {"outcome": outcome})
+            _LOG.info(
+                "order given", extra={"target": target, "outcome": outcome}
+            )
+
+    def _note_error(self, purpose: str, error: Exception) -> None:
+        self.metrics.add(
+            "catkintrail_platform_errors_total", {"purpose": purpose}
+        )
+        _LOG.warning(
+            "platform call failed",
+            extra={"purpose": purpose, "error": str(error)},
+        )
--- /dev/null
+++ b/catkintrail/adapters/metrics.py
@@ -0,0 +1,114 @@
+"""Metrics in the Prometheus text format."""
+
+import threading
+from typing import Iterable
+
+import aioprometheus
+from aioprometheus import collectors
+from aioprometheus import renderer
+
+__all__ = ["DESCRIPTIONS", "Metrics"]
+
+# Every metric: its kind and its help text. docs/OPERATIONS.md lists them all.
+DESCRIPTIONS: dict[str, tuple[type, str]] = {
+    "catkintrail_requests_total": (
+        aioprometheus.Counter,
+        "Requests ended, by kind, outcome and verdict.",
+    ),
+    "catkintrail_attempts_total": (
+        aioprometheus.Counter,
+        "Attempts on targets, by outcome.",
+    ),
+    "catkintrail_first_token_seconds": (
+        aioprometheus.Histogram,
+        "Time to first token, by class of prompt length.",
+    ),
+    "catkintrail_requests_in_flight": (
+        aioprometheus.Gauge,
+        "Requests being served.",
+    ),
+    "catkintrail_waiting_requests": (
+        aioprometheus.Gauge,
+        "Requests in the queues of the pools owned here.",
+    ),
+    "catkintrail_owned_pools": (
+        aioprometheus.Gauge,
+        "Pools owned here.",
+    ),
+    "catkintrail_members": (
+        aioprometheus.Gauge,
+        "Instances in this instance's view, by status.",
+    ),
+    "catkintrail_generation": (
+        aioprometheus.Gauge,
+        "Generation of the configuration in force.",
+    ),
+    "catkintrail_peer_bytes": (
+        aioprometheus.Gauge,
+        "Bytes of frames since the start, by direction.",
+    ),
+    "catkintrail_refused_frames": (
+        aioprometheus.Gauge,
+        "Streams and frames from peers that were refused.",
+    ),
+    "catkintrail_reservations_claimed": (
+        aioprometheus.Gauge,
+        "Reservations of engine memory that this instance claims.",
+    ),
+    "catkintrail_cleanups_total": (
+        aioprometheus.Counter,
+        "Abandoned reservations freed on engines.",
+    ),
+    "catkintrail_platform_errors_total": (
+        aioprometheus.Counter,
+        "Calls to the platform without an answer, by purpose.",
+    ),
+    "catkintrail_orders_total": (
+        aioprometheus.Counter,
+        "Orders given to engines, by outcome.",
+    ),
+}
+
+FIRST_TOKEN_BUCKETS = (0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.5, 5.0, 10.0, 30.0)
+
+
+class Metrics:
+    """The metrics of one process; safe for all threads."""
+
+    def __init__(self) -> None:
+        self.registry = aioprometheus.Registry()
+        self._lock = threading.Lock()
+        self._collectors = {
+            name: self._make(kind, name, text)
+            for name, (kind, text) in DESCRIPTIONS.items()
+        }
+
+    def add(self, name: str, labels: dict[str, str], by: int = 1) -> None:
+        """Raises a counter."""
+        with self._lock:
+            self._collectors[name].add(labels, by)
+
+    def set(self, name: str, value: float, labels: dict[str, str]) -> None:
+        """Sets a gauge."""
+        with self._lock:
+            self._collectors[name].set(labels, value)
+
+    def observe(self, name: str, value: float, labels: dict[str, str]) -> None:
+        """Adds an observation to a histogram."""
+        with self._lock:
+            self._collectors[name].observe(labels, value)
+
+    def render(self, accepts: Iterable[str]) -> tuple[bytes, dict]:
+        """Returns the text of all metrics, and HTTP headers for it."""
+        with self._lock:
+            return renderer.render(self.registry, list(accepts))
+
+    def _make(self, kind: type, name: str, text: str) -> collectors.Collector:
+        if kind is aioprometheus.Histogram:
+            return kind(
+                name,
+                text,
+                buckets=list(FIRST_TOKEN_BUCKETS),
+                registry=self.registry,
+            )
+        return kind(name, text, registry=self.registry)
--- /dev/null
+++ b/catkintrail/adapters/wsgi.py
@@ -0,0 +1,218 @@
+"""Small helpers around WSGI and the cheroot server."""
+
+import http
+import ssl
+from typing import Any, Callable, Iterable, Iterator, NamedTuple
+import urllib.parse
+
+from cheroot import wsgi
+from cheroot.ssl import builtin
+import msgspec
+
+from catkintrail import errors
+
+__all__ = [
+    "Application",
+    "Request",
+    "Response",
+    "json_response",
+    "make_application",
+    "make_server",
+    "parse_json",
+]
+
+MAX_HEADER_BYTES = 32 << 10
+MAX_JSON_DEPTH = 64
+LISTEN_BACKLOG = 256
+
+
+class Request(NamedTuple):
+    """An HTTP request with its body.
+
+    Attributes:
+        method: Such as `GET`.
+        path: Path without the query, decoded.
+        query: First value of each query argument.
+        headers: Values by lower-case name.
+        body: The whole body.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+
+class Response(NamedTuple):
+    """An HTTP response.
+
+    Attributes:
+        status: Status code.
+        headers: Name and value pairs.
+        body: Pieces of the body; each is sent as soon as it is there.
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: Iterable[bytes]
+
+
+Application = Callable[[Request], Response]
+
+
+def json_response(
+    status: int, data: Any, headers: Iterable[tuple[str, str]] = ()
+) -> Response:
+    """Returns a response with a JSON body."""
+    body = msgspec.json.encode(data) + b"\n"
+    fixed = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+    ]
+    return Response(status, fixed + list(headers), [body])
+
+
+def parse_json(body: bytes) -> Any:
+    """Parses a JSON body.
+
+    Raises:
+        ValueError: It is not JSON, or nested too deeply.
+    """
+    try:
+        data = msgspec.json.decode(body)
+    except (msgspec.DecodeError, RecursionError, UnicodeError) as error:
+        raise ValueError(f"the body is not JSON: {error}") from error
+    if _depth_exceeds(data, MAX_JSON_DEPTH):
+        raise ValueError(f"the body is nested deeper than {MAX_JSON_DEPTH}")
+    return data
+
+
+def make_application(handler: Application, max_body_bytes: int) -> Callable:
+    """Makes a WSGI application of a handler.
+
+    Args:
+        handler: Gets each request.
+        max_body_bytes: A larger body is refused with 413.
+    """
+
+    def application(environ: dict, start_response: Callable) -> Iterator:
+        try:
+            request = _read_request(environ, max_body_bytes)
+        except _BodyTooLargeError:
+            text = f"the body has more than {max_body_bytes} bytes"
+            response = _plain_error(413, "too_large", text)
+        except OSError as error:
+            response = _plain_error(408, "bad_request", f"body cut: {error}")
+        except ValueError as error:
+            response = _plain_error(400, "bad_request", str(error))
+        else:
+            response = handler(request)
+        phrase = _phrase(response.status)
+        start_response(f"{response.status} {phrase}", response.headers)
+        return response.body
+
+    return application
+
+
+def make_server(
+    address: str,
+    port: int,
+    application: Callable,
+    threads: int,
+    timeout_seconds: float,
+    certificate: str = "",
+    private_key: str = "",
+) -> wsgi.Server:
+    """Makes a server that has its port, but does not serve yet.
+
+    Raises:
+        errors.StartError: The port or the certificate cannot be used.
+    """
+    server = wsgi.Server(
+        (address, port),
+        application,
+        numthreads=threads,
+        max=threads,
+        request_queue_size=LISTEN_BACKLOG,
+        timeout=timeout_seconds,
+    )
+    server.max_request_header_size = MAX_HEADER_BYTES
+    server.shutdown_timeout = 1
+    if certificate:
+        try:
+            server.ssl_adapter = builtin.BuiltinSSLAdapter(
+                certificate, private_key
+            )
+        except (OSError, ssl.SSLError) as error:
+            raise errors.StartError(
+                f"cannot use certificate {certificate!r} with key"
+                f" {private_key!r}: {error}"
+            ) from error
+    try:
+        server.prepare()
+    except OSError as error:
+        reason = error.strerror or error
+        raise errors.StartError(
+            f"cannot listen on {address}:{port}: {reason}; is another program"
+            " using the port?"
+        ) from error
+    return server
+
+
+class _BodyTooLargeError(ValueError):
+    pass
+
+
+def _read_request(environ: dict, max_body_bytes: int) -> Request:
+    length = environ.get("CONTENT_LENGTH") or "0"
+    if not length.isdigit():
+        raise ValueError("Content-Length is not a number")
+    if int(length) > max_body_bytes:
+        raise _BodyTooLargeError()
+    stream = environ["wsgi.input"]
+    if environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked":
+        body = stream.read(max_body_bytes + 1)
+    else:
+        body = stream.read(int(length)) if int(length) else b""
+        if len(body) < int(length):
+            raise ValueError("the body is shorter than its Content-Length")
+    if len(body) > max_body_bytes:
+        raise _BodyTooLargeError()
+    headers = {
+        name[5:].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if "CONTENT_TYPE" in environ:
+        headers["content-type"] = environ["CONTENT_TYPE"]
+    path = environ.get("PATH_INFO", "/").encode("latin-1").decode("utf-8")
+    query = dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
+    return Request(environ["REQUEST_METHOD"], path, query, headers, body)
+
+
+def _plain_error(status: int, reason: str, message: str) -> Response:
+    error = {"message": message, "type": reason, "verdict": "not_run"}
+    return json_response(status, {"error": error}, [("Connection", "close")])
+
+
+def _phrase(status: int) -> str:
+    try:
+        return http.HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
+
+
+def _depth_exceeds(data: Any, limit: int) -> bool:
+    level = [data]
+    for _ in range(limit):
+        below = []
+        for item in level:
+            if isinstance(item, dict):
+                below += item.values()
+            elif isinstance(item, list):
+                below += [x for x in item if isinstance(x, (dict, list))]
+        if not below:
+            return False
+        level = below
+    return True
--- /dev/null
+++ b/catkintrail/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: state machines without clocks, sockets or threads."""
--- /dev/null
+++ b/catkintrail/core/cost.py
@@ -0,0 +1,87 @@
+"""Prediction of what a request costs and when it will end."""
+
+from typing import NamedTuple
+
+from catkintrail import objects
+
+__all__ = ["Profile", "profile_of_model", "profile_of_service"]
+
+# Part of a target's time that may be planned for; the rest covers the steps
+# that the engine adds for scheduling.
+PLANNED_UTILISATION = 0.9
+# Each member of a group adds this part of the prefill for exchanging state.
+GROUP_OVERHEAD = 0.1
+
+
+class Profile(NamedTuple):
+    """What a pool needs to know of its model or service.
+
+    Attributes:
+        is_engine: Whether the targets are engines.
+        kv_tokens: KV tokens that one target holds; 0 for a service.
+        block_tokens: Tokens in a block of the prefix cache.
+        prefill_seconds: Time to prefill one uncached token.
+        decode_seconds: Time between tokens.
+        call_seconds: Time of a service call.
+        slots: The most requests at once on one target.
+        max_group: The most targets that one prompt is spread over.
+        long_tokens: The least uncached prompt classed as long.
+    """
+
+    is_engine: bool
+    kv_tokens: int
+    block_tokens: int
+    prefill_seconds: float
+    decode_seconds: float
+    call_seconds: float
+    slots: int
+    max_group: int
+    long_tokens: int
+
+    def prefill_work(self, uncached_tokens: int) -> float:
+        """Returns target seconds of prefill; the whole call of a service."""
+        if not self.is_engine:
+            return self.call_seconds
+        return uncached_tokens * self.prefill_seconds
+
+    def decode_time(self, output_tokens: int) -> float:
+        """Returns seconds from the first token to the last."""
+        if not self.is_engine:
+            return 0.0
+        return output_tokens * self.decode_seconds
+
+    def group_work(self, uncached_tokens: int, members: int) -> float:
+        """Returns seconds of prefill on each member of a group."""
+        share = uncached_tokens / members
+        overhead = 1.0 + GROUP_OVERHEAD * (members - 1)
+        return share * overhead * self.prefill_seconds
+
+
+def profile_of_model(model: objects.Model) -> Profile:
+    """Returns the profile of a model's pools."""
+    return Profile(
+        is_engine=True,
+        kv_tokens=model.engine_kv_tokens,
+        block_tokens=model.block_tokens,
+        prefill_seconds=model.prefill_seconds_per_token,
+        decode_seconds=model.decode_seconds_per_token,
+        call_seconds=0.0,
+        slots=model.engine_slots,
+        max_group=model.max_group,
+        long_tokens=model.long_prompt_tokens,
+    )
+
+
+def profile_of_service(service: objects.Service) -> Profile:
+    """Returns the profile of a service's pools."""
+    return Profile(
+        is_engine=False,
+        kv_tokens=0,
+        block_tokens=1,
+        prefill_seconds=0.0,
+        decode_seconds=0.0,
+        call_seconds=service.call_seconds,
+        slots=service.target_slots,
+        max_group=1,
+        long_tokens=1,
+    )
--- /dev/null
+++ b/catkintrail/core/instance.py
@@ -0,0 +1,732 @@
+"""One entry instance: all its decisions, without clock, sockets or threads."""
+
+import random
+from typing import Callable, NamedTuple
+
+from catkintrail import errors
+from catkintrail import messages
+from catkintrail import objects
+from catkintrail import verdict as verdicts
+from catkintrail.core import configuration
+from catkintrail.core import cost
+from catkintrail.core import directory as directories
+from catkintrail.core import dispatch as dispatches
+from catkintrail.core import limit_homes
+from catkintrail.core import membership as memberships
+from catkintrail.core import ownership
+from catkintrail.core import pool as pools
+from catkintrail.core import publication
+from catkintrail.core import reclamation
+from catkintrail.core import reservation
+from catkintrail.ports import platform as platform_port
+from catkintrail.ports import targets as targets_port
+
+__all__ = ["Instance", "Outputs", "TargetCleanup"]
+
+WATCHERS_PER_ZONE = 2
+SUMMARY_INTERVAL_SECONDS = 1.0
+LIMIT_ANSWER_SECONDS = 0.4
+RUMOUR_LINKS = 4
+MAX_MISPLACED = 1_000
+
+
+class TargetCleanup(NamedTuple):
+    """A reservation to free on an engine.
+
+    Attributes:
+        address: The engine.
+        reservation_id: The reservation.
+        cancel: Whether its request has to be ended first.
+    """
+
+    address: str
+    reservation_id: str
+    cancel: bool
+
+
+class Outputs(NamedTuple):
+    """What an event led to.
+
+    Attributes:
+        sends: Messages for peers.
+        events: News for the threads that serve requests.
+        cleanups: Reservations to free.
+    """
+
+    sends: list[memberships.Send]
+    events: list[dispatches.Event]
+    cleanups: list[TargetCleanup]
+
+
+class _LimitWait(NamedTuple):
+    """A request that waits for its organisation's limit."""
+
+    work: dispatches.Work
+    asked: float
+
+
+class Instance:
+    """The composition of all parts of one instance.
+
+    Every method takes the monotonic time and returns Outputs.
+
+    Attributes:
+        membership: View of the other instances.
+        configuration: The configuration in force.
+        directory: The zone's targets and the owners of its pools.
+        pools: The pools that this instance owns.
+        dispatch: Requests that this instance is placing.
+        limit_homes: Limits whose home is here.
+        book: Engine memory that this instance claims.
+        is_draining: Whether new requests are refused.
+        misplaced: Engines that were reported to need an order, by target.
+    """
+
+    def __init__(
+        self,
+        me: messages.MemberRecord,
+        seeds: tuple[str, ...],
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self.membership = memberships.Membership(me, seeds, rng, now)
+        self.configuration = configuration.Configuration()
+        self.directory = directories.Directory(me.zone, self.membership)
+        self.dispatch = dispatches.Dispatch(self.directory)
+        self.limit_homes = limit_homes.LimitHomes(self.membership)
+        self.reclamation = reclamation.Reclamation()
+        self.book = reservation.ReservationBook()
+        self.pools: dict[pools.PoolKey, pools.Pool] = {}
+        self.is_draining = False
+        self.misplaced: dict[str, messages.Misplaced] = {}
+        self.refused_frames = 0
+        self._cleanups: list[TargetCleanup] = []
+        self._limit_waits: dict[str, _LimitWait] = {}
+        self._fallback: dict[str, limit_homes.limits.TokenBucket] = {}
+        self._next_summary = now
+        self._pools_version = (-1, -1, -1)
+        self._generation = 0
+        self._handlers = self._make_handlers()
+
+    # Local calls.
+
+    def tick(self, now: float) -> Outputs:
+        """Does what is due; called about ten times a second."""
+        sends = self.membership.tick(now)
+        outgoing = self.dispatch.tick(now)
+        outgoing += self.limit_homes.tick(self._organisations(), now)
+        outgoing += self._expire_limit_waits(now)
+        if now >= self._next_summary:
+            self._next_summary = now + SUMMARY_INTERVAL_SECONDS
+            outgoing += self._summaries(now)
+            for pool in self.pools.values():
+                pool.expire_grants(now)
+        return self._finish(sends, outgoing, now)
+
+    def submit(self, work: dispatches.Work, now: float) -> Outputs:
+        """Takes a request: checks the limit, then places it."""
+        organisation = self._organisations().get(work.organisation)
+        if organisation is None or not _is_limited(organisation):
+            return self._finish([], self.dispatch.submit(work, now), now)
+        home = self.limit_homes.home_of(
+            work.organisation, self.membership.me.zone
+        )
+        self._limit_waits[work.request_id] = _LimitWait(work, now)
+        ask = messages.LimitAsk(
+            work.request_id,
+            work.organisation,
+            work.prompt_tokens + work.output_tokens,
+        )
+        outgoing = [configuration.Outgoing(home or "", ask)]
+        return self._finish([], outgoing, now)
+
+    def resubmit(self, work: dispatches.Work, now: float) -> Outputs:
+        """Places a request again after a failed attempt; limits stay paid."""
+        return self._finish([], self.dispatch.submit(work, now), now)
+
+    def finish(
+        self,
+        request_id: str,
+        done: messages.Released | None,
+        now: float,
+    ) -> Outputs:
+        """Ends a request on this instance."""
+        self._limit_waits.pop(request_id, None)
+        outgoing = self.dispatch.finish(request_id, done)
+        return self._finish([], outgoing, now)
+
+    def started(self, request_id: str, now: float) -> Outputs:
+        """Notes the first token of a request."""
+        return self._finish([], self.dispatch.started(request_id), now)
+
+    def take_snapshot(
+        self, snapshot: publication.Snapshot, now: float
+    ) -> Outputs:
+        """Takes a configuration read from the store."""
+        self.configuration.take_snapshot(snapshot)
+        return self._finish([], [], now)
+
+    def take_targets(
+        self, listing: platform_port.TargetListing, now: float
+    ) -> Outputs:
+        """Takes the platform's list of targets."""
+        self.directory.take_listing(listing.revision, listing.targets)
+        return self._finish([], [], now)
+
+    def take_load(
+        self,
+        key: pools.PoolKey,
+        answer: targets_port.LoadAnswer,
+        now: float,
+    ) -> Outputs:
+        """Takes what an owned target says of itself."""
+        outgoing: list[configuration.Outgoing] = []
+        pool = self.pools.get(key)
+        if pool is None:
+            return self._finish([], [], now)
+        report = answer.report
+        if pool.take_report(report, now):
+            gone = messages.TargetGone(report.target, report.incarnation)
+            outgoing += self._spread_gone(gone)
+        pool.take_cache_events(report.target, answer.events, now)
+        outgoing += self._sweep(pool, report.target, answer.reservations, now)
+        outgoing += self._check_version(pool, report.target, answer.version)
+        return self._finish([], outgoing, now)
+
+    def drain(self, now: float) -> Outputs:
+        """Stops taking requests and hands the pools over."""
+        self.is_draining = True
+        sends = self.membership.leave(now)
+        return self._finish(sends, [], now)
+
+    def disconnected(self, address: str, now: float) -> Outputs:
+        """Takes the news that a stream to a peer broke."""
+        self.membership.on_disconnect(address, now)
+        return self._finish([], [], now)
+
+    # Questions.
+
+    def is_ready(self) -> bool:
+        """Returns whether callers may be served."""
+        return self.configuration.is_confirmed and not self.is_draining
+
+    def is_watcher(self) -> bool:
+        """Returns whether this instance watches the store for its zone."""
+        me = self.membership.me
+        names = self.membership.usable(me.zone)
+        first = ownership.rank_owners("watch", names, WATCHERS_PER_ZONE)
+        return me.name in first or not names
+
+    def order_holder(self) -> str | None:
+        """Returns the instance that should hold the zone's orders' lease."""
+        names = self.membership.usable(self.membership.me.zone)
+        return ownership.choose_owner("orders", names)
+
+    def polled_targets(
+        self,
+    ) -> list[tuple[pools.PoolKey, messages.TargetRecord, bool]]:
+        """Returns owned targets to poll, and whether each is an engine."""
+        return [
+            (key, state.record, pool.profile.is_engine)
+            for key, pool in self.pools.items()
+            for state in pool.targets.values()
+        ]
+
+    def holder_state(self, name: str) -> reclamation.HolderState:
+        """Returns what membership says of a holder of engine memory."""
+        if self.membership.is_usable(name):
+            return reclamation.HolderState.LIVE
+        if name == self.membership.me.name:
+            return reclamation.HolderState.LEAVING
+        member = self.membership.members.get(name)
+        if member and member.record.status == memberships.LEFT:
+            return reclamation.HolderState.LEAVING
+        return reclamation.HolderState.GONE
+
+    # Messages.
+
+    def receive(
+        self,
+        sender: messages.MemberRecord,
+        message: messages.Message,
+        now: float,
+    ) -> Outputs:
+        """Takes a message from a proven peer.
+
+        Args:
+            sender: The peer, as it proved itself.
+            message: The message.
+            now: Monotonic time in seconds.
+        """
+        if sender.name not in self.membership.members:
+            self.membership.on_contact(sender, now)
+        try:
+            sends, outgoing = self._handle(sender, message, now)
+        except (errors.FrameError, errors.CheckError):
+            self.refused_frames += 1
+            sends, outgoing = [], []
+        return self._finish(sends, outgoing, now)
+
+    def _handle(
+        self,
+        sender: messages.MemberRecord,
+        message: messages.Message,
+        now: float,
+    ) -> tuple[list[memberships.Send], list[configuration.Outgoing]]:
+        if isinstance(message, messages.Ping):
+            sends = self.membership.on_ping(sender.name, message, now)
+            return sends, self._compare(sender, message, now)
+        if isinstance(message, messages.Ack):
+            sends = self.membership.on_ack(sender.name, message, now)
+            return sends, self._compare(sender, message, now)
+        if isinstance(message, messages.Members):
+            sends = self.membership.on_members(sender.address, message, now)
+            return sends, []
+        handler = self._handlers[type(message)]
+        return [], handler(sender.name, message, now) or []
+
+    def _make_handlers(self) -> dict[type, Callable]:
+        dispatch = self.dispatch
+        return {
+            messages.TargetListRequest: self._on_list_request,
+            messages.TargetList: self._on_list,
+            messages.TargetGone: self._on_gone,
+            messages.Acquire: self._on_acquire,
+            messages.Granted: lambda s, m, now: dispatch.take_granted(s, m),
+            messages.Queued: lambda s, m, now: dispatch.take_queued(s, m),
+            messages.Declined: lambda s, m, now: dispatch.take_declined(s, m),
+            messages.Redirected: dispatch.take_redirected,
+            messages.Started: self._on_started,
+            messages.Released: self._on_released,
+            messages.Withdraw: self._on_withdraw,
+            messages.PoolSummary: self._on_summary,
+            messages.LimitAsk: self._on_limit_ask,
+            messages.LimitAnswer: self._on_limit_answer,
+            messages.ZoneClaims: self.limit_homes.take_claims,
+            messages.HoldingsQuery: self._on_holdings_query,
+            messages.HoldingsClaimed: self._on_holdings_claimed,
+            messages.ConfigRequest: self._on_config_request,
+            messages.ConfigHead: self._on_config_head,
+            messages.PartRequest: self._on_part_request,
+            messages.Part: self._on_part,
+            messages.Misplaced: self._on_misplaced,
+        }
+
+    def _compare(
+        self,
+        sender: messages.MemberRecord,
+        beat: messages.Ping | messages.Ack,
+        now: float,
+    ) -> list[configuration.Outgoing]:
+        outgoing = self.configuration.note_generation(
+            sender.name, beat.generation, now
+        )
+        if (
+            sender.zone == self.membership.me.zone
+            and beat.targets_revision > self.directory.listing.revision
+        ):
+            request = messages.TargetListRequest()
+            outgoing.append(configuration.Outgoing(sender.name, request))
+        if not self.configuration.is_confirmed:
+            request = messages.ConfigRequest()
+            outgoing.append(configuration.Outgoing(sender.name, request))
+        return outgoing
+
+    def _on_list_request(
+        self, sender: str, message: messages.TargetListRequest, now: float
+    ) -> list[configuration.Outgoing]:
+        del message, now
+        listing = self.directory.listing
+        answer = messages.TargetList(listing.revision, listing.targets)
+        return [configuration.Outgoing(sender, answer)]
+
+    def _on_list(
+        self, sender: str, message: messages.TargetList, now: float
+    ) -> None:
+        del sender, now
+        self.directory.take_listing(message.revision, message.targets)
+
+    def _on_gone(
+        self, sender: str, message: messages.TargetGone, now: float
+    ) -> list[configuration.Outgoing]:
+        del sender, now
+        return self._spread_gone(message)
+
+    def _on_acquire(
+        self, sender: str, message: messages.Acquire, now: float
+    ) -> list[configuration.Outgoing]:
+        key = pools.PoolKey(message.serves, message.zone, message.shard)
+        pool = self.pools.get(key)
+        if pool is None:
+            pool = self._adopt(key, now)
+        if pool is None:
+            declined = messages.Declined(
+                message.request_id,
+                verdicts.Reason.NO_TARGET.value,
+                f"{message.serves} is not known here",
+                1.0,
+            )
+            return [configuration.Outgoing(sender, declined)]
+        replies = pool.acquire(message, sender, now)
+        return [configuration.Outgoing(r.entry, r.message) for r in replies]
+
+    def _on_started(
+        self, sender: str, message: messages.Started, now: float
+    ) -> None:
+        del sender
+        for pool in self.pools.values():
+            if message.request_id in pool.grants:
+                pool.start(message.request_id, now)
+
+    def _on_released(
+        self, sender: str, message: messages.Released, now: float
+    ) -> list[configuration.Outgoing]:
+        del sender
+        for pool in self.pools.values():
+            if message.target in pool.targets and pool.release(message, now):
+                incarnation = pool.gone[message.target]
+                gone = messages.TargetGone(message.target, incarnation)
+                return self._spread_gone(gone)
+        return []
+
+    def _on_withdraw(
+        self, sender: str, message: messages.Withdraw, now: float
+    ) -> None:
+        del sender
+        for pool in self.pools.values():
+            pool.withdraw(message.request_id, now)
+
+    def _on_summary(
+        self, sender: str, message: messages.PoolSummary, now: float
+    ) -> None:
+        del sender
+        for key, pool in self.pools.items():
+            mine = (key.zone, key.shard) == (message.zone, message.shard)
+            if key.serves == message.serves and not mine:
+                pool.take_summary(message, now)
+
+    def _on_limit_ask(
+        self, sender: str, message: messages.LimitAsk, now: float
+    ) -> list[configuration.Outgoing]:
+        organisation = self._organisations().get(message.organisation)
+        if organisation is None or not _is_limited(organisation):
+            answer = messages.LimitAnswer(message.request_id, True, 0.0)
+        else:
+            answer = self.limit_homes.ask(message, organisation, now)
+        return [configuration.Outgoing(sender, answer)]
+
+    def _on_limit_answer(
+        self, sender: str, message: messages.LimitAnswer, now: float
+    ) -> list[configuration.Outgoing]:
+        del sender
+        wait = self._limit_waits.pop(message.request_id, None)
+        if wait is None:
+            return []
+        if message.is_allowed:
+            return self.dispatch.submit(wait.work, now)
+        self._refuse_rate(wait.work, message.retry_after_seconds)
+        return []
+
+    def _on_holdings_query(
+        self, sender: str, message: messages.HoldingsQuery, now: float
+    ) -> list[configuration.Outgoing]:
+        del now
+        return [configuration.Outgoing(sender, self.book.answer(message))]
+
+    def _on_holdings_claimed(
+        self, sender: str, message: messages.HoldingsClaimed, now: float
+    ) -> None:
+        del sender
+        self.reclamation.take_claims(message, now)
+
+    def _on_config_request(
+        self, sender: str, message: messages.ConfigRequest, now: float
+    ) -> list[configuration.Outgoing]:
+        del message, now
+        if not self.configuration.is_confirmed:
+            return []
+        return self.configuration.answer_request(sender)
+
+    def _on_config_head(
+        self, sender: str, message: messages.ConfigHead, now: float
+    ) -> list[configuration.Outgoing]:
+        del now
+        return self.configuration.take_head(sender, message)
+
+    def _on_part_request(
+        self, sender: str, message: messages.PartRequest, now: float
+    ) -> list[configuration.Outgoing]:
+        del now
+        return self.configuration.answer_parts(sender, message)
+
+    def _on_part(
+        self, sender: str, message: messages.Part, now: float
+    ) -> list[configuration.Outgoing]:
+        del now
+        outgoing, _ = self.configuration.take_part(sender, message)
+        return outgoing
+
+    # After every event.
+
+    def _finish(
+        self,
+        sends: list[memberships.Send],
+        outgoing: list[configuration.Outgoing],
+        now: float,
+    ) -> Outputs:
+        """Brings all parts up to date and turns names into addresses."""
+        sends = list(sends)
+        sends += self._spread_news()
+        outgoing = list(outgoing)
+        outgoing += self._update_pools(now)
+        me = self.membership.me
+        while True:
+            if not outgoing:
+                outgoing = self._poll_pools(now)
+                if not outgoing:
+                    break
+            name, message = outgoing.pop(0)
+            if name == me.name:
+                more_sends, more = self._handle(me, message, now)
+                sends += more_sends
+                outgoing += more
+                continue
+            address = self.membership.address_of(name)
+            if address is not None:
+                sends.append(memberships.Send(address, message))
+        cleanups = self._cleanups
+        self._cleanups = []
+        return Outputs(sends, self.dispatch.take_events(), cleanups)
+
+    def _spread_news(self) -> list[memberships.Send]:
+        """Tells some peers at once of a newer configuration or list."""
+        generation = self.configuration.generation()
+        revision = self.directory.listing.revision
+        membership = self.membership
+        if (generation, revision) == (
+            membership.generation,
+            membership.targets_revision,
+        ):
+            return []
+        membership.generation = generation
+        membership.targets_revision = revision
+        links = membership.links()
+        chosen = membership.rng.sample(links, min(RUMOUR_LINKS, len(links)))
+        return [
+            memberships.Send(
+                membership.address_of(name),
+                messages.Ping(0, membership.view_hash(), generation, revision),
+            )
+            for name in chosen
+        ]
+
+    def _update_pools(self, now: float) -> list[configuration.Outgoing]:
+        """Follows changes of membership, targets and objects."""
+        version = (
+            self.membership.version,
+            self.directory.listing.revision,
+            self.configuration.generation(),
+        )
+        if version == self._pools_version:
+            return []
+        members_changed = version[0] != self._pools_version[0]
+        self._pools_version = version
+        self.limit_homes.set_zones(self.membership.zones())
+        profiles = self._profiles()
+        owned = set(self.directory.owned(profiles))
+        for key in list(self.pools):
+            if key not in owned:
+                del self.pools[key]
+        for key in owned:
+            pool = self._open_pool(key, profiles[key.serves], now)
+            if members_changed:
+                self._drop_lost_entries(pool, now)
+        return []
+
+    def _open_pool(
+        self, key: pools.PoolKey, profile: cost.Profile, now: float
+    ) -> pools.Pool:
+        pool = self.pools.get(key)
+        if pool is None:
+            pool = self.pools[key] = pools.Pool(key, profile)
+        pool.set_profile(profile)
+        for name, incarnation in self.directory.gone.items():
+            pool.target_gone(name, incarnation)
+        pool.set_targets(self.directory.shard_targets(key), now)
+        return pool
+
+    def _adopt(self, key: pools.PoolKey, now: float) -> pools.Pool | None:
+        """Serves a pool that another view of membership gives to this one."""
+        profile = self._profiles().get(key.serves)
+        if profile is None or key.zone != self.directory.zone:
+            return None
+        if key.shard >= self.directory.shard_count(key.serves):
+            return None
+        return self._open_pool(key, profile, now)
+
+    def _drop_lost_entries(self, pool: pools.Pool, now: float) -> None:
+        for name, member in self.membership.members.items():
+            if member.record.status == memberships.DEAD:
+                pool.entry_lost(name, now)
+
+    def _poll_pools(self, now: float) -> list[configuration.Outgoing]:
+        outgoing = []
+        for pool in self.pools.values():
+            if pool.waiting_count():
+                for reply in pool.poll(now):
+                    outgoing.append(
+                        configuration.Outgoing(reply.entry, reply.message)
+                    )
+        return outgoing
+
+    def _summaries(self, now: float) -> list[configuration.Outgoing]:
+        """Tells the owners of the same models in the region's other zones."""
+        outgoing = []
+        zones = self._region_zones()
+        for key, pool in self.pools.items():
+            summary = pool.summary(now)
+            for zone in zones:
+                other = pools.PoolKey(key.serves, zone, 0)
+                owner = self.directory.owner(other)
+                if owner is not None and zone != key.zone:
+                    outgoing.append(configuration.Outgoing(owner, summary))
+            for shard in range(self.directory.shard_count(key.serves)):
+                other = key._replace(shard=shard)
+                owner = self.directory.owner(other)
+                if owner is not None and shard != key.shard:
+                    outgoing.append(configuration.Outgoing(owner, summary))
+        return outgoing
+
+    def _region_zones(self) -> list[str]:
+        me = self.membership.me
+        return sorted(
+            {
+                member.record.zone
+                for member in self.membership.members.values()
+                if member.record.region == me.region
+                and member.record.status <= memberships.SUSPECT
+            }
+        )
+
+    def _spread_gone(
+        self, gone: messages.TargetGone
+    ) -> list[configuration.Outgoing]:
+        """Notes a leaving target and tells the zone, once."""
+        if not self.directory.note_gone(gone.name, gone.incarnation):
+            return []
+        for pool in self.pools.values():
+            pool.target_gone(gone.name, gone.incarnation)
+        me = self.membership.me
+        return [
+            configuration.Outgoing(name, gone)
+            for name in self.membership.links()
+            if self.membership.members[name].record.zone == me.zone
+        ]
+
+    def _sweep(
+        self,
+        pool: pools.Pool,
+        target: str,
+        records: tuple[targets_port.ReservationRecord, ...],
+        now: float,
+    ) -> list[configuration.Outgoing]:
+        plan = self.reclamation.observe(target, records, self.holder_state, now)
+        state = pool.targets.get(target)
+        if state is None:
+            return []
+        address = state.record.address
+        for reservation_id in plan.free:
+            self._cleanups.append(TargetCleanup(address, reservation_id, False))
+        for reservation_id in plan.cancel:
+            self._cleanups.append(TargetCleanup(address, reservation_id, True))
+        return [
+            configuration.Outgoing(holder, query) for holder, query in plan.ask
+        ]
+
+    def _check_version(
+        self, pool: pools.Pool, target: str, version: str
+    ) -> list[configuration.Outgoing]:
+        """Tells the zone's order holder of an engine to be corrected."""
+        models = self.configuration.snapshot.objects.models
+        model = models.get(pool.key.serves)
+        state = pool.targets.get(target)
+        holder = self.order_holder()
+        if model is None or state is None or holder is None:
+            return []
+        if not model.wanted_version or version == model.wanted_version:
+            return []
+        message = messages.Misplaced(
+            target, state.record.address, pool.key.serves
+        )
+        return [configuration.Outgoing(holder, message)]
+
+    def _on_misplaced(
+        self, sender: str, message: messages.Misplaced, now: float
+    ) -> None:
+        del sender, now
+        if len(self.misplaced) < MAX_MISPLACED:
+            self.misplaced[message.target] = message
+
+    # Limits.
+
+    def _expire_limit_waits(self, now: float) -> list[configuration.Outgoing]:
+        """Decides alone where a limit's home does not answer."""
+        outgoing: list[configuration.Outgoing] = []
+        for request_id, wait in list(self._limit_waits.items()):
+            if now - wait.asked < LIMIT_ANSWER_SECONDS:
+                continue
+            del self._limit_waits[request_id]
+            bucket = self._fallback_bucket(wait.work.organisation, now)
+            if bucket.take(1.0, now) >= 1.0:
+                outgoing += self.dispatch.submit(wait.work, now)
+            else:
+                self._refuse_rate(wait.work, bucket.wait_seconds(1.0))
+        return outgoing
+
+    def _fallback_bucket(
+        self, name: str, now: float
+    ) -> limit_homes.limits.TokenBucket:
+        """Returns this instance's own part of an organisation's limit."""
+        organisation = self._organisations().get(name)
+        rate = organisation.requests_per_second if organisation else 1.0
+        zone = self.membership.me.zone
+        members = len(self.membership.usable(zone))
+        parts = len(self.limit_homes.zones) * max(1, members)
+        bucket = self._fallback.get(name)
+        if bucket is None:
+            bucket = limit_homes.limits.TokenBucket(rate / parts, now)
+            self._fallback[name] = bucket
+        bucket.set_rate(rate / parts, now)
+        return bucket
+
+    def _refuse_rate(self, work: dispatches.Work, retry_after: float) -> None:
+        refusal = verdicts.Refusal(
+            verdicts.Verdict.NOT_RUN,
+            verdicts.Reason.RATE_LIMITED,
+            f"organisation {work.organisation} is over its limit",
+            retry_after,
+        )
+        event = dispatches.Event(work.request_id, None, refusal)
+        self.dispatch.events.append(event)
+
+    # Objects.
+
+    def _organisations(self) -> dict[str, objects.Organisation]:
+        return self.configuration.snapshot.objects.organisations
+
+    def _profiles(self) -> dict[str, cost.Profile]:
+        current = self.configuration.snapshot.objects
+        profiles = {
+            name: cost.profile_of_model(model)
+            for name, model in current.models.items()
+        }
+        for name, service in current.services.items():
+            profiles[name] = cost.profile_of_service(service)
+        return profiles
+
+
+def _is_limited(organisation: objects.Organisation) -> bool:
+    return (
+        organisation.requests_per_second > 0
+        or organisation.tokens_per_second > 0
+    )
--- /dev/null
+++ b/catkintrail/ports/__init__.py
@@ -0,0 +1,1 @@
+"""What the core asks of the world."""
