--- a/catkintrail/daemon.py
+++ b/catkintrail/daemon.py
@@ -420,7 +420,7 @@
         del number, frame
         signals += 1
         if signals > 1:
-            os._exit(1)
+            os._exit(1)  # pylint: disable=protected-access
         entry.drain()
 
     signal.signal(signal.SIGTERM, on_signal)
