--- a/catkintrail/adapters/target_client.py
+++ b/catkintrail/adapters/target_client.py
@@ -30,6 +30,7 @@
 VERDICT_HEADER = "X-Verdict"
 REASON_HEADER = "X-Reason"
 LEAVING = "leaving"
+EMPTY_STATUSES = (204, 304)
 
 _FAILURES = (
     OSError,
@@ -220,8 +221,13 @@
     if len(body) > MAX_ANSWER_BYTES:
         raise _failed("answer is too long")
     length = response.headers.get("Content-Length", "")
-    if length.isdigit() and len(body) < int(length):
-        raise _failed("answer is shorter than its Content-Length")
+    if length.isdigit():
+        if len(body) < int(length):
+            raise _failed("answer is shorter than its Content-Length")
+    elif "chunked" not in response.headers.get("Transfer-Encoding", ""):
+        # Without either, a cut in the headers looks like an empty answer.
+        if response.status not in EMPTY_STATUSES:
+            raise _failed("answer does not say where it ends")
     return body
 
 
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,17 @@
+"""Ids of attempts."""
+
+import testtools
+
+from catkintrail.core import attempts
+
+
+class IdSourceTests(testtools.TestCase):
+
+    def test_ids_differ_over_instances_and_restarts(self):
+        sources = [
+            attempts.IdSource(name, incarnation)
+            for name in ("a", "b")
+            for incarnation in (1, 2)
+        ]
+        ids = [source.make() for source in sources for _ in range(5)]
+        self.assertEqual(len(ids), len(set(ids)))
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,202 @@
+"""A change in force on every instance that can be reached, never reverted."""
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+from testtools import matchers
+
+from bench import fleet as fleets
+from catkintrail import messages
+from catkintrail.adapters import memory_platform
+from catkintrail.core import configuration
+from catkintrail.core import publication
+
+IN_FORCE_SECONDS = 7.0
+ZONES = {"x": 3, "y": 3, "z": 3}
+
+
+class Publisher:
+    """Publishes changes through instances of a fleet."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.store = memory_platform.MemoryPlatform()
+        self.count = 0
+
+    def publish(self, name):
+        self.count += 1
+        node = self.fleet.nodes[name]
+        edit = publication.Edit(
+            "organisations", "a", {"weight": float(self.count)}
+        )
+        change = publication.Change(f"c{self.count}", "ops", 1.0, (edit,))
+        known = node.core.configuration.snapshot
+        snapshot = publication.publish(self.store, known, change)
+        self.fleet.apply(
+            node, node.core.take_snapshot(snapshot, self.fleet.now)
+        )
+        return snapshot.generation
+
+    def read(self, node):
+        """Lets an instance read the store, as one that watches it does."""
+        known = node.core.configuration.snapshot
+        _, snapshot = publication.fetch(self.store, known)
+        self.fleet.apply(
+            node, node.core.take_snapshot(snapshot, self.fleet.now)
+        )
+
+
+def generations(fleet):
+    return [n.core.configuration.generation() for n in fleet.live()]
+
+
+def make_fleet():
+    fleet = fleets.Fleet()
+    fleet.add_zones(ZONES)
+    fleet.run(10.0)
+    return fleet, Publisher(fleet)
+
+
+class SpreadTests(testtools.TestCase):
+
+    def test_change_is_in_force_everywhere_without_a_watch(self):
+        """The watches are all down; heartbeats alone carry the change."""
+        fleet, publisher = make_fleet()
+        for name in ("x-0", "y-1", "z-2"):
+            wanted = publisher.publish(name)
+            taken = fleet.run_until(
+                lambda wanted=wanted: min(generations(fleet)) == wanted,
+                IN_FORCE_SECONDS,
+            )
+            self.assertThat(taken, matchers.LessThan(IN_FORCE_SECONDS))
+
+    def test_zone_that_comes_back_after_hours_catches_up(self):
+        fleet, publisher = make_fleet()
+        publisher.publish("x-0")
+        fleet.run(7.0)
+        fleet.is_cut = lambda a, b: (a.core.membership.me.zone == "z") != (
+            b.core.membership.me.zone == "z"
+        )
+        fleet.run(7_200.0)
+        wanted = publisher.publish("x-1")
+        fleet.run(10.0)
+        self.assertEqual(wanted - 1, min(generations(fleet)))
+        fleet.is_cut = lambda a, b: False
+        taken = fleet.run_until(
+            lambda: min(generations(fleet)) == wanted, IN_FORCE_SECONDS
+        )
+        self.assertThat(taken, matchers.LessThan(IN_FORCE_SECONDS))
+
+    def test_fresh_instance_learns_from_peers_during_an_outage(self):
+        fleet, publisher = make_fleet()
+        wanted = publisher.publish("x-0")
+        fleet.run(7.0)
+        node = fleet.add("x-9", "x", seeds=("10.0.0.1:1",))
+        self.assertFalse(node.core.is_ready())
+        taken = fleet.run_until(node.core.is_ready, IN_FORCE_SECONDS)
+        self.assertThat(taken, matchers.LessThan(IN_FORCE_SECONDS))
+        fleet.run(IN_FORCE_SECONDS)
+        self.assertEqual(wanted, node.core.configuration.generation())
+
+    def test_instance_without_store_and_peers_is_not_ready(self):
+        fleet = fleets.Fleet()
+        node = fleet.add("x-0", "x", seeds=("10.0.0.1:9",))
+        fleet.run(60.0)
+        self.assertFalse(node.core.is_ready())
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(
+                    ["publish", "read", "cut", "heal", "freeze", "thaw", "lag"]
+                ),
+                strategies.integers(0, 8),
+                strategies.floats(0.05, 5.0),
+            ),
+            max_size=12,
+        )
+    )
+    @hypothesis.settings(max_examples=30)
+    def test_generations_only_rise_and_meet(self, steps):
+        fleet, publisher = make_fleet()
+        names = sorted(fleet.nodes)
+        before = generations(fleet)
+        stale = publication.empty_snapshot()
+        for action, index, seconds in steps:
+            node = fleet.nodes[names[index]]
+            if action == "publish":
+                stale = node.core.configuration.snapshot
+                publisher.publish(names[index])
+            elif action == "read":
+                publisher.read(node)
+            elif action == "lag":
+                outputs = node.core.take_snapshot(stale, fleet.now)
+                fleet.apply(node, outputs)
+            elif action == "cut":
+                zone = names[index][0]
+                fleet.is_cut = lambda a, b, zone=zone: (
+                    a.core.membership.me.zone == zone
+                ) != (b.core.membership.me.zone == zone)
+            elif action == "heal":
+                fleet.is_cut = lambda a, b: False
+            elif action == "freeze":
+                node.is_frozen = True
+            else:
+                fleet.thaw(names[index])
+            fleet.run(seconds)
+            after = generations(fleet)
+            for old, new in zip(before, after, strict=True):
+                self.assertThat(new, matchers.GreaterThan(old - 1))
+            before = after
+        fleet.is_cut = lambda a, b: False
+        for name in names:
+            fleet.thaw(name)
+        fleet.run(30.0)
+        self.assertEqual({max(before)}, set(generations(fleet)))
+
+
+class DamagedPartsTests(testtools.TestCase):
+
+    def make_pair(self):
+        store = memory_platform.MemoryPlatform()
+        edits = tuple(
+            publication.Edit("organisations", f"o{n}", {"weight": 1.0})
+            for n in range(300)
+        )
+        change = publication.Change("c1", "ops", 1.0, edits)
+        source = configuration.Configuration()
+        source.take_snapshot(
+            publication.publish(store, publication.empty_snapshot(), change)
+        )
+        return source, configuration.Configuration()
+
+    def test_damaged_part_is_refused_and_fetched_again(self):
+        source, sink = self.make_pair()
+        (head,) = source.answer_request("sink")
+        (request,) = sink.take_head("source", head.message)
+        parts = source.answer_parts("sink", request.message)
+        damaged = parts[0].message._replace(content=b"{}")
+        self.assertRaises(Exception, sink.take_part, "source", damaged)
+        self.assertEqual(0, sink.generation())
+
+    def test_lost_parts_are_asked_for_again(self):
+        source, sink = self.make_pair()
+        for lost in (0, 1, 2, 3, 0):
+            (head,) = source.answer_request("sink")
+            requests = sink.take_head("source", head.message)
+            while requests:
+                request = requests.pop(0)
+                if not isinstance(request.message, messages.PartRequest):
+                    continue
+                parts = source.answer_parts("sink", request.message)
+                for index, part in enumerate(parts):
+                    if index == lost:
+                        continue
+                    more, _ = sink.take_part("source", part.message)
+                    requests += more
+        (head,) = source.answer_request("sink")
+        for _ in range(10):
+            for request in sink.take_head("source", head.message):
+                for part in source.answer_parts("sink", request.message):
+                    sink.take_part("source", part.message)
+        self.assertEqual(1, sink.generation())
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,168 @@
+"""Views of the fleet after deaths, cuts, freezes and restarts."""
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+from testtools import matchers
+
+from bench import fleet as fleets
+from catkintrail.core import membership
+
+CONVERGENCE_SECONDS = 20.0
+DETECTION_SECONDS = 10.0
+ZONES = {"x": 4, "y": 4, "z": 4}
+
+
+def make_fleet(counts=None, settle=10.0):
+    fleet = fleets.Fleet()
+    fleet.add_zones(counts or ZONES)
+    fleet.run(settle)
+    return fleet
+
+
+def views_agree(fleet):
+    """Returns whether every running instance sees just the running ones."""
+    running = sorted(n.core.membership.me.name for n in fleet.live())
+    return all(n.core.membership.usable() == running for n in fleet.live())
+
+
+def zone_cut(fleet, zones):
+    """Cuts zones off from the others."""
+
+    def is_cut(a, b):
+        first = a.core.membership.me.zone in zones
+        return first != (b.core.membership.me.zone in zones)
+
+    fleet.is_cut = is_cut
+
+
+class ConvergenceTests(testtools.TestCase):
+
+    def assert_agreement(self, fleet, seconds=CONVERGENCE_SECONDS):
+        taken = fleet.run_until(lambda: views_agree(fleet), seconds)
+        self.assertThat(taken, matchers.LessThan(seconds))
+
+    def test_start(self):
+        fleet = fleets.Fleet()
+        fleet.add_zones(ZONES)
+        self.assert_agreement(fleet)
+
+    def test_death_is_seen_in_the_zone_within_seconds(self):
+        fleet = make_fleet()
+        fleet.kill("x-0")
+        mates = [fleet.nodes[f"x-{n}"] for n in (1, 2, 3)]
+
+        def is_seen():
+            return not any(n.core.membership.is_usable("x-0") for n in mates)
+
+        taken = fleet.run_until(is_seen, DETECTION_SECONDS)
+        self.assertThat(taken, matchers.LessThan(DETECTION_SECONDS))
+        self.assert_agreement(fleet)
+
+    def test_two_deaths_at_once(self):
+        fleet = make_fleet()
+        fleet.kill("x-0")
+        fleet.kill("y-1")
+        self.assert_agreement(fleet)
+
+    def test_cut_zone_keeps_itself_and_comes_back(self):
+        fleet = make_fleet()
+        zone_cut(fleet, {"x"})
+        fleet.run(60.0)
+        for number in range(4):
+            view = fleet.nodes[f"x-{number}"].core.membership
+            self.assertEqual(4, len(view.usable("x")))
+        fleet.is_cut = lambda a, b: False
+        self.assert_agreement(fleet)
+
+    def test_one_way_cut_heals(self):
+        fleet = make_fleet()
+        fleet.is_cut = (
+            lambda a, b: a.core.membership.me.zone
+            == "x"
+            != (b.core.membership.me.zone)
+        )
+        fleet.run(40.0)
+        fleet.is_cut = lambda a, b: False
+        self.assert_agreement(fleet)
+
+    def test_frozen_instance_is_left_out_and_comes_back(self):
+        fleet = make_fleet()
+        fleet.nodes["y-2"].is_frozen = True
+        fleet.run(15.0)
+        view = fleet.nodes["y-0"].core.membership
+        self.assertFalse(view.is_usable("y-2"))
+        fleet.thaw("y-2")
+        self.assert_agreement(fleet)
+        fleet.run(10.0)
+        self.assertTrue(views_agree(fleet))
+
+    def test_replacement_joins(self):
+        fleet = make_fleet()
+        fleet.kill("z-3")
+        fleet.add("z-9", "z", seeds=("10.0.0.1:1",))
+        self.assert_agreement(fleet)
+
+    def test_leaving_is_seen_at_once(self):
+        fleet = make_fleet()
+        node = fleet.nodes["x-1"]
+        fleet.apply(node, node.core.drain(fleet.now))
+        fleet.run(3.0)
+        for number in (0, 2, 3):
+            view = fleet.nodes[f"x-{number}"].core.membership
+            self.assertFalse(view.is_usable("x-1"))
+
+    def test_quiet_fleet_stays_quiet(self):
+        fleet = make_fleet(settle=30.0)
+        versions = [n.core.membership.version for n in fleet.live()]
+        fleet.run(120.0)
+        after = [n.core.membership.version for n in fleet.live()]
+        self.assertEqual(versions, after)
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(
+                    ["kill", "freeze", "thaw", "cut", "heal"]
+                ),
+                strategies.integers(0, 8),
+                strategies.floats(0.1, 12.0),
+            ),
+            max_size=6,
+        )
+    )
+    @hypothesis.settings(max_examples=25)
+    def test_views_agree_after_any_failures(self, steps):
+        fleet = make_fleet({"x": 3, "y": 3, "z": 3})
+        names = sorted(fleet.nodes)
+        for action, index, seconds in steps:
+            name = names[index]
+            if action == "kill" and len(fleet.live()) > 4:
+                fleet.kill(name)
+            elif action == "freeze":
+                fleet.nodes[name].is_frozen = True
+            elif action == "thaw":
+                fleet.thaw(name)
+            elif action == "cut":
+                zone_cut(fleet, {name[0]})
+            else:
+                fleet.is_cut = lambda a, b: False
+            fleet.run(seconds)
+        fleet.is_cut = lambda a, b: False
+        for name in names:
+            fleet.thaw(name)
+        self.assert_agreement(fleet, 40.0)
+
+
+class RefutationTests(testtools.TestCase):
+
+    def test_suspicion_is_refuted_by_a_higher_incarnation(self):
+        fleet = make_fleet({"x": 3})
+        view = fleet.nodes["x-0"].core.membership
+        view.on_disconnect(view.address_of("x-1"), fleet.now)
+        before = view.members["x-1"].record.incarnation
+        self.assertEqual(membership.SUSPECT, view.members["x-1"].record.status)
+        fleet.run(5.0)
+        record = view.members["x-1"].record
+        self.assertEqual(membership.ALIVE, record.status)
+        self.assertThat(record.incarnation, matchers.GreaterThan(before - 1))
--- /dev/null
+++ b/tests/test_target_client.py
@@ -0,0 +1,145 @@
+"""Verdicts of real connections that fail at each stage."""
+
+import contextlib
+import socket
+import threading
+
+import testtools
+
+from catkintrail import errors
+from catkintrail import verdict as verdicts
+from catkintrail.adapters import target_client
+from catkintrail.ports import targets as targets_port
+
+NOT_RUN = verdicts.Verdict.NOT_RUN
+MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+    b"Content-Type: text/event-stream\r\n\r\n"
+)
+
+
+def answer(status, body=b"", *headers, length=None):
+    lines = [f"HTTP/1.1 {status} X", *headers]
+    lines.append(f"Content-Length: {len(body) if length is None else length}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def sse(*chunks):
+    pieces = [b"data: " + one.encode() + b"\n\n" for one in chunks]
+    return b"".join(b"%x\r\n%s\r\n" % (len(p), p) for p in pieces)
+
+
+@contextlib.contextmanager
+def peer(content, reads=True, resets=False):
+    """Serves one connection with fixed bytes, then closes or resets it."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve():
+        connection, _ = listener.accept()
+        with connection:
+            if reads:
+                connection.recv(1 << 16)
+            connection.sendall(content)
+            if resets:
+                linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, linger
+                )
+
+    thread = threading.Thread(target=serve, daemon=True)
+    thread.start()
+    try:
+        yield f"127.0.0.1:{listener.getsockname()[1]}"
+    finally:
+        thread.join(5)
+        listener.close()
+
+
+def call_service(address, timeout=5.0):
+    call = targets_port.ServiceCall("a1", "POST", "/x", {}, b"{}")
+    return target_client.TargetClient().call(address, call, timeout)
+
+
+def generate(address, timeout=5.0):
+    call = targets_port.GenerateCall("a1", "m", b"{}", 4, 1, 0, (), timeout)
+    client = target_client.TargetClient()
+    return list(client.generate(address, call, timeout, lambda cut: None))
+
+
+class ServiceCallTests(testtools.TestCase):
+
+    def verdict_of(self, content, **arguments):
+        with peer(content, **arguments) as address:
+            error = self.assertRaises(errors.TargetError, call_service, address)
+        return error.verdict
+
+    def test_refused_connection_is_not_run(self):
+        listener = socket.create_server(("127.0.0.1", 0))
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        listener.close()
+        error = self.assertRaises(errors.TargetError, call_service, address)
+        self.assertIs(NOT_RUN, error.verdict)
+
+    def test_failures_after_the_first_byte_may_have_run(self):
+        cases = {
+            "closed before the request was read": (b"", False),
+            "closed after the request": (b"", True),
+            "half a status line": (b"HTTP/1.", True),
+            "half the headers": (b"HTTP/1.1 200 OK\r\nContent-", True),
+            "half the body": (answer(200, b"abc", length=9), True),
+            "not HTTP": (b"\x00\x01\x02 hello\r\n\r\n", True),
+            "error without a verdict": (answer(500, b"oops"), True),
+            "gateway timeout": (answer(504), True),
+        }
+        for name, (content, reads) in cases.items():
+            for resets in (False, True):
+                verdict = self.verdict_of(content, reads=reads, resets=resets)
+                self.assertIs(MAY_HAVE_RUN, verdict, name)
+
+    def test_target_that_never_answers_may_have_run(self):
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        error = self.assertRaises(
+            errors.TargetError, call_service, address, 0.05
+        )
+        self.assertIs(MAY_HAVE_RUN, error.verdict)
+
+    def test_only_the_targets_own_word_is_not_run(self):
+        content = answer(503, b"{}", "X-Verdict: not_run")
+        self.assertIs(NOT_RUN, self.verdict_of(content))
+        self.assertIs(MAY_HAVE_RUN, self.verdict_of(answer(503, b"{}")))
+
+    def test_leaving_is_told_apart(self):
+        content = answer(503, b"", "X-Verdict: not_run", "X-Reason: leaving")
+        with peer(content) as address:
+            error = self.assertRaises(errors.TargetError, call_service, address)
+        self.assertTrue(error.is_leaving)
+
+    def test_whole_answer(self):
+        with peer(answer(201, b"done")) as address:
+            self.assertEqual((201, b"done"), call_service(address)[::2])
+
+
+class GenerateTests(testtools.TestCase):
+
+    def test_cut_stream_may_have_run(self):
+        one = '{"attempt_id":"a1","offset":0,"tokens":1,"text":"x","end":false}'
+        cases = (
+            CHUNKED + sse(one),
+            CHUNKED + sse(one)[:-9],
+            CHUNKED + b"zz\r\n",
+            CHUNKED + sse("not json") + b"0\r\n\r\n",
+            CHUNKED + sse('{"offset": "x"}') + b"0\r\n\r\n",
+        )
+        for content in cases:
+            with peer(content) as address:
+                error = self.assertRaises(errors.TargetError, generate, address)
+            self.assertIs(MAY_HAVE_RUN, error.verdict)
+
+    def test_whole_stream(self):
+        one = '{"attempt_id":"a1","offset":0,"tokens":1,"text":"x","end":true}'
+        with peer(CHUNKED + sse(one) + b"0\r\n\r\n") as address:
+            (chunk,) = generate(address)
+        self.assertEqual(("x", True), (chunk.text, chunk.end))
