--- a/catkintrail/checking.py
+++ b/catkintrail/checking.py
@@ -31,6 +31,9 @@
     try:
         # Strict JSON is tried first; the lenient parser is far slower.
         data = msgspec.json.decode(text)
+    except RecursionError as error:
+        mistake = errors.Mistake("(document)", "nested too deeply")
+        raise errors.CheckError(source, [mistake]) from error
     except msgspec.DecodeError:
         try:
             data = json5.loads(text)
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -124,6 +124,31 @@
         self.assertEqual(replayed, published_weights(snapshot))
 
 
+class OutcomeUnknownTests(testtools.TestCase):
+
+    def test_refused_changes_never_come_into_force(self):
+        """Each call in turn gets no answer and takes effect late."""
+        for position in range(8):
+            for fault in (fakes.LATE, fakes.LOST, fakes.DOWN):
+                store = fakes.FaultyStore([fakes.OK] * position + [fault] * 2)
+                try:
+                    publication.publish(
+                        store,
+                        publication.empty_snapshot(),
+                        change("c1", [organisation("a", 1)]),
+                    )
+                    expected = {1}
+                except errors.OutcomeUnknownError:
+                    expected = {0, 1}
+                except errors.PlatformUnavailableError:
+                    expected = {0}
+                store.faults = []
+                for _ in range(fakes.LATE_CALLS):
+                    store.read("x")
+                history = publication.read_history(store, 9)
+                self.assertIn(len(history), expected)
+
+
 class ConflictTests(testtools.TestCase):
 
     def setUp(self):
