Partition targets between long prompts and short requests by load

Cause: with long prefills on any engine, every answer beside them is slowed: each step carries a full chunk of prefill.

Change: requests are classed by uncached tokens into levels that engines prefill in order; a number of targets, following the load, takes long prompts; prompts whose deadline is hours off use idle targets and what their deadlines demand; equal long prefixes meet in one zone.

Found and mended: grants on a replaced target were never dropped (PoolMachineTests: failed before, passes now).

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -71,7 +71,14 @@
             self.run.deployment.first_token_weight,
             0,
         )
-        self._later(job.zone, job.zone, self._ask, outcome, ask, job.zone)
+        zone = job.zone
+        if job.is_long and job.blocks:
+            # Equal long prefixes meet in one zone, as core/directory has it.
+            owner = ownership.choose_owner(str(job.blocks[0]), self.zones)
+            zone = self.zones.index(owner)
+            if not self.run.reaches(job.zone, zone):
+                zone = job.zone
+        self._later(job.zone, zone, self._ask, outcome, ask, zone)
 
     def first_token(self, outcome: simulation.Outcome) -> None:
         """Tells the owner."""
@@ -88,7 +95,8 @@
         name, zone = self._place_of(outcome)
         if name is None:
             return
-        target = self.pools[zone].grants.get(name, ("",))[0]
+        grant = self.pools[zone].grants.get(name)
+        target = grant.names[0] if grant else ""
         done = messages.Released(name, target, int(failed), 0)
         del self.where[name]
         self._later(outcome.job.zone, zone, self._release, zone, done)
@@ -184,9 +192,7 @@
             hop = simulation.ZONE_HOP_SECONDS
         self.run.at(self.run.now + hop, function, *arguments)
 
-    def _place_of(
-        self, outcome: simulation.Outcome
-    ) -> tuple[str | None, int]:
+    def _place_of(self, outcome: simulation.Outcome) -> tuple[str | None, int]:
         ask = self.asks[outcome.job.number]
         found = self.where.get(ask.request_id)
         return (ask.request_id, found[1]) if found else (None, 0)
@@ -314,9 +320,7 @@
         for engine in self.places.pop(outcome.job.number):
             self.outstanding[engine] -= 1
         if failed:
-            self.run.at(
-                self.run.now + RETRY_SECONDS, self.arrive, outcome
-            )
+            self.run.at(self.run.now + RETRY_SECONDS, self.arrive, outcome)
 
     def poll(self) -> None:
         """Reads lagging reports."""
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -104,6 +104,7 @@
         self.parts_left = len(placement.engines)
         self.share = 0
         self.has_ended = False
+        self.sequence: engine_model.Sequence | None = None
 
 
 class Simulation:
@@ -193,8 +194,7 @@
                 placement.priority,
                 job.blocks,
             )
-            # Memory is asked for as the request declares it.
-            run.share = sequence.kv_tokens
+            run.sequence = sequence
         self._runs[name] = run
         for index in placement.engines:
             self._wake(index)
@@ -229,6 +229,8 @@
             return
         if outcome.produced == 0:
             outcome.first_token = self.now
+            if run.sequence is not None:
+                outcome.cached_tokens = run.sequence.cached_tokens
             self.policy.first_token(outcome)
         else:
             gap = int((self.now - outcome.last_token) * 1_000)
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -1,5 +1,7 @@
 """Arrivals of both deployments, from fixed seeds."""
 
+import collections
+import functools
 import itertools
 import math
 import random
@@ -25,6 +27,9 @@
 PREFIX_FRACTION = 0.7
 FOLLOW_UP_FRACTION = 0.3
 MAX_CONVERSATIONS = 200
+CAPACITY_SECONDS = 300.0
+# Part of the memory that running requests leave for cached blocks.
+CACHE_MEMORY_FRACTION = 0.5
 
 
 class Deployment(NamedTuple):
@@ -93,17 +98,19 @@
 
 
 class _Generator:
-    """Makes jobs with shared prefixes and follow-up questions."""
+    """Makes jobs with shared prefixes and follow-up questions.
+
+    A follow-up enters the zone of the conversation: its caller stays there.
+    """
 
     def __init__(self, deployment: Deployment, seed: int) -> None:
         self.deployment = deployment
         self.rng = random.Random(f"{deployment.name}/{seed}")
         self.numbers = itertools.count(1)
         self.prefixes = [
-            self._new_blocks(self.rng.randint(2, 8))
-            for _ in deployment.weights
+            self._new_blocks(self.rng.randint(2, 8)) for _ in deployment.weights
         ]
-        self.conversations: dict[tuple[int, bool], list[tuple[int, ...]]] = {}
+        self.conversations: dict[tuple[int, bool], list] = {}
 
     def make(self, number: int, arrival: float, flood: int | None) -> Job:
         """Makes one job."""
@@ -114,7 +121,7 @@
             organisation = rng.choices(range(len(weights)), weights)[0]
         is_long = rng.random() < LONG_FRACTION
         tokens = _long_tokens(rng) if is_long else _short_tokens(rng)
-        blocks = self._blocks(organisation, is_long, tokens)
+        blocks, zone = self._blocks(organisation, is_long, tokens)
         max_tokens = int(min(400, max(16, rng.lognormvariate(4.4, 0.6))))
         output = max(1, int(max_tokens * rng.uniform(0.5, 1.0)))
         deadline = SHORT_DEADLINE_SECONDS
@@ -122,7 +129,6 @@
             deadline = DRAFT_DEADLINE_SECONDS
             if rng.random() < 0.5:
                 deadline = REVIEW_DEADLINE_SECONDS
-        zone = rng.randrange(len(self.deployment.zones))
         return Job(
             number,
             arrival,
@@ -138,21 +144,23 @@
 
     def _blocks(
         self, organisation: int, is_long: bool, tokens: int
-    ) -> tuple[int, ...]:
+    ) -> tuple[tuple[int, ...], int]:
+        """Returns a prompt's blocks and the zone that it enters."""
         rng = self.rng
+        zone = rng.randrange(len(self.deployment.zones))
         count = tokens // BLOCK_TOKENS
         known = self.conversations.setdefault((organisation, is_long), [])
         start: tuple[int, ...] = ()
         if known and rng.random() < FOLLOW_UP_FRACTION:
-            start = rng.choice(known)
+            start, zone = rng.choice(known)
         elif not is_long and rng.random() < PREFIX_FRACTION:
             start = self.prefixes[organisation]
         start = start[:count]
         blocks = start + self._new_blocks(count - len(start))
-        known.append(blocks)
+        known.append((blocks, zone))
         if len(known) > (4 if is_long else MAX_CONVERSATIONS):
             known.pop(0)
-        return blocks
+        return blocks, zone
 
     def _new_blocks(self, count: int) -> tuple[int, ...]:
         return tuple(itertools.islice(self.numbers, count))
@@ -203,34 +211,53 @@
         jobs.append(generator.make(len(jobs), now, flood))
 
 
+@functools.cache
 def capacity_per_second(
     deployment: Deployment, shape: engine_model.EngineShape
 ) -> float:
     """Returns the arrivals a second that the engines can physically serve.
 
-    The lesser of two bounds: the engines' time, with every shared block found
-    in a cache, and their memory, with every request running at full speed.
+    The lesser of two bounds: the engines' time, where every block is found
+    that one cache over all engines could hold beside the running requests,
+    and their memory, with every request running at full speed.
     """
-    jobs = make_jobs(deployment, 100.0, 100.0, 99)
-    seen: set[int] = set()
+    jobs = make_jobs(deployment, 100.0, CAPACITY_SECONDS, 99)
+    blocks = deployment.engines * shape.kv_tokens // shape.block_tokens
+    cache = _Cache(int(blocks * CACHE_MEMORY_FRACTION))
     work = 0.0
     memory = 0.0
-    step = (
-        shape.step_seconds + shape.chunk_tokens * shape.prefill_seconds
-    )
+    step = shape.step_seconds + shape.chunk_tokens * shape.prefill_seconds
     per_token = step / shape.chunk_tokens
     for job in jobs:
-        cached = 0
-        for block in job.blocks:
-            if block not in seen:
-                break
-            cached += BLOCK_TOKENS
-        seen.update(job.blocks)
-        uncached = max(1, job.prompt_tokens - cached)
-        prefill = uncached * per_token
+        cached = cache.use(job.blocks) * BLOCK_TOKENS
+        prefill = max(1, job.prompt_tokens - cached) * per_token
         work += prefill + job.output_tokens * shape.decode_seconds
         residence = prefill + job.output_tokens * shape.step_seconds
         memory += (job.prompt_tokens + job.max_tokens) * residence
     by_time = len(jobs) / work
     by_memory = len(jobs) * shape.kv_tokens / memory
     return deployment.engines * min(by_time, by_memory)
+
+
+class _Cache:
+    """One cache over all engines; the least recently used block goes."""
+
+    def __init__(self, capacity: int) -> None:
+        self.capacity = capacity
+        self.blocks: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+
+    def use(self, blocks: tuple[int, ...]) -> int:
+        """Returns how many leading blocks are there, and adds all."""
+        matched = 0
+        for block in blocks:
+            if block not in self.blocks:
+                break
+            matched += 1
+        for block in blocks:
+            self.blocks[block] = None
+            self.blocks.move_to_end(block)
+        while len(self.blocks) > self.capacity:
+            self.blocks.popitem(last=False)
+        return matched
--- a/catkintrail/core/cost.py
+++ b/catkintrail/core/cost.py
@@ -4,11 +4,26 @@
 
 from catkintrail import objects
 
-__all__ = ["Profile", "profile_of_model", "profile_of_service"]
+__all__ = [
+    "DEFERRABLE_LEVEL",
+    "FIRST_SHORT_LEVEL",
+    "LEVELS",
+    "LONG_LEVEL",
+    "Profile",
+    "profile_of_model",
+    "profile_of_service",
+]
 
 # Part of a target's time that may be planned for; the rest covers the steps
 # that the engine adds for scheduling.
 PLANNED_UTILISATION = 0.9
+# Requests are classed into levels by the prompt tokens left to prefill; an
+# engine prefills higher levels first. The two lowest are for long prompts:
+# those whose deadline is far off wait for the others.
+LEVEL_TOKENS = (64_000, 16_000, 4_000)
+DEFERRABLE_LEVEL, LONG_LEVEL, FIRST_SHORT_LEVEL = 0, 1, 2
+LEVELS = FIRST_SHORT_LEVEL + 1 + len(LEVEL_TOKENS)
+DEFERRABLE_SECONDS = 3_600.0
 # Each member of a group adds this part of the prefill for exchanging state.
 GROUP_OVERHEAD = 0.1
 
@@ -44,6 +59,27 @@
             return self.call_seconds
         return uncached_tokens * self.prefill_seconds
 
+    def level(
+        self, prompt_tokens: int, uncached_tokens: int, remaining: float
+    ) -> int:
+        """Returns the level of a request.
+
+        Args:
+            prompt_tokens: Length of the prompt.
+            uncached_tokens: Prompt tokens left to prefill.
+            remaining: Seconds until the deadline.
+        """
+        if not self.is_engine:
+            return LEVELS - 1
+        # A cached prompt still needs its memory, which is hard to find.
+        is_large = prompt_tokens >= self.kv_tokens // 3
+        if uncached_tokens >= self.long_tokens or is_large:
+            if remaining > DEFERRABLE_SECONDS:
+                return DEFERRABLE_LEVEL
+            return LONG_LEVEL
+        above = sum(1 for most in LEVEL_TOKENS if uncached_tokens < most)
+        return FIRST_SHORT_LEVEL + above
+
     def decode_time(self, output_tokens: int) -> float:
         """Returns seconds from the first token to the last."""
         if not self.is_engine:
--- a/catkintrail/core/pool.py
+++ b/catkintrail/core/pool.py
@@ -13,6 +13,8 @@
 from catkintrail import verdict as verdicts
 from catkintrail.core import cost
 from catkintrail.core import ejection
+from catkintrail.core import ownership
+from catkintrail.core import partition
 from catkintrail.core import prefix_index
 from catkintrail.core import queueing
 from catkintrail.core import target_state
@@ -30,13 +32,27 @@
 # Part of a target's memory that stays free for short requests while a long
 # prompt is placed.
 SHORT_MEMORY_FRACTION = 0.08
-# Long prompts may hold at most this part of the targets with their prefill.
-MAX_LONG_FRACTION = 0.5
-LONG_PRIORITY, SHORT_PRIORITY = 0, 10
+# At most this part of the targets takes long prompts.
+MAX_LONG_FRACTION = 0.75
+# Distance between the priorities of two levels; urgency lies between.
+LEVEL_PRIORITY = 10
 # A long prompt whose slack falls below this part of its run gets the
 # priority of short requests.
 URGENT_SLACK_RATIO = 1.0
+LONG_LEVELS = cost.LONG_LEVEL + 1
+# Deferrable work is spread over this part of the time that it has left.
+DEFERRAL_FRACTION = 0.1
+URGENT_SLACK_SECONDS = 15.0
+PARTITION_INTERVAL_SECONDS = 0.5
 DEADLINE_MARGIN_SECONDS = 0.05
+# Part of a busy engine's step that a chunk of prefill takes.
+CHUNK_STEP_FRACTION = 0.6
+# Part of a step that decoding would take with all slots in use.
+DECODE_WORK_FRACTION = 0.35
+# Cost of a long prefill to each request that runs beside it.
+BUSY_TARGET_SECONDS = 0.05
+# Cost of going back to a target on which this request has failed.
+AVOID_SECONDS = 10.0
 GRANT_GRACE_SECONDS = 5.0
 MIN_RETRY_AFTER_SECONDS = 0.1
 
@@ -72,6 +88,8 @@
         use_prefixes: Whether cached prefixes count.
         use_groups: Whether long prompts may be spread for speed.
         use_held_memory: Whether memory is held free for a long prompt.
+        segregation: How strongly short requests avoid targets with a long
+            prefill; 1 for the predicted slowdown.
     """
 
     dispatch_ahead_seconds: float = DISPATCH_AHEAD_SECONDS
@@ -80,6 +98,7 @@
     use_prefixes: bool = True
     use_groups: bool = True
     use_held_memory: bool = True
+    segregation: float = 1.0
 
 
 class _Item(NamedTuple):
@@ -87,8 +106,14 @@
 
     ask: messages.Acquire
     entry: str
-    is_long: bool
-    enqueued: float
+    level: int
+
+
+class _Grant(NamedTuple):
+    """A granted request: its targets, and its deadline."""
+
+    names: tuple[str, ...]
+    expires: float
 
 
 class Pool:
@@ -99,6 +124,9 @@
         profile: Costs of its model or service.
         targets: Its targets, by name.
         summaries: The newest summaries of the model's other pools.
+        queues: Waiting requests, by level.
+        partition: How many targets take long prompts.
+        long_names: Which ones.
     """
 
     def __init__(
@@ -111,14 +139,17 @@
         self.profile = profile
         self.policy = policy
         self.targets: dict[str, target_state.TargetState] = {}
-        self.short = queueing.FairQueue()
-        self.long = queueing.FairQueue()
+        self.queues = [queueing.FairQueue() for _ in range(cost.LEVELS)]
         self.ejection = ejection.Ejection()
         blocks = max(1, profile.kv_tokens // profile.block_tokens)
         self.prefixes = prefix_index.PrefixIndex(blocks)
         self.summaries: dict[PoolKey, tuple[messages.PoolSummary, float]] = {}
-        self.grants: dict[str, tuple[str, ...]] = {}
+        self.grants: dict[str, _Grant] = {}
         self.gone: dict[str, int] = {}
+        self.partition: partition.Partition | None = None
+        self.long_names: frozenset[str] = frozenset()
+        self._next_partition = 0.0
+        self._first_token_weight = 0.5
 
     # Targets.
 
@@ -204,8 +235,8 @@
             self.key.zone,
             self.key.shard,
             len(live),
-            _to_ms(self._short_start_wait(now)),
-            _to_ms(self._long_start_wait(now)),
+            _to_ms(self._start_wait(cost.LEVELS - 1, live, now)),
+            _to_ms(self._start_wait(cost.LONG_LEVEL, live, now)),
             free,
         )
 
@@ -234,12 +265,12 @@
         Returns:
             What to answer now; a grant may follow from `poll`.
         """
-        if ask.request_id in self.short or ask.request_id in self.long:
+        if any(ask.request_id in queue for queue in self.queues):
             return [Reply(entry, messages.Queued(ask.request_id))]
         if ask.request_id in self.grants:
             return [self._repeat_grant(ask, entry)]
         live = self.live_targets(now)
-        item = self._classify(ask, entry, now)
+        item = self._classify(ask, entry)
         other = self._better_pool(item, live, now)
         if other is not None:
             redirected = messages.Redirected(
@@ -249,8 +280,8 @@
         refusal = self._refusal(item, live, now)
         if refusal is not None:
             return [Reply(entry, refusal)]
-        queue = self.long if item.is_long else self.short
-        queue.push(self._waiting(item, now))
+        self._note_arrival(item, now)
+        self.queues[item.level].push(self._waiting(item, now))
         return [Reply(entry, messages.Queued(ask.request_id))]
 
     def withdraw(self, request_id: str, now: float) -> None:
@@ -260,9 +291,12 @@
 
     def start(self, request_id: str, now: float) -> None:
         """Notes that a granted request has its first token."""
-        for name in self.grants.get(request_id, ()):
+        for name in self._granted_names(request_id):
             state = self.targets.get(name)
-            if state is not None:
+            if state is None:
+                continue
+            attempt = state.attempts.get(request_id)
+            if attempt is not None and not attempt.started:
                 state.start(request_id, now)
 
     def release(self, done: messages.Released, now: float) -> bool:
@@ -286,7 +320,7 @@
 
     def entry_lost(self, entry: str, now: float) -> None:
         """Drops all requests of an instance that is gone."""
-        for queue in (self.short, self.long):
+        for queue in self.queues:
             for waiting in queue.entries():
                 if waiting.item.entry == entry:
                     self._unqueue(waiting.request_id)
@@ -298,23 +332,68 @@
     def poll(self, now: float) -> list[Reply]:
         """Grants what can begin and refuses what cannot end in time."""
         replies = self._expire(now)
-        replies += self._grant_short(now)
-        replies += self._grant_long(now)
+        if now >= self._next_partition:
+            self._next_partition = now + PARTITION_INTERVAL_SECONDS
+            self._update_partition(now)
+        for level in range(cost.LEVELS - 1, cost.LONG_LEVEL, -1):
+            replies += self._grant_level(level, now)
+        replies += self._grant_long(cost.LONG_LEVEL, now)
+        replies += self._grant_long(cost.DEFERRABLE_LEVEL, now)
         return replies
 
     def waiting_count(self) -> int:
         """Returns how many requests wait."""
-        return len(self.short) + len(self.long)
+        return sum(len(queue) for queue in self.queues)
+
+    # The partition of targets.
+
+    def _note_arrival(self, item: _Item, now: float) -> None:
+        if not self.profile.is_engine:
+            return
+        if self.partition is None:
+            self.partition = partition.Partition(now)
+        ask = item.ask
+        if item.level <= cost.LONG_LEVEL:
+            self._first_token_weight = ask.first_token_weight
+        work = self._work(ask)
+        if item.level == cost.LONG_LEVEL:
+            self.partition.long.add(work, now)
+        elif item.level > cost.LONG_LEVEL:
+            self.partition.short.add(work, now)
+
+    def _update_partition(self, now: float) -> None:
+        if self.partition is None:
+            return
+        live = self.live_targets(now)
+        deferrable = self.queues[cost.DEFERRABLE_LEVEL]
+        load = partition.PartitionLoad(
+            len(live),
+            self.queues[cost.LONG_LEVEL].work,
+            deferrable.work,
+            sum(_due_rate(w, now) for w in deferrable.entries()),
+            self._first_token_weight,
+            self.policy.max_long_fraction,
+        )
+        count = self.partition.update(load, now)
+        names = [target.record.name for target in live]
+        # A fixed order keeps the same targets while the number changes.
+        chosen = ownership.rank_owners("long", names, count)
+        self.long_names = frozenset(chosen)
+
+    def _work(self, ask: messages.Acquire) -> float:
+        """Predicts the target seconds that a request takes."""
+        uncached = ask.prompt_tokens - self._best_cached(ask)
+        work = self.profile.prefill_work(uncached)
+        return work + self._decode_work(ask.output_tokens)
 
     # Admission.
 
-    def _classify(self, ask: messages.Acquire, entry: str, now: float) -> _Item:
+    def _classify(self, ask: messages.Acquire, entry: str) -> _Item:
         uncached = ask.prompt_tokens - self._best_cached(ask)
-        is_long = self.profile.is_engine and (
-            uncached >= self.profile.long_tokens
-            or ask.prompt_tokens >= self.profile.kv_tokens // 3
+        level = self.profile.level(
+            ask.prompt_tokens, uncached, ask.remaining_seconds
         )
-        return _Item(ask, entry, is_long, now)
+        return _Item(ask, entry, level)
 
     def _best_cached(self, ask: messages.Acquire) -> int:
         if not self.policy.use_prefixes or not ask.blocks:
@@ -325,14 +404,11 @@
 
     def _waiting(self, item: _Item, now: float) -> queueing.Waiting:
         ask = item.ask
-        uncached = ask.prompt_tokens - self._best_cached(ask)
-        work = self.profile.prefill_work(uncached)
-        work += self._decode_work(ask.output_tokens)
         return queueing.Waiting(
             ask.request_id,
             ask.organisation,
             ask.weight,
-            work,
+            self._work(ask),
             now + ask.remaining_seconds,
             ask.urgency,
             item,
@@ -342,7 +418,8 @@
         """Returns the part of a target's time that decoding takes."""
         if not self.profile.is_engine:
             return 0.0
-        return self.profile.decode_time(output_tokens) / self.profile.slots
+        time = self.profile.decode_time(output_tokens)
+        return time * DECODE_WORK_FRACTION / self.profile.slots
 
     def _run_seconds(self, item: _Item) -> float:
         """Predicts seconds from the grant to the end."""
@@ -363,33 +440,34 @@
 
     def _queue_wait(self, item: _Item, live: list, now: float) -> float:
         """Predicts seconds from now to the grant."""
-        rate = max(1e-9, len(live) * cost.PLANNED_UTILISATION)
         ask = item.ask
-        queue = self.long if item.is_long else self.short
+        queue = self.queues[item.level]
         work = queue.wait_work(ask.organisation, ask.weight)
-        if item.is_long:
-            rate *= self.policy.max_long_fraction
-            return work / rate + self._long_gap(live, now)
-        return work / rate + self._short_gap(live, now)
+        if item.level <= cost.LONG_LEVEL:
+            work += sum(
+                q.work for q in self.queues[item.level + 1 : LONG_LEVELS]
+            )
+            return work / self._long_rate(live) + self._gap(1, live, now)
+        work += sum(q.work for q in self.queues[item.level + 1 :])
+        rate = max(1e-9, len(live) * cost.PLANNED_UTILISATION)
+        return work / rate + self._gap(item.level, live, now)
 
-    def _short_gap(self, live: list, now: float) -> float:
-        waits = [target.short_wait(now) for target in live]
-        return min(waits, default=math.inf)
+    def _start_wait(self, level: int, live: list, now: float) -> float:
+        """Predicts the wait of a new request, whoever sends it."""
+        gap = self._gap(level, live, now)
+        if level <= cost.LONG_LEVEL:
+            return gap + self.queues[level].work / self._long_rate(live)
+        rate = max(1e-9, len(live) * cost.PLANNED_UTILISATION)
+        return gap + sum(q.work for q in self.queues[level:]) / rate
 
-    def _long_gap(self, live: list, now: float) -> float:
-        waits = [target.long_wait(now) for target in live]
+    def _gap(self, level: int, live: list, now: float) -> float:
+        waits = [target.wait(level, now) for target in live]
         return min(waits, default=math.inf)
 
-    def _short_start_wait(self, now: float) -> float:
-        live = self.live_targets(now)
-        rate = max(1e-9, len(live) * cost.PLANNED_UTILISATION)
-        return self._short_gap(live, now) + self.short.work / rate
-
-    def _long_start_wait(self, now: float) -> float:
-        live = self.live_targets(now)
-        rate = max(1e-9, len(live) * cost.PLANNED_UTILISATION)
-        rate *= self.policy.max_long_fraction
-        return self._long_gap(live, now) + self.long.work / rate
+    def _long_rate(self, live: list) -> float:
+        """Returns target seconds of long prefill done in a second."""
+        count = max(1, len(self.long_names))
+        return max(1e-9, min(count, len(live)) * cost.PLANNED_UTILISATION)
 
     def _refusal(
         self, item: _Item, live: list, now: float
@@ -409,7 +487,7 @@
                 5.0,
             )
         if self.waiting_count() >= MAX_WAITING:
-            wait = self.short.work / max(1, len(live))
+            wait = sum(q.work for q in self.queues) / len(live)
             return _declined(
                 ask, verdicts.Reason.OVERLOADED, "the queue is full", wait
             )
@@ -444,7 +522,7 @@
             if now - heard > SUMMARY_EXPIRY_SECONDS or not summary.targets:
                 continue
             wait_ms = summary.short_wait_ms
-            if item.is_long:
+            if item.level <= cost.LONG_LEVEL:
                 wait_ms = summary.long_wait_ms
             wait = wait_ms / 1_000.0 + SPILL_ROUND_TRIP_SECONDS
             if wait < best_wait:
@@ -460,7 +538,7 @@
 
     def _expire(self, now: float) -> list[Reply]:
         replies = []
-        for queue in (self.short, self.long):
+        for queue in self.queues:
             for waiting in queue.entries():
                 item = waiting.item
                 left = waiting.deadline - now
@@ -479,59 +557,78 @@
 
     # Placement of short requests.
 
-    def _grant_short(self, now: float) -> list[Reply]:
+    def _grant_level(self, level: int, now: float) -> list[Reply]:
         replies = []
+        queue = self.queues[level]
         blocked: set[str] = set()
         while True:
             granted = None
-            for waiting in self.short.heads():
+            for waiting in queue.heads():
                 if waiting.organisation in blocked:
                     continue
-                target = self._choose_short(waiting.item.ask, now)
+                target = self._choose(waiting.item, now)
                 if target is None:
                     blocked.add(waiting.organisation)
                     continue
-                granted = self._grant(waiting, [target], self.short, now)
+                granted = self._grant(waiting, [target], queue, now)
                 break
             if granted is None:
                 return replies
             replies.append(granted)
 
-    def _choose_short(
-        self, ask: messages.Acquire, now: float
+    def _choose(
+        self, item: _Item, now: float
     ) -> target_state.TargetState | None:
+        """Returns the best target, or None where waiting for it is better."""
+        ask = item.ask
         depths = self._depths(ask)
         need = ask.prompt_tokens + ask.output_tokens
+        live = self.live_targets(now)
+        queue_wait = self.queues[item.level].work / max(1, len(live))
         best, best_score = None, math.inf
-        for target in self.live_targets(now):
-            if target.short_wait(now) > self.policy.dispatch_ahead_seconds:
-                continue
+        for target in live:
             if not self._fits(target, need, now) or target.held_for:
                 continue
-            value = self._short_score(target, ask, depths, now)
-            if target.record.name in ask.avoid:
-                value += 10.0
+            value = self._score(target, item, depths, now)
+            is_ready = (
+                target.own_wait(item.level, now)
+                <= self.policy.dispatch_ahead_seconds
+            )
+            if not is_ready:
+                # The requests that wait here would be served before.
+                value += queue_wait
             if value < best_score:
-                best, best_score = target, value
+                best, best_score = (target if is_ready else None), value
         return best
 
-    def _short_score(
+    def _score(
         self,
         target: target_state.TargetState,
-        ask: messages.Acquire,
+        item: _Item,
         depths: dict[str, int],
         now: float,
     ) -> float:
-        """Predicts time to first token, and the load left for the next."""
+        """Predicts the time to first token and what the answer is slowed."""
+        ask = item.ask
         cached = self._cached(target.record.name, ask, depths)
-        value = target.short_wait(now)
+        value = target.wait(item.level, now)
         value += self.profile.prefill_work(ask.prompt_tokens - cached)
         running = len(target.attempts) + target.foreign_requests
         value += 0.1 * running / self.profile.slots
-        if target.has_long_prefill():
-            value += self.profile.decode_seconds
+        if target.record.name in self.long_names:
+            value += self.policy.segregation * self._decode_slowdown(ask)
+        if target.record.name in ask.avoid:
+            value += AVOID_SECONDS
         return value
 
+    def _decode_slowdown(self, ask: messages.Acquire) -> float:
+        """Predicts how much a long prefill beside it prolongs an answer.
+
+        Every step of the engine then takes a full chunk of prefill along.
+        """
+        time = self.profile.decode_time(ask.output_tokens)
+        return time * CHUNK_STEP_FRACTION * (1.0 - ask.first_token_weight)
+
     def _fits(
         self, target: target_state.TargetState, need: int, now: float
     ) -> bool:
@@ -553,53 +650,44 @@
 
     # Placement of long prompts.
 
-    def _grant_long(self, now: float) -> list[Reply]:
+    def _grant_long(self, level: int, now: float) -> list[Reply]:
         replies = []
+        queue = self.queues[level]
         blocked: set[str] = set()
-        while self._long_room(now) > 0:
+        while len(queue):
             granted = None
-            for waiting in self.long.heads():
+            for waiting in queue.heads():
                 if waiting.organisation in blocked:
                     continue
-                chosen = self._choose_long(waiting.item.ask, now)
+                chosen = self._choose_long(waiting, now)
                 if not chosen:
                     self._hold_memory(waiting, now)
                     blocked.add(waiting.organisation)
                     continue
-                granted = self._grant(waiting, chosen, self.long, now)
+                granted = self._grant(waiting, chosen, queue, now)
                 break
             if granted is None:
                 break
             replies.append(granted)
         return replies
 
-    def _long_room(self, now: float) -> int:
-        """Returns how many more targets long prefill may hold."""
-        live = self.live_targets(now)
-        most = math.ceil(len(live) * self.policy.max_long_fraction)
-        return most - sum(1 for t in live if t.has_long_prefill())
-
     def _choose_long(
-        self, ask: messages.Acquire, now: float
+        self, waiting: queueing.Waiting, now: float
     ) -> list[target_state.TargetState]:
         """Returns the targets with the earliest first token, or none."""
-        need = ask.prompt_tokens + ask.output_tokens
-        depths = self._depths(ask)
-        free = [
-            target
-            for target in self.live_targets(now)
-            if not target.has_long_prefill()
-            and target.held_for in ("", ask.request_id)
-            and self.ejection.share(target.record.name, now) >= 1.0
-            and target.free_slots(1.0) > 0
-        ]
-        room = self._long_room(now)
+        ask = waiting.item.ask
         least = self._least_members(ask)
-        most = max(least, min(self.profile.max_group, room, len(free)))
+        depths = self._depths(ask)
+        free = self._free_for_long(waiting, least, now)
+        most = max(least, min(self.profile.max_group, len(free)))
         if not self.policy.use_groups:
             most = least
+        # A group costs more work than one target: while others wait, the
+        # smallest that finds its memory is taken.
+        is_contended = sum(len(q) for q in self.queues[:LONG_LEVELS]) > 1
         best: list[target_state.TargetState] = []
         best_value = math.inf
+        need = ask.prompt_tokens + ask.output_tokens
         for count in range(least, most + 1):
             chosen = self._best_members(ask, free, count, need, depths, now)
             if len(chosen) < count:
@@ -607,8 +695,33 @@
             value = self._group_value(ask, chosen, depths, now)
             if value < best_value:
                 best, best_value = chosen, value
+            if is_contended:
+                break
         return best
 
+    def _free_for_long(
+        self, waiting: queueing.Waiting, least: int, now: float
+    ) -> list[target_state.TargetState]:
+        """Returns the targets on which a long prompt may begin now."""
+        may_use_all = least > len(self.long_names) or self._is_urgent(
+            waiting, now
+        )
+        return [
+            target
+            for target in self.live_targets(now)
+            if not target.has_long_prefill()
+            and (may_use_all or target.record.name in self.long_names)
+            and target.held_for in ("", waiting.request_id)
+            and self.ejection.share(target.record.name, now) >= 1.0
+            and target.free_slots(1.0) > 0
+        ]
+
+    def _is_urgent(self, waiting: queueing.Waiting, now: float) -> bool:
+        """Returns whether little time is left beyond the run itself."""
+        run = self._run_seconds(waiting.item)
+        slack = waiting.deadline - now - run
+        return slack < URGENT_SLACK_RATIO * run + URGENT_SLACK_SECONDS
+
     def _best_members(
         self,
         ask: messages.Acquire,
@@ -627,10 +740,16 @@
                 cached = self._cached(target.record.name, ask, depths)
                 uncached = ask.prompt_tokens - cached
                 work = self.profile.prefill_work(uncached)
-                return work + target.short_wait(now)
+                busy = len(target.attempts) * BUSY_TARGET_SECONDS
+                return work + target.wait(cost.FIRST_SHORT_LEVEL, now) + busy
 
             return sorted(roomy, key=single_value)[:1]
-        return sorted(roomy, key=lambda t: t.short_wait(now))[:count]
+
+        def group_value(target: target_state.TargetState) -> float:
+            busy = len(target.attempts) * BUSY_TARGET_SECONDS
+            return target.wait(cost.FIRST_SHORT_LEVEL, now) + busy
+
+        return sorted(roomy, key=group_value)[:count]
 
     def _group_value(
         self,
@@ -645,7 +764,8 @@
         if count == 1:
             cached = self._cached(chosen[0].record.name, ask, depths)
         each = self.profile.group_work(ask.prompt_tokens - cached, count)
-        wait = max(target.short_wait(now) for target in chosen)
+        level = cost.FIRST_SHORT_LEVEL
+        wait = max(target.wait(level, now) for target in chosen)
         overhead = each * count - self.profile.prefill_work(
             ask.prompt_tokens - cached
         )
@@ -655,6 +775,8 @@
         """Keeps new short work off the targets that a long prompt needs."""
         if not self.policy.use_held_memory:
             return
+        if not self._is_urgent(waiting, now):
+            return
         if any(target.held_for for target in self.targets.values()):
             return
         ask = waiting.item.ask
@@ -694,38 +816,34 @@
                 ask.request_id,
                 item.entry,
                 ask.organisation,
-                item.is_long,
+                item.level,
                 prefill,
                 tokens if self.profile.is_engine else 0,
                 now,
-                waiting.deadline,
             )
             target.add(attempt, now)
         if count == 1 and self.policy.use_prefixes and ask.blocks:
             self.prefixes.add(chosen[0].record.name, ask.blocks, now)
-        self.grants[ask.request_id] = tuple(t.record.name for t in chosen)
-        priority = self._priority(waiting, prefill, now)
+        names = tuple(t.record.name for t in chosen)
+        self.grants[ask.request_id] = _Grant(names, waiting.deadline)
+        priority = self._priority(waiting, now)
         members = _members(chosen, tokens)
         return Reply(
             item.entry,
             messages.Granted(ask.request_id, members, priority, cached),
         )
 
-    def _priority(
-        self, waiting: queueing.Waiting, prefill: float, now: float
-    ) -> int:
+    def _priority(self, waiting: queueing.Waiting, now: float) -> int:
         item = waiting.item
-        urgency = item.ask.urgency
-        if not item.is_long or not self.policy.use_priorities:
-            return SHORT_PRIORITY + urgency
-        run = prefill + self.profile.decode_time(item.ask.output_tokens)
-        slack = waiting.deadline - now - run
-        if slack < URGENT_SLACK_RATIO * run:
-            return SHORT_PRIORITY + urgency
-        return LONG_PRIORITY
+        level = item.level
+        if not self.policy.use_priorities:
+            level = cost.LEVELS - 1
+        elif level <= cost.LONG_LEVEL and self._is_urgent(waiting, now):
+            level = cost.FIRST_SHORT_LEVEL
+        return LEVEL_PRIORITY * level + item.ask.urgency
 
     def _repeat_grant(self, ask: messages.Acquire, entry: str) -> Reply:
-        names = self.grants[ask.request_id]
+        names = self._granted_names(ask.request_id)
         states = [self.targets[n] for n in names if n in self.targets]
         attempts = [s.attempts.get(ask.request_id) for s in states]
         if len(states) != len(names) or None in attempts:
@@ -737,20 +855,26 @@
             )
             return Reply(entry, declined)
         members = _members(states, attempts[0].kv_tokens)
-        priority = LONG_PRIORITY if attempts[0].is_long else SHORT_PRIORITY
+        priority = LEVEL_PRIORITY * attempts[0].level + ask.urgency
         return Reply(
             entry, messages.Granted(ask.request_id, members, priority, 0)
         )
 
     def _release(self, request_id: str, now: float) -> None:
-        for name in self.grants.pop(request_id, ()):
+        names = self._granted_names(request_id)
+        self.grants.pop(request_id, None)
+        for name in names:
             state = self.targets.get(name)
             if state is not None:
                 state.remove(request_id, now)
 
+    def _granted_names(self, request_id: str) -> tuple[str, ...]:
+        grant = self.grants.get(request_id)
+        return grant.names if grant is not None else ()
+
     def _unqueue(self, request_id: str) -> None:
-        self.short.remove(request_id)
-        self.long.remove(request_id)
+        for queue in self.queues:
+            queue.remove(request_id)
         self._end_hold(request_id)
 
     def _end_hold(self, request_id: str) -> None:
@@ -760,10 +884,9 @@
 
     def expire_grants(self, now: float) -> None:
         """Drops grants whose end was never told, past their deadline."""
-        for state in self.targets.values():
-            for attempt in list(state.attempts.values()):
-                if now > attempt.expires + GRANT_GRACE_SECONDS:
-                    self._release(attempt.request_id, now)
+        for request_id, grant in list(self.grants.items()):
+            if now > grant.expires + GRANT_GRACE_SECONDS:
+                self._release(request_id, now)
 
     def _drop_target(self, name: str) -> None:
         if self.targets.pop(name, None) is not None:
@@ -793,5 +916,11 @@
     return messages.Declined(ask.request_id, reason.value, message, after)
 
 
+def _due_rate(waiting: queueing.Waiting, now: float) -> float:
+    """Returns the targets that a deferrable prompt needs from now on."""
+    left = max(1.0, (waiting.deadline - now) * DEFERRAL_FRACTION)
+    return waiting.cost / left
+
+
 def _to_ms(seconds: float) -> int:
     return int(min(seconds, 1e6) * 1_000)
--- a/catkintrail/core/target_state.py
+++ b/catkintrail/core/target_state.py
@@ -42,22 +42,20 @@
         request_id: The request.
         entry: The instance that runs it.
         organisation: The organisation.
-        is_long: Whether it counts as a long prompt.
+        level: Its level; see core/cost.
         prefill: Predicted seconds of prefill on this target.
         kv_tokens: KV tokens it will hold here.
         granted: Monotonic time of the grant.
-        expires: Monotonic time of the request's deadline.
         started: Whether the first token has come.
     """
 
     request_id: str
     entry: str
     organisation: str
-    is_long: bool
+    level: int
     prefill: float
     kv_tokens: int
     granted: float
-    expires: float
     started: bool = False
 
 
@@ -68,8 +66,9 @@
         record: The target as the platform lists it.
         attempts: Granted requests, by id.
         is_leaving: Whether it gets no new work.
-        short_until: When the short prefill granted so far will be done.
-        long_until: When the long prefill granted so far will be done.
+        until: When the prefill granted so far will be done, by level, were
+            the engine to do nothing else.
+        unstarted_long: Long prompts that are being prefilled.
         held_for: Request id of the long prompt whose memory is being made
             free here; "" for none.
     """
@@ -81,10 +80,10 @@
         self.profile = profile
         self.attempts: dict[str, Attempt] = {}
         self.is_leaving = record.leaving
-        self.short_until = 0.0
-        self.long_until = 0.0
+        self.until = [0.0] * cost.LEVELS
         self.kv_capacity = profile.kv_tokens
         self.kv_promised = 0
+        self.unstarted_long = 0
         self.held_for = ""
         self.foreign_kv = 0
         self.foreign_prefill = 0.0
@@ -100,26 +99,27 @@
         slots = max(1, int(self.profile.slots * share))
         return slots - len(self.attempts) - self.foreign_requests
 
-    def short_wait(self, now: float) -> float:
-        """Returns seconds of short prefill ahead of a new short request."""
-        return max(0.0, self.short_until - now, self.foreign_until - now)
+    def wait(self, level: int, now: float) -> float:
+        """Returns seconds of prefill ahead of a new request of a level."""
+        ahead = sum(max(0.0, end - now) for end in self.until[level:])
+        return max(ahead, self.foreign_until - now)
 
-    def long_wait(self, now: float) -> float:
-        """Returns seconds of any prefill ahead of a new long prompt."""
-        return max(0.0, self.long_until - now) + self.short_wait(now)
+    def own_wait(self, level: int, now: float) -> float:
+        """Returns seconds of prefill of one level alone."""
+        return max(0.0, self.until[level] - now, self.foreign_until - now)
 
     def has_long_prefill(self) -> bool:
         """Returns whether a long prompt is being prefilled."""
-        return any(a.is_long and not a.started for a in self.attempts.values())
+        return self.unstarted_long > 0
 
     def add(self, attempt: Attempt, now: float) -> None:
         """Counts a grant."""
         self.attempts[attempt.request_id] = attempt
         self.kv_promised += attempt.kv_tokens
-        if attempt.is_long:
-            self.long_until = max(now, self.long_until) + attempt.prefill
-        else:
-            self.short_until = max(now, self.short_until) + attempt.prefill
+        level = attempt.level
+        self.until[level] = max(now, self.until[level]) + attempt.prefill
+        if level <= cost.LONG_LEVEL:
+            self.unstarted_long += 1
 
     def start(self, request_id: str, now: float) -> None:
         """Notes that a granted request has its first token."""
@@ -127,7 +127,7 @@
         if attempt is None or attempt.started:
             return
         self.attempts[request_id] = attempt._replace(started=True)
-        self._settle(now)
+        self._leave_prefill(attempt, now)
 
     def remove(self, request_id: str, now: float) -> Attempt | None:
         """Drops a grant; returns it where there was one."""
@@ -135,7 +135,8 @@
         if attempt is None:
             return None
         self.kv_promised -= attempt.kv_tokens
-        self._settle(now)
+        if not attempt.started:
+            self._leave_prefill(attempt, now)
         return attempt
 
     def take_report(self, report: LoadReport, now: float) -> None:
@@ -161,16 +162,14 @@
         extra = max(0.0, prefill - known_prefill)
         self.foreign_until = moment + extra
 
-    def _settle(self, now: float) -> None:
-        """Moves the ends of prefill to what is still outstanding."""
-        for is_long in (False, True):
-            waiting = [
-                a.prefill
-                for a in self.attempts.values()
-                if a.is_long == is_long and not a.started
-            ]
-            limit = now + sum(waiting)
-            if is_long:
-                self.long_until = min(self.long_until, limit)
-            else:
-                self.short_until = min(self.short_until, limit)
+    def _leave_prefill(self, attempt: Attempt, now: float) -> None:
+        """Moves the end of a level's prefill to what is still outstanding."""
+        level = attempt.level
+        if level <= cost.LONG_LEVEL:
+            self.unstarted_long -= 1
+        waiting = sum(
+            a.prefill
+            for a in self.attempts.values()
+            if a.level == level and not a.started
+        )
+        self.until[level] = min(self.until[level], now + waiting)
--- a/catkintrail/objects.py
+++ b/catkintrail/objects.py
@@ -91,7 +91,7 @@
     decode_seconds_per_token: float = 0.035
     max_output_tokens: int = 8192
     max_group: int = 4
-    long_prompt_tokens: int = 32_000
+    long_prompt_tokens: int = 100_000
     engine_slots: int = 128
     resume: bool = True
     wanted_version: str = ""
--- /dev/null
+++ b/tests/test_pool.py
@@ -0,0 +1,341 @@
+"""The owner's decisions for one pool."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import testtools
+from testtools import matchers
+
+from catkintrail import messages
+from catkintrail import objects
+from catkintrail.core import cost
+from catkintrail.core import pool as pools
+from catkintrail.core import target_state
+
+KV_TOKENS = 400_000
+TARGETS = tuple(f"t{number}" for number in range(5))
+PROFILE = cost.profile_of_model(
+    objects.Model(
+        context_tokens=1_000_000, engine_kv_tokens=KV_TOKENS, engine_slots=8
+    )
+)
+KEY = pools.PoolKey("m", "x", 0)
+
+
+def record(name, incarnation=1, leaving=False):
+    return messages.TargetRecord(
+        name, "x", "r", "m", f"{name}:1", incarnation, leaving
+    )
+
+
+def ask(number, tokens=1_000, output=50, deadline=60.0, **changes):
+    message = messages.Acquire(
+        f"r{number}",
+        "m",
+        "x",
+        0,
+        "guild",
+        1.0,
+        tokens,
+        output,
+        (),
+        deadline,
+        5,
+        0.5,
+        0,
+    )
+    return message._replace(**changes)
+
+
+def report(name, leaving=False, incarnation=1, age=0.0, kv_used=0, running=0):
+    return target_state.LoadReport(
+        name, age, incarnation, leaving, 0, running, kv_used, KV_TOKENS
+    )
+
+
+def make_pool(names=TARGETS):
+    pool = pools.Pool(KEY, PROFILE)
+    pool.set_targets([record(name) for name in names], 0.0)
+    return pool
+
+
+def drain(pool, now):
+    return [reply.message for reply in pool.poll(now)]
+
+
+class PoolMachine(stateful.RuleBasedStateMachine):
+    """Any order of requests, ends, reports, failures and lists."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.pool = make_pool()
+        self.counter = 0
+        self.deadlines = {}
+        self.answered = {}
+        self.leaving = {}
+        self.incarnations = dict.fromkeys(TARGETS, 1)
+
+    def take(self, replies):
+        for reply in replies:
+            message = reply.message
+            if isinstance(message, messages.Queued):
+                continue
+            name = message.request_id
+            assert name not in self.answered, "answered twice"
+            self.answered[name] = message
+            if isinstance(message, messages.Granted):
+                for member in message.members:
+                    assert member.name not in self.leaving
+                names = [member.name for member in message.members]
+                assert len(names) == len(set(names))
+                assert names == sorted(names)
+            if isinstance(message, messages.Declined):
+                assert message.retry_after_seconds > 0
+
+    @stateful.rule(
+        tokens=strategies.sampled_from(
+            [500, 3_000, 60_000, 150_000, 390_000, 900_000]
+        ),
+        organisation=strategies.sampled_from(["a", "b"]),
+        deadline=strategies.sampled_from([0.01, 5.0, 60.0, 40_000.0]),
+        blocks=strategies.lists(strategies.integers(1, 5), max_size=3),
+    )
+    def arrive(self, tokens, organisation, deadline, blocks):
+        self.counter += 1
+        message = ask(
+            self.counter,
+            tokens,
+            50,
+            deadline,
+            organisation=organisation,
+            blocks=tuple(blocks),
+        )
+        self.deadlines[message.request_id] = self.now + deadline
+        self.take(self.pool.acquire(message, "entry", self.now))
+        self.take(self.pool.poll(self.now))
+
+    @stateful.rule(seconds=strategies.floats(0.01, 20.0))
+    def wait(self, seconds):
+        self.now += seconds
+        self.take(self.pool.poll(self.now))
+
+    @stateful.rule(data=strategies.data(), outcome=strategies.integers(0, 4))
+    def end(self, data, outcome):
+        if not self.pool.grants:
+            return
+        name = data.draw(strategies.sampled_from(sorted(self.pool.grants)))
+        target = self.pool.grants[name].names[0]
+        self.pool.start(name, self.now)
+        done = messages.Released(name, target, outcome, 1)
+        if self.pool.release(done, self.now):
+            self.leaving[target] = True
+        self.take(self.pool.poll(self.now))
+
+    @stateful.rule(name=strategies.sampled_from(TARGETS))
+    def leave(self, name):
+        if name in self.pool.targets:
+            incarnation = self.pool.targets[name].record.incarnation
+            self.pool.take_report(report(name, True, incarnation), self.now)
+            self.leaving[name] = True
+
+    @stateful.rule(name=strategies.sampled_from(TARGETS))
+    def flap(self, name):
+        """An old report, and the lagging list, say that it is live."""
+        incarnation = self.incarnations[name]
+        self.pool.take_report(report(name, False, incarnation), self.now)
+        self.pool.set_targets(
+            [record(n, self.incarnations[n]) for n in TARGETS], self.now
+        )
+
+    @stateful.rule(name=strategies.sampled_from(TARGETS))
+    def replace(self, name):
+        self.incarnations[name] += 1
+        self.pool.set_targets(
+            [record(n, self.incarnations[n]) for n in TARGETS], self.now
+        )
+        self.leaving.pop(name, None)
+
+    @stateful.rule()
+    def entry_lost(self):
+        self.pool.entry_lost("entry", self.now)
+        for name in self.deadlines:
+            self.answered.setdefault(name, None)
+
+    @stateful.invariant()
+    def memory_is_never_promised_twice(self):
+        for target in self.pool.targets.values():
+            promised = sum(a.kv_tokens for a in target.attempts.values())
+            assert promised == target.kv_promised
+            assert promised <= KV_TOKENS
+            assert len(target.attempts) <= PROFILE.slots
+
+    @stateful.invariant()
+    def nobody_waits_past_the_deadline(self):
+        for name, deadline in self.deadlines.items():
+            assert name in self.answered or self.now <= deadline
+
+    def teardown(self):
+        """After the last deadline nothing is left anywhere."""
+        self.now += 50_000.0
+        self.take(self.pool.poll(self.now))
+        self.pool.expire_grants(self.now)
+        assert not self.pool.waiting_count()
+        assert not self.pool.grants
+        for target in self.pool.targets.values():
+            assert not target.attempts and not target.held_for
+            assert target.kv_promised == 0
+
+
+PoolMachine.TestCase.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=40
+)
+
+
+class PoolMachineTests(PoolMachine.TestCase):
+    """Runs the state machine."""
+
+
+class AdmissionTests(testtools.TestCase):
+
+    def test_request_that_cannot_end_in_time_is_refused_at_once(self):
+        pool = make_pool()
+        (reply,) = pool.acquire(ask(1, output=1_000, deadline=5.0), "e", 0.0)
+        self.assertEqual("deadline_exceeded", reply.message.reason)
+
+    def test_overload_is_refused_with_the_time_to_come_back(self):
+        pool = make_pool()
+        refused = None
+        for number in range(20_000):
+            (reply,) = pool.acquire(
+                ask(number, 20_000, deadline=10.0), "e", 0.0
+            )
+            drain(pool, 0.0)
+            if isinstance(reply.message, messages.Declined):
+                refused = reply.message
+                break
+        self.assertEqual("overloaded", refused.reason)
+        self.assertThat(refused.retry_after_seconds, matchers.GreaterThan(0.0))
+
+    def test_flood_of_one_does_not_refuse_another(self):
+        pool = make_pool(("t0",))
+        for number in range(600):
+            pool.acquire(ask(number, 10_000, deadline=30.0), "e", 0.0)
+        other = ask("x", 10_000, deadline=30.0, organisation="other")
+        (reply,) = pool.acquire(other, "e", 0.0)
+        self.assertIsInstance(reply.message, messages.Queued)
+
+    def test_no_target(self):
+        pool = pools.Pool(KEY, PROFILE)
+        (reply,) = pool.acquire(ask(1), "e", 0.0)
+        self.assertEqual("no_target", reply.message.reason)
+
+    def test_repeat_changes_nothing(self):
+        pool = make_pool()
+        pool.acquire(ask(1), "e", 0.0)
+        (granted,) = drain(pool, 0.0)
+        (reply,) = pool.acquire(ask(1), "e", 0.1)
+        self.assertEqual(granted.members, reply.message.members)
+        self.assertEqual([], drain(pool, 0.1))
+
+
+class PlacementTests(testtools.TestCase):
+
+    def test_prompt_over_two_engines_gets_a_group(self):
+        pool = make_pool()
+        pool.acquire(ask(1, 900_000, deadline=300.0), "e", 0.0)
+        (granted,) = drain(pool, 0.0)
+        self.assertThat(len(granted.members), matchers.GreaterThan(2))
+
+    def test_cached_prefix_draws_the_follow_up(self):
+        pool = make_pool()
+        blocks = tuple(range(1, 20))
+        pool.acquire(ask(1, 10_000, blocks=blocks), "e", 0.0)
+        (first,) = drain(pool, 0.0)
+        pool.start("r1", 0.2)
+        pool.acquire(ask(2, 10_400, blocks=blocks + (99,)), "e", 0.2)
+        (second,) = drain(pool, 0.2)
+        self.assertEqual(first.members[0].name, second.members[0].name)
+        self.assertThat(second.cached_tokens, matchers.GreaterThan(9_000))
+
+    def test_short_request_goes_before_waiting_long_ones(self):
+        pool = make_pool()
+        for number in range(30):
+            pool.acquire(ask(number, 200_000, deadline=600.0), "e", 0.0)
+        drain(pool, 0.0)
+        pool.acquire(ask("short"), "e", 1.0)
+        granted = {m.request_id for m in drain(pool, 1.0)}
+        self.assertIn("rshort", granted)
+
+    def test_long_prompts_leave_targets_to_short_ones(self):
+        pool = make_pool()
+        for number in range(200):
+            pool.acquire(ask(number, 4_000), "e", 0.0)
+        for number in range(30):
+            pool.acquire(ask(f"l{number}", 200_000, deadline=900.0), "e", 0.5)
+        drain(pool, 0.5)
+        drain(pool, 1.5)
+        taken = [t for t in pool.targets.values() if t.has_long_prefill()]
+        self.assertThat(len(taken), matchers.LessThan(len(TARGETS)))
+        self.assertThat(len(taken), matchers.GreaterThan(0))
+
+    def test_urgent_long_prompt_starts_although_memory_is_short(self):
+        """Memory is held free for it, so short requests cannot starve it."""
+        pool = make_pool(("t0", "t1"))
+        number = 0
+        now = 0.0
+        granted_at = None
+        pool.acquire(ask("long", 380_000, deadline=60.0), "e", now)
+        while now < 60.0 and granted_at is None:
+            for _ in range(12):
+                number += 1
+                pool.acquire(ask(number, 60_000, deadline=20.0), "e", now)
+            for message in drain(pool, now):
+                if message.request_id == "rlong":
+                    granted_at = now
+            now += 1.0
+            for name in list(pool.grants)[:3]:
+                pool.start(name, now)
+                target = pool.grants[name].names[0]
+                pool.release(messages.Released(name, target, 0, 1), now)
+        self.assertIsNotNone(granted_at)
+
+    def test_other_zone_is_chosen_when_it_answers_sooner(self):
+        pool = make_pool(("t0",))
+        for number in range(200):
+            pool.acquire(ask(number, 10_000), "e", 0.0)
+        summary = messages.PoolSummary("m", "y", 0, 8, 0, 0, 1)
+        pool.take_summary(summary, 0.0)
+        (reply,) = pool.acquire(ask("x", 10_000), "e", 0.1)
+        self.assertEqual(messages.Redirected("rx", "y", 0), reply.message)
+        (reply,) = pool.acquire(ask("y", 10_000), "e", 60.0)
+        self.assertNotIsInstance(reply.message, messages.Redirected)
+
+
+class FailureTests(testtools.TestCase):
+
+    def test_failing_target_is_ejected_but_never_most_of_them(self):
+        pool = make_pool()
+        for name in TARGETS:
+            for _ in range(10):
+                done = messages.Released("r", name, 1, 0)
+                pool.release(done, 1.0)
+        live = len(pool.live_targets(1.0))
+        self.assertThat(live, matchers.GreaterThan(len(TARGETS) // 2 - 1))
+        self.assertThat(live, matchers.LessThan(len(TARGETS)))
+        self.assertEqual(len(TARGETS), len(pool.live_targets(100.0)))
+
+    def test_stale_report_is_not_believed(self):
+        pool = make_pool(("t0",))
+        old = report("t0", age=99.0, kv_used=KV_TOKENS, running=8)
+        pool.take_report(old, 0.0)
+        pool.acquire(ask(1), "e", 0.0)
+        self.assertEqual(1, len(drain(pool, 0.0)))
+
+    def test_work_of_another_owner_is_seen_in_reports(self):
+        pool = make_pool(("t0",))
+        pool.take_report(report("t0", kv_used=KV_TOKENS - 100, running=4), 1.0)
+        pool.acquire(ask(1), "e", 1.0)
+        self.assertEqual([], drain(pool, 1.0))
+        pool.take_report(report("t0"), 3.0)
+        self.assertEqual(1, len(drain(pool, 3.0)))
