Send long prompts with one beginning to one zone; prove placement over failures

Change: a long prompt asks the zone that its first block chooses among its region's zones, so its cached prefix is met without any exchange of caches; an owner that stays silent is passed over, then the own zone is asked.

--- a/catkintrail/core/directory.py
+++ b/catkintrail/core/directory.py
@@ -89,6 +89,18 @@
         seed = str(blocks[0]) if blocks else str(self.membership.rng.random())
         return ownership.score("prefix", seed) % shards
 
+    def region_zones(self) -> list[str]:
+        """Returns the zones of this region with usable instances."""
+        me = self.membership.me
+        zones = {me.zone}
+        for member in self.membership.members.values():
+            record = member.record
+            if record.region == me.region and (
+                record.status <= memberships.SUSPECT
+            ):
+                zones.add(record.zone)
+        return sorted(zones)
+
     def owner(self, key: pools.PoolKey, rank: int = 0) -> str | None:
         """Returns a pool's owner, or who is next in rank.
 
--- a/catkintrail/core/dispatch.py
+++ b/catkintrail/core/dispatch.py
@@ -12,6 +12,7 @@
 from catkintrail import verdict as verdicts
 from catkintrail.core import configuration
 from catkintrail.core import directory as directories
+from catkintrail.core import ownership
 from catkintrail.core import pool as pools
 
 __all__ = ["Dispatch", "Event", "Work"]
@@ -19,6 +20,8 @@
 SILENCE_SECONDS = 0.6
 KEEPALIVE_SECONDS = 2.0
 MAX_RANK = 3
+# From this length on a cached prefix is worth a hop to another zone.
+PREFIX_ZONE_TOKENS = 100_000
 
 
 class Work(NamedTuple):
@@ -91,8 +94,7 @@
 
     def submit(self, work: Work, now: float) -> list[configuration.Outgoing]:
         """Starts to place a request."""
-        shard = self.directory.choose_shard(work.serves, work.blocks)
-        key = pools.PoolKey(work.serves, self.directory.zone, shard)
+        key = self._home_pool(work)
         placement = _Placement(work, key, now)
         self.placements[work.request_id] = placement
         return self._ask(placement, now)
@@ -177,7 +179,7 @@
                 outgoing += self._ask_other(placement, now)
             elif not placement.answered:
                 if now - placement.asked >= SILENCE_SECONDS:
-                    placement.rank = (placement.rank + 1) % MAX_RANK
+                    self._pass_over(placement)
                     outgoing += self._ask_other(placement, now)
             elif now - placement.asked >= KEEPALIVE_SECONDS:
                 outgoing += self._ask(placement, now)
@@ -189,6 +191,32 @@
         self.events = []
         return events
 
+    def _home_pool(self, work: Work) -> pools.PoolKey:
+        """Returns the pool to ask first.
+
+        Long prompts with equal beginnings go to one zone of the region, where
+        their prefix may be cached; a hop more is nothing to them.
+        """
+        zone = self.directory.zone
+        if work.blocks and work.prompt_tokens >= PREFIX_ZONE_TOKENS:
+            zones = self.directory.region_zones()
+            zone = ownership.choose_owner(str(work.blocks[0]), zones) or zone
+        return self._pool_in(work, zone)
+
+    def _pool_in(self, work: Work, zone: str) -> pools.PoolKey:
+        shard = 0
+        if zone == self.directory.zone:
+            shard = self.directory.choose_shard(work.serves, work.blocks)
+        return pools.PoolKey(work.serves, zone, shard)
+
+    def _pass_over(self, placement: _Placement) -> None:
+        """Turns from a silent owner to the next in rank, or to this zone."""
+        placement.rank += 1
+        if placement.rank >= MAX_RANK:
+            placement.rank = 0
+            zone = self.directory.zone
+            placement.key = self._pool_in(placement.work, zone)
+
     def _asked(self, sender: str, request_id: str) -> _Placement | None:
         placement = self.placements.get(request_id)
         if placement is None or placement.owner != sender:
--- a/catkintrail/core/instance.py
+++ b/catkintrail/core/instance.py
@@ -582,7 +582,7 @@
     def _summaries(self, now: float) -> list[configuration.Outgoing]:
         """Tells the owners of the same models in the region's other zones."""
         outgoing = []
-        zones = self._region_zones()
+        zones = self.directory.region_zones()
         for key, pool in self.pools.items():
             summary = pool.summary(now)
             for zone in zones:
@@ -597,17 +597,6 @@
                     outgoing.append(configuration.Outgoing(owner, summary))
         return outgoing
 
-    def _region_zones(self) -> list[str]:
-        me = self.membership.me
-        return sorted(
-            {
-                member.record.zone
-                for member in self.membership.members.values()
-                if member.record.region == me.region
-                and member.record.status <= memberships.SUSPECT
-            }
-        )
-
     def _spread_gone(
         self, gone: messages.TargetGone
     ) -> list[configuration.Outgoing]:
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,320 @@
+"""Requests between instances: owners that die, freeze, or change."""
+
+import testtools
+from testtools import matchers
+
+from bench import fleet as fleets
+from catkintrail import messages
+from catkintrail.adapters import memory_platform
+from catkintrail.core import dispatch
+from catkintrail.core import directory
+from catkintrail.core import pool as pools
+from catkintrail.core import publication
+from catkintrail.ports import platform
+
+ZONES = {"x": 3, "y": 3}
+KEY = pools.PoolKey("m", "x", 0)
+MODEL = {
+    "context_tokens": 1_000_000,
+    "engine_kv_tokens": 400_000,
+    "engine_slots": 4,
+}
+
+
+def target(name, zone, incarnation=1, leaving=False):
+    return messages.TargetRecord(
+        name, zone, "r", "m", f"{name}:1", incarnation, leaving
+    )
+
+
+def make_fleet(targets=4, organisation=None, zones=None):
+    """A fleet with a model, an organisation and targets in each zone."""
+    fleet = fleets.Fleet()
+    fleet.add_zones(zones or ZONES)
+    fleet.run(8.0)
+    store = memory_platform.MemoryPlatform()
+    edits = (
+        publication.Edit("models", "m", MODEL),
+        publication.Edit("organisations", "guild", organisation or {}),
+    )
+    change = publication.Change("c", "ops", 1.0, edits)
+    snapshot = publication.publish(store, publication.empty_snapshot(), change)
+    records = tuple(
+        target(f"{zone}{number}", zone)
+        for zone in (zones or ZONES)
+        for number in range(targets)
+    )
+    listing = platform.TargetListing(1, records)
+    for node in fleet.live():
+        fleet.apply(node, node.core.take_snapshot(snapshot, fleet.now))
+        fleet.apply(node, node.core.take_targets(listing, fleet.now))
+    fleet.run(3.0)
+    return fleet
+
+
+def submit(fleet, name, number=1, tokens=1_000, deadline=30.0, blocks=()):
+    node = fleet.nodes[name]
+    work = dispatch.Work(
+        f"{name}/{number}",
+        "m",
+        "guild",
+        1.0,
+        tokens,
+        10,
+        blocks,
+        5,
+        0.5,
+        fleet.now + deadline,
+    )
+    fleet.apply(node, node.core.submit(work, fleet.now))
+    return node
+
+
+def owner_of(fleet, key=KEY):
+    node = fleet.nodes[f"{key.zone}-0"]
+    return node.core.directory.owner(key)
+
+
+def other_than(fleet, name, zone="x"):
+    return next(
+        n for n in sorted(fleet.nodes) if n != name and n.startswith(zone)
+    )
+
+
+class PlacingTests(testtools.TestCase):
+
+    def wait_for_event(self, fleet, node, seconds):
+        taken = fleet.run_until(lambda: node.events, seconds)
+        self.assertThat(taken, matchers.LessThan(seconds))
+        return node.events[0]
+
+    def test_grant_comes_from_the_owner(self):
+        fleet = make_fleet()
+        owner = owner_of(fleet)
+        node = submit(fleet, other_than(fleet, owner))
+        event = self.wait_for_event(fleet, node, 1.0)
+        self.assertEqual(owner, event.owner)
+
+    def test_all_instances_agree_on_the_owners(self):
+        fleet = make_fleet()
+        for zone in ZONES:
+            key = KEY._replace(zone=zone)
+            owners = {n.core.directory.owner(key) for n in fleet.live()}
+            self.assertEqual(1, len(owners))
+            holding = [n for n in fleet.live() if key in n.core.pools]
+            self.assertEqual(1, len(holding))
+
+    def test_dead_owner_is_passed_over_within_two_seconds(self):
+        fleet = make_fleet()
+        owner = owner_of(fleet)
+        fleet.kill(owner)
+        node = submit(fleet, other_than(fleet, owner))
+        self.assertIsNotNone(self.wait_for_event(fleet, node, 2.0).granted)
+
+    def test_owner_that_dies_with_a_queue_loses_no_request(self):
+        fleet = make_fleet(targets=1)
+        owner = owner_of(fleet)
+        name = other_than(fleet, owner)
+        for number in range(8):
+            node = submit(fleet, name, number)
+        fleet.run(0.5)
+        granted = {e.request_id for e in node.events}
+        fleet.kill(owner)
+        fleet.run(15.0)
+        answered = {event.request_id for event in node.events}
+        self.assertThat(len(granted), matchers.LessThan(8))
+        self.assertEqual(8, len(answered))
+
+    def test_thawed_owner_grants_nothing_twice(self):
+        """Its late grant is given back."""
+        fleet = make_fleet()
+        owner = owner_of(fleet)
+        fleet.nodes[owner].is_frozen = True
+        node = submit(fleet, other_than(fleet, owner))
+        self.wait_for_event(fleet, node, 2.0)
+        fleet.thaw(owner)
+        fleet.run(3.0)
+        self.assertEqual(1, len(node.events))
+        for pool in fleet.nodes[owner].core.pools.values():
+            self.assertEqual({}, pool.grants)
+
+    def test_request_ends_at_its_deadline_whatever_dies(self):
+        fleet = make_fleet()
+        name = other_than(fleet, owner_of(fleet))
+        for other in list(fleet.nodes):
+            if other != name:
+                fleet.nodes[other].is_frozen = True
+        fleet.is_cut = lambda a, b: True
+        node = submit(fleet, name, deadline=4.0)
+        event = self.wait_for_event(fleet, node, 4.3)
+        self.assertIsNotNone(event.refusal or event.granted)
+
+    def test_zone_without_targets_sends_requests_on(self):
+        fleet = make_fleet()
+        for node in fleet.live():
+            listing = platform.TargetListing(
+                2, tuple(target(f"y{n}", "y") for n in range(4))
+            )
+            fleet.apply(node, node.core.take_targets(listing, fleet.now))
+        fleet.run(3.0)
+        node = submit(fleet, "x-1")
+        event = self.wait_for_event(fleet, node, 1.0)
+        self.assertEqual("y", event.granted.members[0].name[0])
+
+    def test_long_prompts_with_one_beginning_meet_in_one_zone(self):
+        fleet = make_fleet()
+        zones = set()
+        for number, name in enumerate(("x-0", "x-1", "y-0", "y-2")):
+            blocks = tuple(range(7, 300))
+            node = submit(fleet, name, number, 150_000, 300.0, blocks)
+            event = self.wait_for_event(fleet, node, 8.0)
+            zones.add(event.granted.members[0].name[0])
+            node.events.clear()
+            done = messages.Released(
+                event.request_id, event.granted.members[0].name, 0, 1
+            )
+            outputs = node.core.finish(event.request_id, done, fleet.now)
+            fleet.apply(node, outputs)
+        self.assertEqual(1, len(zones))
+
+    def test_cut_off_zone_serves_its_own_long_prompts(self):
+        fleet = make_fleet()
+        fleet.is_cut = lambda a, b: (a.core.membership.me.zone) != (
+            b.core.membership.me.zone
+        )
+        for number in range(6):
+            blocks = (number,) * 200
+            node = submit(fleet, "x-1", number, 150_000, 60.0, blocks)
+            self.wait_for_event(fleet, node, 6.0)
+            event = node.events.pop()
+            self.assertEqual("x", event.granted.members[0].name[0])
+            done = messages.Released(
+                event.request_id, event.granted.members[0].name, 0, 1
+            )
+            outputs = node.core.finish(event.request_id, done, fleet.now)
+            fleet.apply(node, outputs)
+
+
+class DrainTests(testtools.TestCase):
+
+    def test_queue_moves_to_the_next_owner(self):
+        fleet = make_fleet(targets=1)
+        owner = owner_of(fleet)
+        name = other_than(fleet, owner)
+        for number in range(8):
+            node = submit(fleet, name, number)
+        fleet.run(0.3)
+        before = len(node.events)
+        leaving = fleet.nodes[owner]
+        fleet.apply(leaving, leaving.core.drain(fleet.now))
+        self.assertFalse(leaving.core.is_ready())
+        fleet.run(4.0)
+        answered = {event.request_id for event in node.events}
+        self.assertThat(before, matchers.LessThan(8))
+        self.assertEqual(8, len(answered))
+        self.assertEqual({}, leaving.core.pools)
+
+    def test_own_waiting_requests_are_placed_elsewhere(self):
+        fleet = make_fleet(targets=1)
+        owner = owner_of(fleet)
+        for number in range(8):
+            node = submit(fleet, owner, number)
+        fleet.apply(node, node.core.drain(fleet.now))
+        fleet.run(4.0)
+        self.assertEqual(8, len({event.request_id for event in node.events}))
+
+
+class LeavingTargetTests(testtools.TestCase):
+
+    def test_leaving_seen_by_one_owner_holds_for_the_next(self):
+        """The lagging list still says that it is live."""
+        fleet = make_fleet(targets=2)
+        owner = owner_of(fleet)
+        node = fleet.nodes[owner]
+        done = messages.Released("r", "x0", 4, 0)
+        me = node.core.membership.me
+        fleet.apply(node, node.core.receive(me, done, fleet.now))
+        fleet.run(1.0)
+        fleet.kill(owner)
+        fleet.run(8.0)
+        name = other_than(fleet, owner)
+        for number in range(3):
+            entry = submit(fleet, name, number)
+        fleet.run(3.0)
+        names = {
+            event.granted.members[0].name
+            for event in entry.events
+            if event.granted
+        }
+        self.assertEqual({"x1"}, names)
+
+    def test_replaced_target_gets_work_again(self):
+        fleet = make_fleet(targets=1)
+        node = fleet.nodes[owner_of(fleet)]
+        done = messages.Released("r", "x0", 4, 0)
+        me = node.core.membership.me
+        fleet.apply(node, node.core.receive(me, done, fleet.now))
+        listing = platform.TargetListing(
+            2, (target("x0", "x", 2), target("y0", "y"))
+        )
+        for one in fleet.live():
+            fleet.apply(one, one.core.take_targets(listing, fleet.now))
+        entry = submit(fleet, "x-1")
+        fleet.run(2.0)
+        self.assertEqual("x0", entry.events[0].granted.members[0].name)
+
+
+class LimitTests(testtools.TestCase):
+
+    def passed(self, fleet, names, seconds, per_second):
+        """Sends a steady load; returns how many requests passed."""
+        count = int(seconds * per_second)
+        for step in range(count):
+            submit(fleet, names[step % len(names)], f"{fleet.now}.{step}")
+            fleet.run(1.0 / per_second)
+        fleet.run(0.5)
+        refused = 0
+        for node in fleet.live():
+            for event in node.events:
+                refusal = event.refusal
+                if refusal and refusal.reason.value == "rate_limited":
+                    refused += 1
+            node.events.clear()
+        return count - refused
+
+    def test_rate_over_all_instances_is_the_limit(self):
+        fleet = make_fleet(organisation={"requests_per_second": 10.0})
+        names = sorted(fleet.nodes)
+        self.passed(fleet, names, 10.0, 40)
+        passed = self.passed(fleet, names, 30.0, 40)
+        self.assertThat(passed, matchers.LessThan(10.0 * 30.0 * 1.1 + 10))
+        self.assertThat(passed, matchers.GreaterThan(10.0 * 30.0 * 0.8))
+
+    def test_one_zone_may_use_what_the_other_leaves(self):
+        fleet = make_fleet(organisation={"requests_per_second": 10.0})
+        names = ["x-0", "x-1", "x-2"]
+        self.passed(fleet, names, 15.0, 30)
+        passed = self.passed(fleet, names, 20.0, 30)
+        self.assertThat(passed, matchers.GreaterThan(10.0 * 20.0 * 0.8))
+
+    def test_dead_home_undershoots_only_for_seconds(self):
+        fleet = make_fleet(organisation={"requests_per_second": 20.0})
+        home = fleet.nodes["x-0"].core.limit_homes.home_of("guild", "x")
+        names = [n for n in sorted(fleet.nodes) if n != home]
+        self.passed(fleet, names, 5.0, 40)
+        fleet.kill(home)
+        self.passed(fleet, names, 12.0, 40)
+        passed = self.passed(fleet, names, 20.0, 40)
+        self.assertThat(passed, matchers.GreaterThan(20.0 * 20.0 * 0.8))
+        self.assertThat(passed, matchers.LessThan(20.0 * 20.0 * 1.1 + 20))
+
+
+class PoolNameTests(testtools.TestCase):
+
+    def test_names_differ(self):
+        names = {
+            directory.pool_name(KEY._replace(zone=zone, shard=shard))
+            for zone in "xy"
+            for shard in range(3)
+        }
+        self.assertEqual(6, len(names))
