Weigh lanes, groups and horizons for long prompts by measurement

Change: below 0.65 of the pool's time any idle target may take the next long prompt, up to the number that the load gives; above it the same targets keep taking them. Groups are no larger than memory demands.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -28,7 +28,7 @@
     "no-segregation": pools.PoolPolicy(segregation=0.0, max_long_fraction=1.0),
     "no-priorities": pools.PoolPolicy(use_priorities=False),
     "no-prefixes": pools.PoolPolicy(use_prefixes=False),
-    "no-groups": pools.PoolPolicy(use_groups=False),
+    "speed-groups": pools.PoolPolicy(speed_groups=True),
     "no-held-memory": pools.PoolPolicy(use_held_memory=False),
     "dispatch-at-once": pools.PoolPolicy(dispatch_ahead_seconds=math.inf),
 }
--- a/catkintrail/core/partition.py
+++ b/catkintrail/core/partition.py
@@ -1,8 +1,8 @@
 """How many of a pool's targets take long prompts.
 
-A prefill in progress slows every answer on the same engine, so long prompts
-are kept to some targets and short requests away from them, as far as both
-fit. The number follows the load: enough for the long work that arrives and,
+A prefill in progress slows every answer on the same engine, so only some
+targets prefill long prompts at a time, and short requests keep away from those
+as far as both fit. The number follows the load: enough for the long work that arrives and,
 within a horizon, for what waits; no more than short work leaves over. Work
 whose deadline is far off counts only by the rate that its deadlines demand,
 and uses idle targets: the idea of scheduling deadline-flexible jobs into the
@@ -22,11 +22,11 @@
 LONG_UTILISATION = 0.85
 # Part of the time that targets for short requests may be busy: this much
 # where the first token of long prompts has no weight, and more with it.
-SHORT_UTILISATION = 0.5
+SHORT_UTILISATION = 0.4
 SHORT_UTILISATION_SPAN = 0.35
-IDLE_UTILISATION = 0.4
-LEAST_HORIZON_SECONDS = 5.0
-MOST_HORIZON_SECONDS = 60.0
+IDLE_UTILISATION = 0.5
+LEAST_HORIZON_SECONDS = 1.0
+MOST_HORIZON_SECONDS = 5.0
 SHRINK_MARGIN = 0.5
 SHRINK_INTERVAL_SECONDS = 5.0
 
--- a/catkintrail/core/pool.py
+++ b/catkintrail/core/pool.py
@@ -44,6 +44,8 @@
 DEFERRAL_FRACTION = 0.1
 URGENT_SLACK_SECONDS = 15.0
 PARTITION_INTERVAL_SECONDS = 0.5
+# From this load on the same targets keep taking the long prompts.
+LANES_UTILISATION = 0.65
 DEADLINE_MARGIN_SECONDS = 0.05
 # Part of a busy engine's step that a chunk of prefill takes.
 CHUNK_STEP_FRACTION = 0.6
@@ -86,7 +88,8 @@
         max_long_fraction: Part of the targets that long prefill may hold.
         use_priorities: Whether long prompts get a lower priority.
         use_prefixes: Whether cached prefixes count.
-        use_groups: Whether long prompts may be spread for speed.
+        speed_groups: Whether long prompts may be spread over more targets
+            than their memory needs, for an earlier first token.
         use_held_memory: Whether memory is held free for a long prompt.
         segregation: How strongly short requests avoid targets with a long
             prefill; 1 for the predicted slowdown.
@@ -96,7 +99,7 @@
     max_long_fraction: float = MAX_LONG_FRACTION
     use_priorities: bool = True
     use_prefixes: bool = True
-    use_groups: bool = True
+    speed_groups: bool = False
     use_held_memory: bool = True
     segregation: float = 1.0
 
@@ -126,7 +129,9 @@
         summaries: The newest summaries of the model's other pools.
         queues: Waiting requests, by level.
         partition: How many targets take long prompts.
-        long_names: Which ones.
+        long_count: That number now.
+        long_names: Which ones, when the load is high; empty when any idle one
+            may take the next.
     """
 
     def __init__(
@@ -147,6 +152,7 @@
         self.grants: dict[str, _Grant] = {}
         self.gone: dict[str, int] = {}
         self.partition: partition.Partition | None = None
+        self.long_count = 0
         self.long_names: frozenset[str] = frozenset()
         self._next_partition = 0.0
         self._first_token_weight = 0.5
@@ -374,11 +380,15 @@
             self._first_token_weight,
             self.policy.max_long_fraction,
         )
-        count = self.partition.update(load, now)
-        names = [target.record.name for target in live]
-        # A fixed order keeps the same targets while the number changes.
-        chosen = ownership.rank_owners("long", names, count)
-        self.long_names = frozenset(chosen)
+        self.long_count = self.partition.update(load, now)
+        rate = self.partition.short.rate(now) + self.partition.long.rate(now)
+        self.long_names = frozenset()
+        if rate > LANES_UTILISATION * len(live):
+            # A fixed order keeps the same targets while the number changes.
+            names = [target.record.name for target in live]
+            self.long_names = frozenset(
+                ownership.rank_owners("long", names, self.long_count)
+            )
 
     def _work(self, ask: messages.Acquire) -> float:
         """Predicts the target seconds that a request takes."""
@@ -466,7 +476,7 @@
 
     def _long_rate(self, live: list) -> float:
         """Returns target seconds of long prefill done in a second."""
-        count = max(1, len(self.long_names))
+        count = max(1, self.long_count)
         return max(1e-9, min(count, len(live)) * cost.PLANNED_UTILISATION)
 
     def _refusal(
@@ -615,7 +625,7 @@
         value += self.profile.prefill_work(ask.prompt_tokens - cached)
         running = len(target.attempts) + target.foreign_requests
         value += 0.1 * running / self.profile.slots
-        if target.record.name in self.long_names:
+        if self._takes_long(target):
             value += self.policy.segregation * self._decode_slowdown(ask)
         if target.record.name in ask.avoid:
             value += AVOID_SECONDS
@@ -680,8 +690,6 @@
         depths = self._depths(ask)
         free = self._free_for_long(waiting, least, now)
         most = max(least, min(self.profile.max_group, len(free)))
-        if not self.policy.use_groups:
-            most = least
         # A group costs more work than one target: while others wait, the
         # smallest that finds its memory is taken.
         is_contended = sum(len(q) for q in self.queues[:LONG_LEVELS]) > 1
@@ -695,7 +703,7 @@
             value = self._group_value(ask, chosen, depths, now)
             if value < best_value:
                 best, best_value = chosen, value
-            if is_contended:
+            if is_contended or not self.policy.speed_groups:
                 break
         return best
 
@@ -703,19 +711,30 @@
         self, waiting: queueing.Waiting, least: int, now: float
     ) -> list[target_state.TargetState]:
         """Returns the targets on which a long prompt may begin now."""
-        may_use_all = least > len(self.long_names) or self._is_urgent(
-            waiting, now
-        )
+        busy = sum(1 for t in self.targets.values() if t.has_long_prefill())
+        room = self.long_count - busy
+        may_use_all = least > self.long_count or self._is_urgent(waiting, now)
+        if not may_use_all and room <= 0:
+            return []
+        names = self.targets.keys()
+        if self.long_names and not may_use_all:
+            names = self.long_names
         return [
             target
             for target in self.live_targets(now)
-            if not target.has_long_prefill()
-            and (may_use_all or target.record.name in self.long_names)
+            if target.record.name in names
+            and not target.has_long_prefill()
             and target.held_for in ("", waiting.request_id)
             and self.ejection.share(target.record.name, now) >= 1.0
             and target.free_slots(1.0) > 0
         ]
 
+    def _takes_long(self, target: target_state.TargetState) -> bool:
+        """Returns whether short requests should keep away from a target."""
+        if self.long_names:
+            return target.record.name in self.long_names
+        return target.has_long_prefill()
+
     def _is_urgent(self, waiting: queueing.Waiting, now: float) -> bool:
         """Returns whether little time is left beyond the run itself."""
         run = self._run_seconds(waiting.item)
