Test real processes: kills, freezes, drains, outages, TLS, bad input

Change: a small fleet of real processes for the tests that a fake would make blind; load reports are read at most 2.5 times a second however many targets an instance owns; cache events can be left unread by a model's object.

--- a/catkintrail/adapters/loops.py
+++ b/catkintrail/adapters/loops.py
@@ -26,6 +26,9 @@
 WATCH_SECONDS = 10.0
 TARGET_LIST_SECONDS = 1.0
 LOAD_SECONDS = 2.0
+# Keeps the traffic of reports within bounds, however many targets are owned.
+MAX_LOADS_PER_SECOND = 2.5
+NO_EVENTS = -1
 ORDERS_SECONDS = 1.0
 RECORDS_SECONDS = 1.0
 ROLE_CHECK_SECONDS = 0.5
@@ -144,10 +147,12 @@
         with concurrent.futures.ThreadPoolExecutor(
             POLL_THREADS, "loads"
         ) as executor:
-            while not self._stop.wait(LOAD_SECONDS):
+            pause = LOAD_SECONDS
+            while not self._stop.wait(pause):
                 polled = self._owned_targets()
+                pause = max(LOAD_SECONDS, len(polled) / MAX_LOADS_PER_SECOND)
                 list(executor.map(lambda one: self._read_load(*one), polled))
-                names = {record.name for _, record in polled}
+                names = {record.name for _, record, _ in polled}
                 self._event_numbers = {
                     name: number
                     for name, number in self._event_numbers.items()
@@ -156,20 +161,22 @@
 
     def _owned_targets(
         self,
-    ) -> list[tuple[pools.PoolKey, messages.TargetRecord]]:
+    ) -> list[tuple[pools.PoolKey, messages.TargetRecord, bool]]:
         try:
-            return [
-                (key, record)
-                for key, record, _ in self.control.instance.polled_targets()
-            ]
+            return self.control.instance.polled_targets()
         except RuntimeError:
             # The pools changed under the iteration; the next round sees them.
             return []
 
     def _read_load(
-        self, key: pools.PoolKey, record: messages.TargetRecord
+        self,
+        key: pools.PoolKey,
+        record: messages.TargetRecord,
+        has_events: bool,
     ) -> None:
-        after = self._event_numbers.get(record.name, 0)
+        after = NO_EVENTS
+        if has_events:
+            after = self._event_numbers.get(record.name, 0)
         try:
             answer = self.targets.read_load(record.address, record.name, after)
         except errors.TargetError as error:
--- a/catkintrail/core/instance.py
+++ b/catkintrail/core/instance.py
@@ -225,9 +225,10 @@
     def polled_targets(
         self,
     ) -> list[tuple[pools.PoolKey, messages.TargetRecord, bool]]:
-        """Returns owned targets to poll, and whether each is an engine."""
+        """Returns owned targets, and whether to read their cache events."""
+        models = self.configuration.snapshot.objects.models
         return [
-            (key, state.record, pool.profile.is_engine)
+            (key, state.record, _has_events(models.get(key.serves)))
             for key, pool in self.pools.items()
             for state in pool.targets.values()
         ]
@@ -714,6 +715,10 @@
         return profiles
 
 
+def _has_events(model: objects.Model | None) -> bool:
+    return model is not None and model.cache_events
+
+
 def _is_limited(organisation: objects.Organisation) -> bool:
     return (
         organisation.requests_per_second > 0
--- a/catkintrail/objects.py
+++ b/catkintrail/objects.py
@@ -78,6 +78,8 @@
         max_group: The most engines that one prompt is spread over.
         long_prompt_tokens: The least uncached prompt classed as long.
         engine_slots: The most sequences at once on one engine.
+        cache_events: Whether the engines' cache events are read; without
+            them the index of cached prefixes follows grants alone.
         resume: Whether a cut stream may be resumed on another engine.
         wanted_version: Version that engines are ordered to load; "" for none.
         fencing: Whether the engines refuse orders with old fencing numbers.
@@ -93,6 +95,7 @@
     max_group: int = 4
     long_prompt_tokens: int = 100_000
     engine_slots: int = 128
+    cache_events: bool = True
     resume: bool = True
     wanted_version: str = ""
     fencing: bool = True
--- a/catkintrail/ports/targets.py
+++ b/catkintrail/ports/targets.py
@@ -163,7 +163,14 @@
         """Frees a reservation; an unknown one is no error."""
 
     def read_load(self, address: str, target: str, after: int) -> LoadAnswer:
-        """Returns a target's load, and cache events after a number."""
+        """Returns a target's load.
+
+        Args:
+            address: Its `IP:port`.
+            target: Its name.
+            after: Cache events after this number come along; none where it
+                is negative.
+        """
 
     def order(self, address: str, order: Order) -> OrderState:
         """Gives an engine an order; returns its state afterwards."""
--- a/catkintrail/standin/engine.py
+++ b/catkintrail/standin/engine.py
@@ -372,7 +372,9 @@
             self._note_events()
             report = self._lagging_report()
             after = int(query.get("after", "0"))
-            events = [e for e in self._events if e["sequence"] > after]
+            events = []
+            if after >= 0:
+                events = [e for e in self._events if e["sequence"] > after]
         return wsgi.json_response(200, {**report, "events": events})
 
     def _lagging_report(self) -> dict[str, Any]:
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,411 @@
+"""Real processes: killed, frozen, drained, cut from the platform."""
+
+import concurrent.futures
+import datetime
+import ipaddress
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+import testtools
+
+from tests import processes
+
+
+class FleetCase(testtools.TestCase):
+    """A test with a fleet of its own."""
+
+    options = {}
+
+    def setUp(self):
+        super().setUp()
+        self.fleet = processes.Fleet(**self.options)
+        self.addCleanup(self.fleet.close)
+        self.fleet.prepare()
+
+    def other(self, owner):
+        return "x2" if owner == "x1" else "x1"
+
+
+class WholePathTests(FleetCase):
+
+    def test_path_errors_and_outages(self):
+        """Several steps on one fleet, since a fleet is slow to start."""
+        for name in self.fleet.urls:
+            text, is_whole = processes.read_stream(self.fleet.complete(name))
+            self.assertTrue(is_whole and processes.is_continuous(text))
+        self.check_once()
+        self.check_refusals()
+        self.check_outage()
+        self.check_lost_answers()
+        self.check_bad_frames()
+        self.check_operations()
+
+    def check_once(self):
+        first = self.fleet.book("x1", "k1")
+        again = self.fleet.book("y1", "k1")
+        self.assertEqual((200, first.data), (again.status, again.data))
+        self.assertEqual(1, self.fleet.executions("k1"))
+        with concurrent.futures.ThreadPoolExecutor(12) as executor:
+            names = list(self.fleet.urls) * 4
+            list(executor.map(lambda n: self.fleet.book(n, "k2"), names))
+        self.assertEqual(1, self.fleet.executions("k2"))
+
+    def check_refusals(self):
+        url = self.fleet.urls["x1"]
+        good = {"Authorization": f"Bearer {processes.CALLER_KEY}"}
+        ask = {"model": "ask", "prompt": "x"}
+        cases = [
+            (401, "POST", "/v1/completions", {}, ask),
+            (
+                401,
+                "POST",
+                "/v1/completions",
+                {"Authorization": "Bearer no"},
+                ask,
+            ),
+            (404, "POST", "/v1/completions", good, {**ask, "model": "nope"}),
+            (400, "POST", "/v1/completions", good, {**ask, "prompt": 7}),
+            (400, "POST", "/v1/completions", good, {**ask, "max_tokens": -1}),
+            (
+                413,
+                "POST",
+                "/v1/completions",
+                good,
+                {**ask, "prompt": [1] * 200_000},
+            ),
+            (
+                400,
+                "POST",
+                "/v1/completions",
+                {**good, "X-Deadline-Seconds": "nan"},
+                ask,
+            ),
+            (
+                400,
+                "POST",
+                "/v1/completions",
+                {**good, "X-Priority": "high"},
+                ask,
+            ),
+            (
+                403,
+                "POST",
+                "/v1/completions",
+                {"Authorization": "Bearer rival-key"},
+                {**ask, "model": "private"},
+            ),
+            (400, "POST", "/services/book/x", good, {}),
+            (403, "GET", "/admin/objects", good, None),
+            (404, "GET", "/nowhere", {}, None),
+        ]
+        for status, method, path, headers, body in cases:
+            response = processes.HTTP.request(
+                method,
+                url + path,
+                headers=headers,
+                body=None if body is None else json.dumps(body),
+                timeout=10.0,
+            )
+            self.assertEqual(status, response.status, (path, response.data))
+            error = response.json()["error"]
+            self.assertEqual("not_run", error["verdict"])
+            self.assertTrue(error["message"])
+        deep = b'{"a":' + b"[" * 100_000
+        for body in (b"\xff\xfe", b"[1]", b"{", deep):
+            response = processes.HTTP.request(
+                "POST", url + "/v1/completions", headers=good, body=body
+            )
+            self.assertEqual(400, response.status)
+
+    def check_outage(self):
+        self.fleet.set_faults(outage=True)
+        refused = self.fleet.book("x2", "k3")
+        self.assertEqual(503, refused.status)
+        self.assertEqual("not_run", refused.headers["X-Verdict"])
+        self.assertIn("Retry-After", refused.headers)
+        self.assertEqual(0, self.fleet.executions("k3"))
+        _, is_whole = processes.read_stream(self.fleet.complete("y1"))
+        self.assertTrue(is_whole)
+        edits = [{"kind": "services", "name": "t", "value": {}}]
+        change = self.fleet.admin("POST", "changes", {"edits": edits})
+        self.assertEqual(503, change.status)
+        self.fleet.set_faults(outage=False)
+        self.assertEqual(200, self.fleet.book("x2", "k3").status)
+
+    def check_lost_answers(self):
+        self.fleet.set_faults(lose_answers=1)
+        self.assertEqual(200, self.fleet.book("x1", "k4").status)
+        self.fleet.set_faults(lose_answers=3)
+        self.fleet.book("x1", "k5")
+        self.fleet.book("x2", "k5")
+        self.assertThat(
+            self.fleet.executions("k5"), testtools.matchers.LessThan(2)
+        )
+        self.fleet.set_faults(lose_answers=0)
+
+    def check_bad_frames(self):
+        """A stranger at the peer port gets nothing and breaks nothing."""
+        _, peer_port = self.fleet.ports["x1"]
+        for content in (
+            b"GET / HTTP/1.1\r\n\r\n",
+            b"\xff" * 64,
+            b"\0\0\0\4abcd",
+        ):
+            with socket.create_connection(("127.0.0.1", peer_port)) as stranger:
+                stranger.sendall(content)
+                stranger.settimeout(10)
+                try:
+                    self.assertEqual(b"", stranger.recv(100))
+                except ConnectionResetError:
+                    pass
+        metrics = processes.get(
+            self.fleet.urls["x1"] + "/metrics"
+        ).data.decode()
+        refused = next(
+            line
+            for line in metrics.splitlines()
+            if line.startswith("catkintrail_refused_frames ")
+        )
+        self.assertThat(
+            float(refused.split()[1]), testtools.matchers.GreaterThan(1)
+        )
+
+    def check_operations(self):
+        edits = [{"kind": "routes", "name": "r", "value": {"model": "gone"}}]
+        change = self.fleet.admin("POST", "changes", {"edits": edits})
+        self.assertEqual(400, change.status)
+        self.assertIn(b"routes.r.model", change.data)
+        history = self.fleet.admin("GET", "history").json()["changes"]
+        self.assertEqual([1], [one["generation"] for one in history])
+        for line in self.fleet.log("x1").splitlines():
+            self.assertEqual("x1", json.loads(line)["instance"])
+
+
+class KillTests(FleetCase):
+
+    options = {"speed": 1.0}
+
+    def test_engine_killed_in_mid_stream_is_resumed_elsewhere(self):
+        stream = self.fleet.complete("x1", max_tokens=400)
+        lines = iter(stream)
+        head = [next(lines) for _ in range(8)]
+        state = {
+            name: processes.get(f"http://{address}/standin/state").json()
+            for name, address in self.fleet.engines.items()
+        }
+        busy = next(name for name, one in state.items() if one["running"])
+        self.fleet.kill(busy)
+        text, is_whole = processes.read_stream([*head, *lines])
+        self.assertTrue(is_whole)
+        self.assertTrue(processes.is_continuous(text))
+
+    def test_frozen_owner_is_passed_over(self):
+        owner = self.fleet.owner()
+        self.fleet.kill(owner, signal.SIGSTOP)
+        try:
+            name = self.other(owner)
+            _, is_whole = processes.read_stream(self.fleet.complete(name))
+            self.assertTrue(is_whole)
+        finally:
+            self.fleet.kill(owner, signal.SIGCONT)
+        processes.wait_until(lambda: self.fleet.is_ready(owner), "thawed")
+        _, is_whole = processes.read_stream(self.fleet.complete(owner))
+        self.assertTrue(is_whole)
+
+    def test_instance_killed_with_a_booking_in_flight(self):
+        """The caller repeats it elsewhere: it still runs at most once."""
+        with concurrent.futures.ThreadPoolExecutor(8) as executor:
+            keys = [f"kill{number}" for number in range(8)]
+            futures = [
+                executor.submit(self.fleet.book, "x1", key) for key in keys
+            ]
+            self.fleet.kill("x1")
+            concurrent.futures.wait(futures)
+        for key in keys:
+            again = self.fleet.book("x2", key)
+            executed = self.fleet.executions(key)
+            self.assertThat(executed, testtools.matchers.LessThan(2))
+            if again.status == 200:
+                self.assertEqual(1, executed)
+            else:
+                self.assertEqual("may_have_run", again.headers["X-Verdict"])
+
+
+class DrainTests(FleetCase):
+
+    options = {"speed": 1.0}
+
+    def test_drain_cuts_nothing_off(self):
+        stream = self.fleet.complete("x1", max_tokens=200)
+        lines = iter(stream)
+        head = [next(lines) for _ in range(4)]
+        self.fleet.kill("x1", signal.SIGTERM)
+        processes.wait_until(lambda: not self.fleet.is_ready("x1"), "drain")
+        refused = self.fleet.complete("x1")
+        self.assertEqual(503, refused.status)
+        self.assertIn("Retry-After", refused.headers)
+        refused.release_conn()
+        text, is_whole = processes.read_stream([*head, *lines])
+        self.assertTrue(is_whole)
+        self.assertTrue(processes.is_continuous(text))
+        self.assertEqual(0, self.fleet.processes["x1"].wait(30))
+        _, is_whole = processes.read_stream(self.fleet.complete("x2"))
+        self.assertTrue(is_whole)
+
+    def test_second_signal_ends_at_once(self):
+        stream = self.fleet.complete("x1", max_tokens=400)
+        next(iter(stream))
+        self.fleet.kill("x1", signal.SIGTERM)
+        processes.wait_until(lambda: not self.fleet.is_ready("x1"), "drain")
+        self.fleet.kill("x1", signal.SIGTERM)
+        self.assertEqual(1, self.fleet.processes["x1"].wait(10))
+
+
+class StartTests(testtools.TestCase):
+    """Each mistake gives one clear line and no traceback."""
+
+    def setUp(self):
+        super().setUp()
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+
+    def run_entry(self, **changes):
+        ports = processes.free_ports(3)
+        data = {
+            "instance": {
+                "name": "a",
+                "availability_zone": "x",
+                "region": "r",
+                "address": "127.0.0.1",
+            },
+            "callers": {"port": ports[0]},
+            "peers": {"port": ports[1], "secret": "0123456789abcdef"},
+            "platform": {"url": f"http://127.0.0.1:{ports[2]}"},
+            **changes,
+        }
+        path = pathlib.Path(self.folder.name) / "settings.json"
+        path.write_text(json.dumps(data))
+        done = subprocess.run(
+            [sys.executable, "-m", "catkintrail", "entry", "--settings", path],
+            capture_output=True,
+            timeout=60,
+            check=False,
+        )
+        lines = [
+            line
+            for line in done.stderr.decode().splitlines()
+            if not line.startswith("{")
+        ]
+        return done.returncode, lines
+
+    def test_typo(self):
+        code, lines = self.run_entry(calers={})
+        self.assertEqual((2, 1), (code, len(lines)))
+        self.assertIn("did you mean 'callers'", lines[0])
+
+    def test_port_in_use(self):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            port = listener.getsockname()[1]
+            for changes in (
+                {"callers": {"port": port}},
+                {"peers": {"port": port, "secret": "0123456789abcdef"}},
+            ):
+                code, lines = self.run_entry(**changes)
+                self.assertEqual((1, 1), (code, len(lines)))
+                self.assertIn(f"127.0.0.1:{port}", lines[0])
+
+    def test_missing_certificate(self):
+        callers = {
+            "port": 1,
+            "certificate": "/no.pem",
+            "private_key": "/no.pem",
+        }
+        code, lines = self.run_entry(callers=callers)
+        self.assertEqual(2, code)
+        self.assertIn("no file '/no.pem'", lines[0])
+
+    def test_missing_settings(self):
+        done = subprocess.run(
+            [sys.executable, "-m", "catkintrail", "check", "/no.json"],
+            capture_output=True,
+            check=False,
+        )
+        self.assertEqual(2, done.returncode)
+        self.assertIn(b"cannot be read", done.stderr)
+
+
+def make_certificates(folder):
+    """Makes an authority and one certificate for all peers."""
+
+    def name(text):
+        return x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, text)])
+
+    def build(subject, issuer, key, signer, is_authority):
+        now = datetime.datetime.now(datetime.UTC)
+        builder = (
+            x509.CertificateBuilder()
+            .subject_name(name(subject))
+            .issuer_name(name(issuer))
+            .public_key(key.public_key())
+            .serial_number(x509.random_serial_number())
+            .not_valid_before(now - datetime.timedelta(days=1))
+            .not_valid_after(now + datetime.timedelta(days=1))
+            .add_extension(
+                x509.BasicConstraints(is_authority, None), critical=True
+            )
+            .add_extension(
+                x509.SubjectAlternativeName(
+                    [x509.IPAddress(ipaddress.ip_address("127.0.0.1"))]
+                ),
+                critical=False,
+            )
+        )
+        return builder.sign(signer, hashes.SHA256())
+
+    keys = [ec.generate_private_key(ec.SECP256R1()) for _ in range(2)]
+    authority = build("authority", "authority", keys[0], keys[0], True)
+    peer = build("peer", "authority", keys[1], keys[0], False)
+    pem = serialization.Encoding.PEM
+    paths = {}
+    for label, content in (
+        ("authority", authority.public_bytes(pem)),
+        ("certificate", peer.public_bytes(pem)),
+        (
+            "private_key",
+            keys[1].private_bytes(
+                pem,
+                serialization.PrivateFormat.PKCS8,
+                serialization.NoEncryption(),
+            ),
+        ),
+    ):
+        path = pathlib.Path(folder) / f"{label}.pem"
+        path.write_bytes(content)
+        paths[label] = str(path)
+    return paths
+
+
+class TlsTests(testtools.TestCase):
+
+    def test_peers_over_tls(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        fleet = processes.Fleet(tls=make_certificates(folder.name))
+        self.addCleanup(fleet.close)
+        fleet.prepare()
+        _, is_whole = processes.read_stream(fleet.complete("y1"))
+        self.assertTrue(is_whole)
+        _, peer_port = fleet.ports["x1"]
+        with socket.create_connection(("127.0.0.1", peer_port)) as plain:
+            plain.sendall(b"\0\0\0\4abcd")
+            plain.settimeout(10)
+            self.assertNotIn(b"abcd", plain.recv(100))
