--- a/catkintrail/core/pool.py
+++ b/catkintrail/core/pool.py
@@ -46,7 +46,7 @@
 URGENT_SLACK_SECONDS = 15.0
 PARTITION_INTERVAL_SECONDS = 0.5
 # From this load on the same targets keep taking the long prompts.
-LANES_UTILISATION = 0.65
+LANES_UTILISATION = 0.55
 DEADLINE_MARGIN_SECONDS = 0.05
 # Part of a busy engine's step that a chunk of prefill takes.
 CHUNK_STEP_FRACTION = 0.6
