--- /dev/null
+++ b/tests/test_peer_streams.py
@@ -0,0 +1,125 @@
+"""Streams between instances: strangers, other secrets, broken streams."""
+
+import asyncio
+import hmac
+import queue
+import secrets
+import socket
+
+import msgpack
+import testtools
+
+from catkintrail import messages
+from catkintrail import settings
+from catkintrail.adapters import peer_streams
+from tests import processes
+
+SECRET = "0123456789abcdef"
+WAIT_SECONDS = 20
+
+
+class Peer:
+    """One end, with what it received and lost."""
+
+    def __init__(self, case, name, secret=SECRET):
+        self.port = processes.free_ports(1)[0]
+        self.address = f"127.0.0.1:{self.port}"
+        self.received = queue.SimpleQueue()
+        self.lost = queue.SimpleQueue()
+        self.record = messages.MemberRecord(name, "x", "r", self.address, 1, 0)
+        self.streams = peer_streams.PeerStreams(
+            lambda: self.record,
+            settings.PeerSettings(self.port, secret),
+            "127.0.0.1",
+            lambda sender, message: self.received.put((sender, message)),
+            self.lost.put,
+        )
+        self.streams.start()
+        self.is_open = True
+        case.addCleanup(self.stop)
+
+    def stop(self):
+        if self.is_open:
+            self.is_open = False
+            self.streams.stop()
+
+
+class PeerStreamsTests(testtools.TestCase):
+
+    def test_message_arrives_with_its_proven_sender(self):
+        first, second = Peer(self, "a"), Peer(self, "b")
+        for number in range(100):
+            first.streams.send(second.address, messages.Withdraw(f"r{number}"))
+        got = [second.received.get(timeout=WAIT_SECONDS) for _ in range(100)]
+        self.assertEqual({first.record}, {sender for sender, _ in got})
+        ids = [message.request_id for _, message in got]
+        self.assertEqual([f"r{number}" for number in range(100)], ids)
+
+    def test_broken_stream_is_told(self):
+        first, second = Peer(self, "a"), Peer(self, "b")
+        first.streams.send(second.address, messages.Withdraw("r"))
+        second.received.get(timeout=WAIT_SECONDS)
+        second.stop()
+        self.assertEqual(second.address, first.lost.get(timeout=WAIT_SECONDS))
+
+    def test_peer_with_another_secret_is_refused(self):
+        first, second = Peer(self, "a", "another secret!!"), Peer(self, "b")
+        first.streams.send(second.address, messages.Withdraw("r"))
+        processes.wait_until(lambda: first.streams.refused, "refusal")
+        self.assertTrue(second.received.empty())
+
+    def test_stranger_that_skips_the_proof_is_refused(self):
+        """It says who it is, but answers the challenge wrongly."""
+        peer = Peer(self, "b")
+        with socket.create_connection(("127.0.0.1", peer.port)) as stranger:
+            stranger.settimeout(WAIT_SECONDS)
+            record = messages.MemberRecord("a", "x", "r", "1.1.1.1:1", 1, 0)
+            self.send(stranger, msgpack.packb((record, b"n" * 16)))
+            stranger.recv(1_000)
+            proof = hmac.digest(b"guess", secrets.token_bytes(16), "sha256")
+            self.send(stranger, proof)
+            self.send(stranger, messages.encode(messages.Withdraw("r")))
+            self.assertEqual(b"", self.read_end(stranger))
+        processes.wait_until(lambda: peer.streams.refused, "refusal")
+        self.assertTrue(peer.received.empty())
+
+    def test_oversized_hello_is_refused_at_once(self):
+        peer = Peer(self, "b")
+        with socket.create_connection(("127.0.0.1", peer.port)) as stranger:
+            stranger.settimeout(WAIT_SECONDS)
+            stranger.sendall((1 << 30).to_bytes(4, "big") + b"x" * 100)
+            self.assertEqual(b"", self.read_end(stranger))
+        processes.wait_until(lambda: peer.streams.refused, "refusal")
+
+    def test_proof_cannot_be_reflected(self):
+        """Neither end's proof is of use to the other."""
+        nonce = b"n" * 16
+        roles = {
+            peer_streams._proof(SECRET, role, nonce, nonce)
+            for role in ("accept", "open")
+        }
+        self.assertEqual(2, len(roles))
+
+    def send(self, stranger, content):
+        try:
+            stranger.sendall(len(content).to_bytes(4, "big") + content)
+        except OSError:
+            pass
+
+    def read_end(self, stranger):
+        try:
+            return stranger.recv(100)
+        except ConnectionResetError:
+            return b""
+
+
+class FrameTests(testtools.TestCase):
+
+    def test_cut_frame_is_no_message(self):
+        async def read():
+            reader = asyncio.StreamReader()
+            reader.feed_data(b"\0\0\0\5abc")
+            reader.feed_eof()
+            return await peer_streams._read_frame(reader, 100)
+
+        self.assertRaises(asyncio.IncompleteReadError, asyncio.run, read())
