Split the pool into state, admission and placement

Cause: one module of 970 lines held all decisions of an owner, and the loop that grants stood twice.

Change: pool_state (what is known), admission (predicted end, spill), placement (which targets, which priority), pool (events); one loop grants all levels.

--- /dev/null
+++ b/catkintrail/core/admission.py
@@ -0,0 +1,205 @@
+"""Admission to a pool: predicted end against the deadline, and spill."""
+
+import math
+
+from catkintrail import messages
+from catkintrail import verdict as verdicts
+from catkintrail.core import cost
+from catkintrail.core import pool_state
+from catkintrail.core import queueing
+
+__all__ = [
+    "classify",
+    "declined",
+    "find_better_pool",
+    "find_refusal",
+    "make_waiting",
+    "start_wait",
+    "work_of",
+]
+
+SPILL_HYSTERESIS_SECONDS = 0.1
+SPILL_ROUND_TRIP_SECONDS = 0.01
+SUMMARY_EXPIRY_SECONDS = 3.5
+MAX_REDIRECTS = 2
+MAX_WAITING = 20_000
+LONG_LEVELS = cost.LONG_LEVEL + 1
+DEADLINE_MARGIN_SECONDS = 0.05
+# Part of a step that decoding would take with all slots in use.
+DECODE_WORK_FRACTION = 0.35
+MIN_RETRY_AFTER_SECONDS = 0.1
+
+
+def classify(
+    state: pool_state.PoolState, ask: messages.Acquire, entry: str
+) -> pool_state.Item:
+    """Finds a request's level and predicts its run."""
+    uncached = ask.prompt_tokens - state.best_cached(ask)
+    level = state.profile.level(
+        ask.prompt_tokens, uncached, ask.remaining_seconds
+    )
+    run = _run_seconds(state, ask, uncached)
+    return pool_state.Item(ask, entry, level, uncached, run)
+
+
+def make_waiting(
+    state: pool_state.PoolState, item: pool_state.Item, now: float
+) -> queueing.Waiting:
+    """Returns a request as its queue keeps it."""
+    ask = item.ask
+    return queueing.Waiting(
+        ask.request_id,
+        ask.organisation,
+        ask.weight,
+        work_of(state, item),
+        now + ask.remaining_seconds,
+        ask.urgency,
+        item,
+    )
+
+
+def work_of(state: pool_state.PoolState, item: pool_state.Item) -> float:
+    """Predicts the target seconds that a request takes."""
+    work = state.profile.prefill_work(item.uncached)
+    return work + _decode_work(state, item.ask.output_tokens)
+
+
+def _decode_work(state: pool_state.PoolState, output_tokens: int) -> float:
+    """Returns the part of a target's time that decoding takes."""
+    if not state.profile.is_engine:
+        return 0.0
+    time = state.profile.decode_time(output_tokens)
+    return time * DECODE_WORK_FRACTION / state.profile.slots
+
+
+def _run_seconds(
+    state: pool_state.PoolState, ask: messages.Acquire, uncached: int
+) -> float:
+    """Predicts seconds from the grant to the end."""
+    members = state.least_members(ask)
+    prefill = state.profile.prefill_work(uncached)
+    if members > 1:
+        prefill = state.profile.group_work(uncached, members)
+    return prefill + state.profile.decode_time(ask.output_tokens)
+
+
+def _queue_wait(
+    state: pool_state.PoolState, item: pool_state.Item, live: list, now: float
+) -> float:
+    """Predicts seconds from now to the grant."""
+    ask = item.ask
+    queue = state.queues[item.level]
+    work = queue.wait_work(ask.organisation, ask.weight)
+    if item.level <= cost.LONG_LEVEL:
+        work += sum(q.work for q in state.queues[item.level + 1 : LONG_LEVELS])
+        return work / _long_rate(state, live) + _gap(1, live, now)
+    work += sum(q.work for q in state.queues[item.level + 1 :])
+    rate = max(1e-9, len(live) * cost.PLANNED_UTILISATION)
+    return work / rate + _gap(item.level, live, now)
+
+
+def start_wait(
+    state: pool_state.PoolState, level: int, live: list, now: float
+) -> float:
+    """Predicts the wait of a new request, whoever sends it."""
+    gap = _gap(level, live, now)
+    if level <= cost.LONG_LEVEL:
+        return gap + state.queues[level].work / _long_rate(state, live)
+    rate = max(1e-9, len(live) * cost.PLANNED_UTILISATION)
+    return gap + sum(q.work for q in state.queues[level:]) / rate
+
+
+def _gap(level: int, live: list, now: float) -> float:
+    waits = [target.wait(level, now) for target in live]
+    return min(waits, default=math.inf)
+
+
+def _long_rate(state: pool_state.PoolState, live: list) -> float:
+    """Returns target seconds of long prefill done in a second."""
+    count = max(1, state.long_count)
+    return max(1e-9, min(count, len(live)) * cost.PLANNED_UTILISATION)
+
+
+def find_refusal(
+    state: pool_state.PoolState, item: pool_state.Item, live: list, now: float
+) -> messages.Declined | None:
+    """Returns why a request cannot be admitted; None where it can.
+
+    Args:
+        state: The pool.
+        item: The request.
+        live: The targets that may get new work.
+        now: Monotonic time in seconds.
+    """
+    ask = item.ask
+    if not live:
+        return declined(
+            ask, verdicts.Reason.NO_TARGET, "no target is live", 1.0
+        )
+    if state.least_members(ask) > min(
+        len(live), max(1, state.profile.max_group)
+    ):
+        return declined(
+            ask,
+            verdicts.Reason.NO_TARGET,
+            "the prompt needs more targets than are live",
+            5.0,
+        )
+    if state.waiting_count() >= MAX_WAITING:
+        wait = sum(q.work for q in state.queues) / len(live)
+        return declined(
+            ask, verdicts.Reason.OVERLOADED, "the queue is full", wait
+        )
+    run = item.run
+    if run + DEADLINE_MARGIN_SECONDS > ask.remaining_seconds:
+        return declined(
+            ask,
+            verdicts.Reason.DEADLINE,
+            f"the request alone takes {run:.1f} s, more than its deadline",
+            0.0,
+        )
+    wait = _queue_wait(state, item, live, now)
+    late = wait + run + DEADLINE_MARGIN_SECONDS - ask.remaining_seconds
+    if late > 0:
+        return declined(
+            ask,
+            verdicts.Reason.OVERLOADED,
+            f"it would end {late:.1f} s after its deadline",
+            late,
+        )
+    return None
+
+
+def find_better_pool(
+    state: pool_state.PoolState, item: pool_state.Item, live: list, now: float
+) -> pool_state.PoolKey | None:
+    """Returns a pool that is expected to answer sooner; None without."""
+    if item.ask.redirects >= MAX_REDIRECTS:
+        return None
+    best, best_wait = None, math.inf
+    for key, (summary, heard) in state.summaries.items():
+        if now - heard > SUMMARY_EXPIRY_SECONDS or not summary.targets:
+            continue
+        wait_ms = summary.short_wait_ms
+        if item.level <= cost.LONG_LEVEL:
+            wait_ms = summary.long_wait_ms
+        wait = wait_ms / 1_000.0 + SPILL_ROUND_TRIP_SECONDS
+        if wait < best_wait:
+            best, best_wait = key, wait
+    if best is None or not live:
+        return best
+    here = _queue_wait(state, item, live, now)
+    if here > best_wait + SPILL_HYSTERESIS_SECONDS:
+        return best
+    return None
+
+
+def declined(
+    ask: messages.Acquire,
+    reason: verdicts.Reason,
+    message: str,
+    retry_after: float,
+) -> messages.Declined:
+    """Returns a refusal with the seconds after which to come back."""
+    after = max(MIN_RETRY_AFTER_SECONDS, retry_after)
+    return messages.Declined(ask.request_id, reason.value, message, after)
