--- a/catkintrail/core/admission.py
+++ b/catkintrail/core/admission.py
@@ -156,7 +156,7 @@
             ask,
             verdicts.Reason.DEADLINE,
             f"the request alone takes {run:.1f} s, more than its deadline",
-            0.0,
+            None,
         )
     wait = _queue_wait(state, item, live, now)
     late = wait + run + DEADLINE_MARGIN_SECONDS - ask.remaining_seconds
@@ -198,8 +198,10 @@
     ask: messages.Acquire,
     reason: verdicts.Reason,
     message: str,
-    retry_after: float,
+    retry_after: float | None,
 ) -> messages.Declined:
-    """Returns a refusal with the seconds after which to come back."""
-    after = max(MIN_RETRY_AFTER_SECONDS, retry_after)
+    """Returns a refusal, with when to come back or None for never."""
+    after = 0.0
+    if retry_after is not None:
+        after = max(MIN_RETRY_AFTER_SECONDS, retry_after)
     return messages.Declined(ask.request_id, reason.value, message, after)
--- a/catkintrail/core/dispatch.py
+++ b/catkintrail/core/dispatch.py
@@ -147,9 +147,9 @@
             return
         self._refuse(
             placement,
-            verdicts.Reason(message.reason),
+            _reason(message.reason),
             message.message,
-            message.retry_after_seconds,
+            message.retry_after_seconds or None,
         )
 
     def take_redirected(
@@ -293,3 +293,11 @@
             verdicts.Verdict.NOT_RUN, reason, message, retry_after
         )
         self.events.append(Event(request_id, None, refusal))
+
+
+def _reason(text: str) -> verdicts.Reason:
+    try:
+        return verdicts.Reason(text)
+    except ValueError:
+        # A peer of a newer version may know more reasons.
+        return verdicts.Reason.OVERLOADED
--- a/catkintrail/messages.py
+++ b/catkintrail/messages.py
@@ -206,7 +206,15 @@
 
 
 class Declined(NamedTuple):
-    """The owner refuses the request; it did not run."""
+    """The owner refuses the request; it did not run.
+
+    Attributes:
+        request_id: The request.
+        reason: A verdict.Reason.
+        message: One line for people.
+        retry_after_seconds: When to come back; 0 where a repeat of the same
+            request cannot succeed.
+    """
 
     request_id: str
     reason: str
