--- a/catkintrail/core/pool_state.py
+++ b/catkintrail/core/pool_state.py
@@ -154,6 +154,7 @@
         for name in list(self.targets):
             if name not in listed:
                 self.drop_target(name)
+        self.gone = {n: i for n, i in self.gone.items() if n in listed}
         for name, record in listed.items():
             state = self.targets.get(name)
             if state is None or state.record.incarnation < record.incarnation:
--- a/catkintrail/core/reclamation.py
+++ b/catkintrail/core/reclamation.py
@@ -84,6 +84,8 @@
             What to do on the engine now.
         """
         self._forget_freed(target, records)
+        if not records:
+            self._next_query.pop(target, None)
         free, cancel = [], []
         questions: dict[str, list[str]] = {}
         for record in records:
