--- a/catkintrail/caller_api.py
+++ b/catkintrail/caller_api.py
@@ -8,9 +8,10 @@
 import msgspec
 
 from catkintrail import access
+from catkintrail import completions
 from catkintrail import errors
 from catkintrail import objects
-from catkintrail import runner as runners
+from catkintrail import service_calls
 from catkintrail import verdict as verdicts
 from catkintrail.adapters import metrics as metrics_module
 from catkintrail.adapters import wsgi
@@ -43,14 +44,16 @@
 
     def __init__(
         self,
-        runner: runners.Runner,
+        completion_runner: completions.CompletionRunner,
+        service_runner: service_calls.ServiceRunner,
         snapshot: Callable[[], publication.Snapshot],
         keys: Callable[[], access.KeyTable],
         ids: attempts.IdSource,
         metrics: metrics_module.Metrics,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self.runner = runner
+        self.completion_runner = completion_runner
+        self.service_runner = service_runner
         self.snapshot = snapshot
         self.keys = keys
         self.ids = ids
@@ -64,7 +67,7 @@
         try:
             body = _parse_object(request.body)
             completion = self._read_completion(request, body, request_id, began)
-            pieces = self.runner.complete(completion)
+            pieces = self.completion_runner.complete(completion)
             first = next(pieces)
         except errors.RequestError as error:
             return self._refuse("completion", request_id, error.refusal)
@@ -89,7 +92,7 @@
         began = self.clock()
         try:
             call = self._read_call(request, request_id, began)
-            answer = self.runner.call(call)
+            answer = self.service_runner.call(call)
         except errors.RequestError as error:
             return self._refuse("service", request_id, error.refusal)
         except errors.TargetError as error:
@@ -113,7 +116,7 @@
         body: dict[str, Any],
         request_id: str,
         now: float,
-    ) -> runners.Completion:
+    ) -> completions.Completion:
         caller = access.identify(request.headers, self.keys(), CALLER_ROLES)
         current = self.snapshot().objects
         route = self._route(current, body.get("model"), caller, "model")
@@ -128,7 +131,7 @@
             )
         if not isinstance(body.get("stream", False), bool):
             raise _bad("stream: expected true or false")
-        return runners.Completion(
+        return completions.Completion(
             request_id,
             route.model,
             model,
@@ -145,7 +148,7 @@
 
     def _read_call(
         self, request: wsgi.Request, request_id: str, now: float
-    ) -> runners.ServiceRequest:
+    ) -> service_calls.ServiceRequest:
         caller = access.identify(request.headers, self.keys(), CALLER_ROLES)
         current = self.snapshot().objects
         name, _, rest = request.path[len(SERVICE_PREFIX) :].partition("/")
@@ -161,7 +164,7 @@
         headers["x-organisation"] = caller.organisation
         if key:
             headers["idempotency-key"] = key
-        return runners.ServiceRequest(
+        return service_calls.ServiceRequest(
             request_id,
             route.service,
             current.services[route.service],
@@ -215,9 +218,9 @@
 
     def _stream(
         self,
-        completion: runners.Completion,
-        first: runners.Piece,
-        pieces: Iterator[runners.Piece],
+        completion: completions.Completion,
+        first: completions.Piece,
+        pieces: Iterator[completions.Piece],
     ) -> Iterator[bytes]:
         """Yields server-sent events; the last is an error or `[DONE]`."""
         request_id = completion.request_id
@@ -245,9 +248,9 @@
 
     def _collect(
         self,
-        completion: runners.Completion,
-        first: runners.Piece,
-        pieces: Iterator[runners.Piece],
+        completion: completions.Completion,
+        first: completions.Piece,
+        pieces: Iterator[completions.Piece],
     ) -> wsgi.Response:
         """Returns the whole completion in one JSON object."""
         request_id = completion.request_id
@@ -302,7 +305,7 @@
         _LOG.info("request ended", extra={"request_id": request_id, **labels})
 
     def _observe_first_token(
-        self, completion: runners.Completion, began: float
+        self, completion: completions.Completion, began: float
     ) -> None:
         is_long = completion.prompt_tokens >= (
             completion.model.long_prompt_tokens
@@ -346,7 +349,7 @@
 
 
 def _chunk_data(
-    completion: runners.Completion, piece: runners.Piece
+    completion: completions.Completion, piece: completions.Piece
 ) -> dict[str, Any]:
     data: dict[str, Any] = {
         "id": completion.request_id,
@@ -367,12 +370,14 @@
     return data
 
 
-def _finish_reason(completion: runners.Completion, last: runners.Piece) -> str:
+def _finish_reason(
+    completion: completions.Completion, last: completions.Piece
+) -> str:
     return "length" if last.tokens >= completion.max_tokens else "stop"
 
 
 def _usage(
-    completion: runners.Completion, last: runners.Piece
+    completion: completions.Completion, last: completions.Piece
 ) -> dict[str, int]:
     return {
         "prompt_tokens": completion.prompt_tokens,
--- a/catkintrail/daemon.py
+++ b/catkintrail/daemon.py
@@ -12,9 +12,11 @@
 from catkintrail import access
 from catkintrail import admin_api
 from catkintrail import caller_api
+from catkintrail import completions
 from catkintrail import errors
 from catkintrail import messages
-from catkintrail import runner as runners
+from catkintrail import retrying
+from catkintrail import service_calls
 from catkintrail import settings as settings_module
 from catkintrail import verdict as verdicts
 from catkintrail.adapters import actors
@@ -153,19 +155,31 @@
         def save_later(begun: Any, record: Any) -> None:
             recorder.tell(actors.RecordActor.make_message(begun, record))
 
-        runner = runners.Runner(
+        retrier = retrying.Retrier(
             self.control,
+            random.Random(self.rng.random()),
+            time.monotonic,
+            time.sleep,
+        )
+        completion_runner = completions.CompletionRunner(
+            retrier,
             self.targets,
-            self.store,
             self.ids,
             self.core.book,
             self.settings.instance.name,
+            self._count_attempt,
+        )
+        service_runner = service_calls.ServiceRunner(
+            retrier,
+            self.targets,
+            self.store,
+            self.ids,
             save_later,
             self._count_attempt,
-            random.Random(self.rng.random()),
         )
         self.callers = caller_api.CallerApi(
-            runner,
+            completion_runner,
+            service_runner,
             self.control.snapshot,
             self._key_table,
             self.ids,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,10 +1,17 @@
 """Fakes at the ports, with faults that a test scripts."""
 
+import random
+
+from catkintrail import completions
 from catkintrail import errors
 from catkintrail import messages
+from catkintrail import retrying
+from catkintrail import service_calls
 from catkintrail import verdict as verdicts
 from catkintrail.adapters import memory_platform
+from catkintrail.core import attempts
 from catkintrail.core import dispatch
+from catkintrail.core import reservation
 from catkintrail.ports import targets as targets_port
 
 OK, DOWN, LOST, LATE, DIE_BEFORE, DIE_AFTER = range(6)
@@ -183,3 +190,35 @@
         if how != "ok":
             raise errors.TargetError(how, verdicts.Verdict.MAY_HAVE_RUN)
         self.reserved.pop((address, reservation_id), None)
+
+
+class Runners:
+    """Both runners of one instance, over shared fakes."""
+
+    def __init__(self, name, targets, store=None, clock=None, **changes):
+        self.clock = clock or FakeClock()
+        self.ids = attempts.IdSource(name, 1)
+        self.unwritten = []
+        retrier = retrying.Retrier(
+            changes.get("placer") or FakePlacer(),
+            random.Random(1),
+            self.clock,
+            self.clock.sleep,
+        )
+        self.complete = completions.CompletionRunner(
+            retrier,
+            targets,
+            self.ids,
+            changes.get("book") or reservation.ReservationBook(),
+            name,
+            lambda outcome: None,
+        ).complete
+        self.call = service_calls.ServiceRunner(
+            retrier,
+            targets,
+            store or FaultyStore(),
+            self.ids,
+            lambda begun, record: self.unwritten.append((begun, record)),
+            lambda outcome: None,
+            lambda: 1_000.0,
+        ).call
--- a/tests/test_runner.py
+++ b/tests/test_completions.py
@@ -1,15 +1,14 @@
-"""Attempts, retries, verdicts, deadlines and whole answers."""
-
-import random
+"""Whole answers, deadlines and groups of completions."""
 
 import hypothesis
 from hypothesis import strategies
 import testtools
 from testtools import matchers
 
+from catkintrail import completions
 from catkintrail import errors
 from catkintrail import objects
-from catkintrail import runner as runners
+from catkintrail import retrying
 from catkintrail import verdict as verdicts
 from catkintrail.core import attempts
 from catkintrail.core import reservation
@@ -22,25 +21,11 @@
 
 
 def make_runner(targets, clock=None, placer=None, book=None):
-    clock = clock or fakes.FakeClock()
-    return runners.Runner(
-        placer or fakes.FakePlacer(),
-        targets,
-        fakes.FaultyStore(),
-        attempts.IdSource("a", 1),
-        book or reservation.ReservationBook(),
-        "a",
-        lambda begun, record: None,
-        lambda outcome: None,
-        random.Random(1),
-        clock,
-        lambda: 0.0,
-        clock.sleep,
-    )
+    return fakes.Runners("a", targets, None, clock, placer=placer, book=book)
 
 
 def completion(**changes):
-    request = runners.Completion(
+    request = completions.Completion(
         "r",
         "m",
         objects.Model(10_000, 10_000),
@@ -167,7 +152,7 @@
         next(pieces)
         pieces.close()
         self.assertEqual(1, len(targets.cancelled))
-        self.assertEqual(runners.CANCELLED, placer.released[0][1].outcome)
+        self.assertEqual(retrying.CANCELLED, placer.released[0][1].outcome)
 
 
 class DeadlineTests(testtools.TestCase):
@@ -210,96 +195,6 @@
         self.assertThat(clock.now, matchers.LessThan(60.0 + 30.0 + 0.001))
 
 
-class VerdictTests(testtools.TestCase):
-
-    @hypothesis.given(
-        strategies.lists(
-            strategies.sampled_from(["ok", "not_run", "lost", "unreached"]),
-            max_size=6,
-        ),
-        strategies.booleans(),
-    )
-    @hypothesis.settings(max_examples=300)
-    def test_not_run_is_true_and_once_is_once(self, script, is_once):
-        targets = fakes.FakeTargets(script)
-        runner = make_runner(targets)
-        request = runners.ServiceRequest(
-            "r",
-            "rota",
-            objects.Service(require_key=False),
-            "guild",
-            objects.Organisation(),
-            "POST" if is_once else "GET",
-            "/",
-            {},
-            b"",
-            "",
-            5,
-            60.0,
-        )
-        try:
-            runner.call(request)
-        except errors.RequestError as error:
-            if error.refusal.verdict is NOT_RUN:
-                self.assertEqual(0, targets.executions)
-            self.assertIsNotNone(error.refusal.retry_after_seconds)
-        if is_once:
-            self.assertThat(targets.executions, matchers.LessThan(2))
-            doubtful = [s for s in script[: len(targets.calls)] if s == "lost"]
-            self.assertThat(len(doubtful), matchers.LessThan(2))
-
-    def test_refusal_after_a_doubtful_attempt_is_not_not_run(self):
-        refusal = verdicts.Refusal(NOT_RUN, verdicts.Reason.OVERLOADED, "", 1.0)
-        targets = fakes.FakeTargets(["unreached"])
-        placer = fakes.FakePlacer()
-        runner = make_runner(targets, placer=placer)
-        original = placer.place
-
-        def place(work, is_retry):
-            placer.refusal = refusal if is_retry else None
-            return original(work, is_retry)
-
-        placer.place = place
-        request = runners.ServiceRequest(
-            "r",
-            "rota",
-            objects.Service(),
-            "guild",
-            objects.Organisation(),
-            "GET",
-            "/",
-            {},
-            b"",
-            "",
-            5,
-            60.0,
-        )
-        error = self.assertRaises(errors.RequestError, runner.call, request)
-        self.assertIs(MAY_HAVE_RUN, error.refusal.verdict)
-
-    def test_retries_stop_with_the_budget(self):
-        targets = fakes.FakeTargets(["not_run"] * 100)
-        runner = make_runner(targets)
-        request = runners.ServiceRequest(
-            "r",
-            "rota",
-            objects.Service(),
-            "guild",
-            objects.Organisation(retry_fraction=0.1),
-            "GET",
-            "/",
-            {},
-            b"",
-            "",
-            5,
-            1_000.0,
-        )
-        for _ in range(20):
-            self.assertRaises(errors.RequestError, runner.call, request)
-        # Twenty first tries earn two retries beside the three of the start.
-        self.assertThat(len(targets.calls), matchers.LessThan(20 + 6))
-
-
 class GroupTests(testtools.TestCase):
 
     @hypothesis.given(
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -1,18 +1,14 @@
 """At most one run of a call with an idempotency key."""
 
-import random
-
 import hypothesis
 from hypothesis import strategies
 import testtools
 
 from catkintrail import errors
 from catkintrail import objects
-from catkintrail import runner as runners
+from catkintrail import service_calls
 from catkintrail import verdict as verdicts
-from catkintrail.core import attempts
 from catkintrail.core import idempotency
-from catkintrail.core import reservation
 from tests import fakes
 
 NAME = idempotency.record_name("guild", "key-1")
@@ -22,26 +18,13 @@
     """One instance's runner over a shared store and shared targets."""
 
     def __init__(self, name, store, targets):
-        self.unwritten = []
-        self.clock = fakes.FakeClock()
-        self.runner = runners.Runner(
-            fakes.FakePlacer(),
-            targets,
-            store,
-            attempts.IdSource(name, 1),
-            reservation.ReservationBook(),
-            name,
-            lambda begun, record: self.unwritten.append((begun, record)),
-            lambda outcome: None,
-            random.Random(1),
-            self.clock,
-            lambda: 1_000.0,
-            self.clock.sleep,
-        )
+        self.runners = fakes.Runners(name, targets, store)
+        self.unwritten = self.runners.unwritten
+        self.prefix = self.runners.ids.prefix
 
     def call(self, body=b"{}", key="key-1"):
-        return self.runner.call(
-            runners.ServiceRequest(
+        return self.runners.call(
+            service_calls.ServiceRequest(
                 "r",
                 "rota",
                 objects.Service(),
@@ -53,7 +36,7 @@
                 body,
                 key,
                 5,
-                self.clock() + 10.0,
+                self.runners.clock() + 10.0,
             )
         )
 
@@ -109,7 +92,7 @@
             if not isinstance(refusal, verdicts.Refusal):
                 continue
             if refusal.verdict is verdicts.Verdict.NOT_RUN:
-                prefix = instance.runner.ids.prefix + "."
+                prefix = instance.prefix + "."
                 ran = [a for a in targets.executed if a.startswith(prefix)]
                 self.assertEqual([], ran)
 
