--- a/catkintrail/adapters/wsgi.py
+++ b/catkintrail/adapters/wsgi.py
@@ -1,6 +1,7 @@
 """Small helpers around WSGI and the cheroot server."""
 
 import http
+import logging
 import ssl
 from typing import Any, Callable, Iterable, Iterator, NamedTuple
 import urllib.parse
@@ -21,6 +22,8 @@
     "parse_json",
 ]
 
+_LOG = logging.getLogger("catkintrail.http")
+
 MAX_HEADER_BYTES = 32 << 10
 MAX_JSON_DEPTH = 64
 LISTEN_BACKLOG = 256
@@ -138,6 +141,7 @@
         timeout=timeout_seconds,
     )
     server.max_request_header_size = MAX_HEADER_BYTES
+    server.error_log = _log_error
     server.shutdown_timeout = 1
     if certificate:
         try:
@@ -160,6 +164,15 @@
     return server
 
 
+def _log_error(
+    msg: str = "", level: int = logging.WARNING, traceback: bool = False
+) -> None:
+    """Takes the HTTP server's own complaints into the log."""
+    _LOG.log(
+        level, "http server", extra={"error": msg.strip()}, exc_info=traceback
+    )
+
+
 class _BodyTooLargeError(ValueError):
     pass
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -17,6 +17,7 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 import testtools
 
+from catkintrail import admin_client
 from tests import processes
 
 
@@ -396,6 +397,34 @@
 
 class TlsTests(testtools.TestCase):
 
+    def test_operators_over_tls(self):
+        """With the authority's certificate; without it there is no answer."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        paths = make_certificates(folder.name)
+        fleet = processes.Fleet(engines=0)
+        self.addCleanup(fleet.close)
+        processes.wait_until(lambda: fleet.is_ready("y1"), "ready")
+        fleet.kill("y1")
+        callers = {"port": fleet.ports["y1"][0], "threads": 8}
+        callers["certificate"] = paths["certificate"]
+        callers["private_key"] = paths["private_key"]
+        fleet.start_entry("y1", callers=callers)
+        url = fleet.urls["y1"].replace("http:", "https:")
+        client = admin_client.AdminClient(
+            url, processes.OPERATOR_KEY, paths["authority"]
+        )
+
+        def answers():
+            try:
+                return client.read_status()["ready"]
+            except admin_client.AdminError:
+                return False
+
+        processes.wait_until(answers, "an answer over TLS")
+        stranger = admin_client.AdminClient(url, processes.OPERATOR_KEY)
+        self.assertRaises(admin_client.AdminError, stranger.read_status)
+
     def test_peers_over_tls(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
