--- a/catkintrail/core/instance.py
+++ b/catkintrail/core/instance.py
@@ -8,13 +8,14 @@
 from catkintrail import objects
 from catkintrail import verdict as verdicts
 from catkintrail.core import configuration
-from catkintrail.core import cost
 from catkintrail.core import directory as directories
 from catkintrail.core import dispatch as dispatches
+from catkintrail.core import limit_gate
 from catkintrail.core import limit_homes
 from catkintrail.core import membership as memberships
 from catkintrail.core import ownership
 from catkintrail.core import pool as pools
+from catkintrail.core import pool_owner
 from catkintrail.core import publication
 from catkintrail.core import reclamation
 from catkintrail.core import reservation
@@ -25,7 +26,6 @@
 
 WATCHERS_PER_ZONE = 2
 SUMMARY_INTERVAL_SECONDS = 1.0
-LIMIT_ANSWER_SECONDS = 0.4
 RUMOUR_LINKS = 4
 MAX_MISPLACED = 1_000
 
@@ -58,13 +58,6 @@
     cleanups: list[TargetCleanup]
 
 
-class _LimitWait(NamedTuple):
-    """A request that waits for its organisation's limit."""
-
-    work: dispatches.Work
-    asked: float
-
-
 class Instance:
     """The composition of all parts of one instance.
 
@@ -92,19 +85,22 @@
         self.membership = memberships.Membership(me, seeds, rng, now)
         self.configuration = configuration.Configuration()
         self.directory = directories.Directory(me.zone, self.membership)
+        self.owner = pool_owner.PoolOwner(
+            self.membership, self.configuration, self.directory
+        )
+        self.pools = self.owner.pools
         self.dispatch = dispatches.Dispatch(self.directory)
         self.limit_homes = limit_homes.LimitHomes(self.membership)
+        self.limit_gate = limit_gate.LimitGate(
+            self.limit_homes, self.dispatch, self.configuration
+        )
         self.reclamation = reclamation.Reclamation()
         self.book = reservation.ReservationBook()
-        self.pools: dict[pools.PoolKey, pools.Pool] = {}
         self.is_draining = False
         self.misplaced: dict[str, messages.Misplaced] = {}
         self.refused_frames = 0
         self._cleanups: list[TargetCleanup] = []
-        self._limit_waits: dict[str, _LimitWait] = {}
-        self._fallback: dict[str, limit_homes.limits.TokenBucket] = {}
         self._next_summary = now
-        self._pools_version = (-1, -1, -1)
         self._generation = 0
         self._handlers = self._make_handlers()
 
@@ -115,30 +111,17 @@
         sends = self.membership.tick(now)
         outgoing = self.dispatch.tick(now)
         outgoing += self.limit_homes.tick(self._organisations(), now)
-        outgoing += self._expire_limit_waits(now)
+        outgoing += self.limit_gate.tick(now)
         if now >= self._next_summary:
             self._next_summary = now + SUMMARY_INTERVAL_SECONDS
-            outgoing += self._summaries(now)
+            outgoing += self.owner.summaries(now)
             for pool in self.pools.values():
                 pool.expire_grants(now)
         return self._finish(sends, outgoing, now)
 
     def submit(self, work: dispatches.Work, now: float) -> Outputs:
         """Takes a request: checks the limit, then places it."""
-        organisation = self._organisations().get(work.organisation)
-        if organisation is None or not _is_limited(organisation):
-            return self._finish([], self.dispatch.submit(work, now), now)
-        home = self.limit_homes.home_of(
-            work.organisation, self.membership.me.zone
-        )
-        self._limit_waits[work.request_id] = _LimitWait(work, now)
-        ask = messages.LimitAsk(
-            work.request_id,
-            work.organisation,
-            work.prompt_tokens + work.output_tokens,
-        )
-        outgoing = [configuration.Outgoing(home or "", ask)]
-        return self._finish([], outgoing, now)
+        return self._finish([], self.limit_gate.submit(work, now), now)
 
     def resubmit(self, work: dispatches.Work, now: float) -> Outputs:
         """Places a request again after a failed attempt; limits stay paid."""
@@ -151,7 +134,7 @@
         now: float,
     ) -> Outputs:
         """Ends a request on this instance."""
-        self._limit_waits.pop(request_id, None)
+        self.limit_gate.withdraw(request_id)
         outgoing = self.dispatch.finish(request_id, done)
         return self._finish([], outgoing, now)
 
@@ -357,9 +340,7 @@
         self, sender: str, message: messages.Acquire, now: float
     ) -> list[configuration.Outgoing]:
         key = pools.PoolKey(message.serves, message.zone, message.shard)
-        pool = self.pools.get(key)
-        if pool is None:
-            pool = self._adopt(key, now)
+        pool = self.owner.find_or_adopt(key, now)
         if pool is None:
             declined = messages.Declined(
                 message.request_id,
@@ -410,7 +391,7 @@
         self, sender: str, message: messages.LimitAsk, now: float
     ) -> list[configuration.Outgoing]:
         organisation = self._organisations().get(message.organisation)
-        if organisation is None or not _is_limited(organisation):
+        if organisation is None or not limit_gate.is_limited(organisation):
             answer = messages.LimitAnswer(message.request_id, True, 0.0)
         else:
             answer = self.limit_homes.ask(message, organisation, now)
@@ -420,13 +401,7 @@
         self, sender: str, message: messages.LimitAnswer, now: float
     ) -> list[configuration.Outgoing]:
         del sender
-        wait = self._limit_waits.pop(message.request_id, None)
-        if wait is None:
-            return []
-        if message.is_allowed:
-            return self.dispatch.submit(wait.work, now)
-        self._refuse_rate(wait.work, message.retry_after_seconds)
-        return []
+        return self.limit_gate.answer(message, now)
 
     def _on_holdings_query(
         self, sender: str, message: messages.HoldingsQuery, now: float
@@ -477,11 +452,12 @@
         sends = list(sends)
         sends += self._spread_news()
         outgoing = list(outgoing)
-        outgoing += self._update_pools(now)
+        if self.owner.update(now):
+            self.limit_homes.set_zones(self.membership.zones())
         me = self.membership.me
         while True:
             if not outgoing:
-                outgoing = self._poll_pools(now)
+                outgoing = self.owner.poll(now)
                 if not outgoing:
                     break
             name, message = outgoing.pop(0)
@@ -519,83 +495,6 @@
             for name in chosen
         ]
 
-    def _update_pools(self, now: float) -> list[configuration.Outgoing]:
-        """Follows changes of membership, targets and objects."""
-        version = (
-            self.membership.version,
-            self.directory.listing.revision,
-            self.configuration.generation(),
-        )
-        if version == self._pools_version:
-            return []
-        members_changed = version[0] != self._pools_version[0]
-        self._pools_version = version
-        self.limit_homes.set_zones(self.membership.zones())
-        profiles = self._profiles()
-        owned = set(self.directory.owned(profiles))
-        for key in list(self.pools):
-            if key not in owned:
-                del self.pools[key]
-        for key in owned:
-            pool = self._open_pool(key, profiles[key.serves], now)
-            if members_changed:
-                self._drop_lost_entries(pool, now)
-        return []
-
-    def _open_pool(
-        self, key: pools.PoolKey, profile: cost.Profile, now: float
-    ) -> pools.Pool:
-        pool = self.pools.get(key)
-        if pool is None:
-            pool = self.pools[key] = pools.Pool(key, profile)
-        pool.set_profile(profile)
-        for name, incarnation in self.directory.gone.items():
-            pool.target_gone(name, incarnation)
-        pool.set_targets(self.directory.shard_targets(key), now)
-        return pool
-
-    def _adopt(self, key: pools.PoolKey, now: float) -> pools.Pool | None:
-        """Serves a pool that another view of membership gives to this one."""
-        profile = self._profiles().get(key.serves)
-        if profile is None or key.zone != self.directory.zone:
-            return None
-        if key.shard >= self.directory.shard_count(key.serves):
-            return None
-        return self._open_pool(key, profile, now)
-
-    def _drop_lost_entries(self, pool: pools.Pool, now: float) -> None:
-        for name, member in self.membership.members.items():
-            if member.record.status == memberships.DEAD:
-                pool.entry_lost(name, now)
-
-    def _poll_pools(self, now: float) -> list[configuration.Outgoing]:
-        outgoing = []
-        for pool in self.pools.values():
-            if pool.waiting_count():
-                for reply in pool.poll(now):
-                    outgoing.append(
-                        configuration.Outgoing(reply.entry, reply.message)
-                    )
-        return outgoing
-
-    def _summaries(self, now: float) -> list[configuration.Outgoing]:
-        """Tells the owners of the same models in the region's other zones."""
-        outgoing = []
-        zones = self.directory.region_zones()
-        for key, pool in self.pools.items():
-            summary = pool.summary(now)
-            for zone in zones:
-                other = pools.PoolKey(key.serves, zone, 0)
-                owner = self.directory.owner(other)
-                if owner is not None and zone != key.zone:
-                    outgoing.append(configuration.Outgoing(owner, summary))
-            for shard in range(self.directory.shard_count(key.serves)):
-                other = key._replace(shard=shard)
-                owner = self.directory.owner(other)
-                if owner is not None and shard != key.shard:
-                    outgoing.append(configuration.Outgoing(owner, summary))
-        return outgoing
-
     def _spread_gone(
         self, gone: messages.TargetGone
     ) -> list[configuration.Outgoing]:
@@ -655,70 +554,11 @@
         if len(self.misplaced) < MAX_MISPLACED:
             self.misplaced[message.target] = message
 
-    # Limits.
-
-    def _expire_limit_waits(self, now: float) -> list[configuration.Outgoing]:
-        """Decides alone where a limit's home does not answer."""
-        outgoing: list[configuration.Outgoing] = []
-        for request_id, wait in list(self._limit_waits.items()):
-            if now - wait.asked < LIMIT_ANSWER_SECONDS:
-                continue
-            del self._limit_waits[request_id]
-            bucket = self._fallback_bucket(wait.work.organisation, now)
-            if bucket.take(1.0, now) >= 1.0:
-                outgoing += self.dispatch.submit(wait.work, now)
-            else:
-                self._refuse_rate(wait.work, bucket.wait_seconds(1.0))
-        return outgoing
-
-    def _fallback_bucket(
-        self, name: str, now: float
-    ) -> limit_homes.limits.TokenBucket:
-        """Returns this instance's own part of an organisation's limit."""
-        organisation = self._organisations().get(name)
-        rate = organisation.requests_per_second if organisation else 1.0
-        zone = self.membership.me.zone
-        members = len(self.membership.usable(zone))
-        parts = len(self.limit_homes.zones) * max(1, members)
-        bucket = self._fallback.get(name)
-        if bucket is None:
-            bucket = limit_homes.limits.TokenBucket(rate / parts, now)
-            self._fallback[name] = bucket
-        bucket.set_rate(rate / parts, now)
-        return bucket
-
-    def _refuse_rate(self, work: dispatches.Work, retry_after: float) -> None:
-        refusal = verdicts.Refusal(
-            verdicts.Verdict.NOT_RUN,
-            verdicts.Reason.RATE_LIMITED,
-            f"organisation {work.organisation} is over its limit",
-            retry_after,
-        )
-        event = dispatches.Event(work.request_id, None, refusal)
-        self.dispatch.events.append(event)
-
     # Objects.
 
     def _organisations(self) -> dict[str, objects.Organisation]:
         return self.configuration.snapshot.objects.organisations
 
-    def _profiles(self) -> dict[str, cost.Profile]:
-        current = self.configuration.snapshot.objects
-        profiles = {
-            name: cost.profile_of_model(model)
-            for name, model in current.models.items()
-        }
-        for name, service in current.services.items():
-            profiles[name] = cost.profile_of_service(service)
-        return profiles
-
 
 def _has_events(model: objects.Model | None) -> bool:
     return model is not None and model.cache_events
-
-
-def _is_limited(organisation: objects.Organisation) -> bool:
-    return (
-        organisation.requests_per_second > 0
-        or organisation.tokens_per_second > 0
-    )
--- /dev/null
+++ b/catkintrail/core/pool_owner.py
@@ -0,0 +1,121 @@
+"""The pools that one instance owns, as membership and objects change."""
+
+from catkintrail.core import configuration
+from catkintrail.core import cost
+from catkintrail.core import directory as directories
+from catkintrail.core import membership as memberships
+from catkintrail.core import pool as pools
+
+__all__ = ["PoolOwner"]
+
+
+class PoolOwner:
+    """Opens and closes pools.
+
+    Attributes:
+        pools: The owned pools.
+    """
+
+    def __init__(
+        self,
+        membership: memberships.Membership,
+        current: configuration.Configuration,
+        directory: directories.Directory,
+    ) -> None:
+        self.membership = membership
+        self.configuration = current
+        self.directory = directory
+        self.pools: dict[pools.PoolKey, pools.Pool] = {}
+        self._version = (-1, -1, -1)
+
+    def update(self, now: float) -> bool:
+        """Follows membership, targets and objects; returns if they changed."""
+        version = (
+            self.membership.version,
+            self.directory.listing.revision,
+            self.configuration.generation(),
+        )
+        if version == self._version:
+            return False
+        members_changed = version[0] != self._version[0]
+        self._version = version
+        profiles = self._profiles()
+        owned = set(self.directory.owned(profiles))
+        for key in list(self.pools):
+            if key not in owned:
+                del self.pools[key]
+        for key in owned:
+            pool = self._open_pool(key, profiles[key.serves], now)
+            if members_changed:
+                self._drop_lost_entries(pool, now)
+        return True
+
+    def _open_pool(
+        self, key: pools.PoolKey, profile: cost.Profile, now: float
+    ) -> pools.Pool:
+        pool = self.pools.get(key)
+        if pool is None:
+            pool = self.pools[key] = pools.Pool(key, profile)
+        pool.set_profile(profile)
+        for name, incarnation in self.directory.gone.items():
+            pool.target_gone(name, incarnation)
+        pool.set_targets(self.directory.shard_targets(key), now)
+        return pool
+
+    def find_or_adopt(
+        self, key: pools.PoolKey, now: float
+    ) -> pools.Pool | None:
+        """Returns an owned pool, or one that another view gives to this one."""
+        pool = self.pools.get(key)
+        if pool is not None:
+            return pool
+        profile = self._profiles().get(key.serves)
+        if profile is None or key.zone != self.directory.zone:
+            return None
+        if key.shard >= self.directory.shard_count(key.serves):
+            return None
+        return self._open_pool(key, profile, now)
+
+    def _drop_lost_entries(self, pool: pools.Pool, now: float) -> None:
+        for name, member in self.membership.members.items():
+            if member.record.status == memberships.DEAD:
+                pool.entry_lost(name, now)
+
+    def poll(self, now: float) -> list[configuration.Outgoing]:
+        """Grants and refuses what waits in the owned pools."""
+        outgoing = []
+        for pool in self.pools.values():
+            if pool.waiting_count():
+                for reply in pool.poll(now):
+                    outgoing.append(
+                        configuration.Outgoing(reply.entry, reply.message)
+                    )
+        return outgoing
+
+    def summaries(self, now: float) -> list[configuration.Outgoing]:
+        """Tells the owners of the same models in the region's other zones."""
+        outgoing = []
+        zones = self.directory.region_zones()
+        for key, pool in self.pools.items():
+            summary = pool.summary(now)
+            for zone in zones:
+                other = pools.PoolKey(key.serves, zone, 0)
+                owner = self.directory.owner(other)
+                if owner is not None and zone != key.zone:
+                    outgoing.append(configuration.Outgoing(owner, summary))
+            for shard in range(self.directory.shard_count(key.serves)):
+                other = key._replace(shard=shard)
+                owner = self.directory.owner(other)
+                if owner is not None and shard != key.shard:
+                    outgoing.append(configuration.Outgoing(owner, summary))
+        return outgoing
+
+    def _profiles(self) -> dict[str, cost.Profile]:
+        current = self.configuration.snapshot.objects
+        profiles = {
+            name: cost.profile_of_model(model)
+            for name, model in current.models.items()
+        }
+        for name, service in current.services.items():
+            profiles[name] = cost.profile_of_service(service)
+        return profiles
