--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,5 +1,6 @@
 """Starts and stops real processes for the tests that need them."""
 
+import itertools
 import json
 import os
 import pathlib
@@ -38,12 +39,22 @@
 }
 
 
+# Below the range from which the system takes ports of outgoing connections:
+# one of those could take a port between its choice and its use.
+PORTS = range(15_000, 32_000)
+_next_port = itertools.count(os.getpid() * 101)
+
+
 def free_ports(count):
-    """Returns ports that were free a moment ago."""
-    listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [listener.getsockname()[1] for listener in listeners]
-    for listener in listeners:
-        listener.close()
+    """Returns ports that nobody listens on."""
+    ports = []
+    while len(ports) < count:
+        port = PORTS[next(_next_port) % len(PORTS)]
+        try:
+            socket.create_server(("127.0.0.1", port)).close()
+        except OSError:
+            continue
+        ports.append(port)
     return ports
 
 
