Compare objects as JSON has them; an answer read to its end is whole

Found by trying the quick start's fleet by hand: - 'admin apply' of an unchanged document changed six objects: tuples on one side and lists on the other never compared equal. An apply without a change makes no generation now (test_examples_in_force_are_no_change). - a caller that stopped reading right after the last piece had its attempt counted as cancelled and cancelled at the engine (test_caller_that_ends_after_the_last_piece_cancels_nothing). Both tests failed before and pass now.

--- a/catkintrail/completions.py
+++ b/catkintrail/completions.py
@@ -167,6 +167,9 @@
             outcome = retrying.outcome_of(error)
             raise
         finally:
+            if assembler.is_whole:
+                # The caller may stop reading right after the last piece.
+                outcome = retrying.WHOLE
             self.note_attempt(retrying.OUTCOME_NAMES[outcome])
             if outcome != retrying.WHOLE and is_open:
                 self._cancel(address, attempt_id)
--- a/catkintrail/objects.py
+++ b/catkintrail/objects.py
@@ -4,8 +4,6 @@
 import re
 from typing import Any, NamedTuple
 
-import msgspec
-
 from catkintrail import checking
 from catkintrail import errors
 
@@ -167,7 +165,11 @@
     data = record._asdict()
     if isinstance(record, Organisation):
         data["keys"] = [key._asdict() for key in record.keys]
-    return msgspec.to_builtins(data)
+    # As JSON has it: lists, so that equal objects compare as equal.
+    return {
+        name: list(value) if isinstance(value, tuple) else value
+        for name, value in data.items()
+    }
 
 
 def object_set_to_data(objects: ObjectSet) -> dict[str, Any]:
--- a/tests/test_admin_client.py
+++ b/tests/test_admin_client.py
@@ -1,16 +1,22 @@
 """The operator's client: what a document would change."""
 
+import json
+import pathlib
+
 import testtools
 
 from catkintrail import admin_client
+from catkintrail import checking
 from catkintrail import errors
 from catkintrail import objects
 from catkintrail.core import publication
 
+ROOT = pathlib.Path(__file__).parent.parent
+
 
 def in_force(**kinds):
-    mistakes = []
-    return objects.normalise(kinds, mistakes)
+    """Returns objects as an instance sends them, through JSON."""
+    return json.loads(json.dumps(objects.normalise(kinds, [])))
 
 
 class PlanTests(testtools.TestCase):
@@ -20,9 +26,10 @@
         client.read_objects = lambda: {"objects": in_force(**current)}
         return client.plan(document, "document", prune)
 
-    def test_defaults_are_no_change(self):
-        service = {"services": {"s": {}}}
-        self.assertEqual([], self.plan(service, {"services": {"s": {}}}))
+    def test_examples_in_force_are_no_change(self):
+        for path in (ROOT / "examples").glob("*/objects.json"):
+            document = checking.read_document(str(path))
+            self.assertEqual([], self.plan(document, document))
 
     def test_edit_names_the_content_it_came_from(self):
         current = {"services": {"s": {"target_slots": 1}}}
--- a/tests/test_completions.py
+++ b/tests/test_completions.py
@@ -144,6 +144,15 @@
         self.assertFalse(is_whole)
         self.assertIs(MAY_HAVE_RUN, refusal.verdict)
 
+    def test_caller_that_ends_after_the_last_piece_cancels_nothing(self):
+        targets = fakes.FakeTargets(streams=[stream((0, LENGTH))])
+        placer = fakes.FakePlacer()
+        pieces = make_runner(targets, placer=placer).complete(completion())
+        self.assertTrue(next(pieces).end)
+        pieces.close()
+        self.assertEqual([], targets.cancelled)
+        self.assertEqual(retrying.WHOLE, placer.released[0][1].outcome)
+
     def test_ended_caller_cancels_the_attempt(self):
         targets = fakes.FakeTargets(streams=[honest])
         placer = fakes.FakePlacer()
