--- a/catkintrail/completions.py
+++ b/catkintrail/completions.py
@@ -1,6 +1,6 @@
 """Runs completions: attempts on engines, resumed where they were cut."""
 
-from typing import Callable, Iterator, NamedTuple
+from typing import Iterator, NamedTuple
 
 from catkintrail import errors
 from catkintrail import messages
@@ -70,7 +70,6 @@
         ids: Source of attempt ids.
         book: Engine memory that this instance claims.
         instance: This instance's name.
-        note_attempt: Counts an attempt's outcome.
     """
 
     def __init__(
@@ -80,14 +79,12 @@
         ids: attempts.IdSource,
         book: reservation.ReservationBook,
         instance: str,
-        note_attempt: Callable[[str], None],
     ) -> None:
         self.retrier = retrier
         self.targets = targets
         self.ids = ids
         self.book = book
         self.instance = instance
-        self.note_attempt = note_attempt
 
     def complete(self, request: Completion) -> Iterator[Piece]:
         """Yields a completion; the last piece has the end mark.
@@ -170,17 +167,12 @@
             if assembler.is_whole:
                 # The caller may stop reading right after the last piece.
                 outcome = retrying.WHOLE
-            self.note_attempt(retrying.OUTCOME_NAMES[outcome])
             if outcome != retrying.WHOLE and is_open:
                 self._cancel(address, attempt_id)
             reservation.free_group(self.targets, self.book, held)
-            done = messages.Released(
-                work.request_id,
-                grant.members[0].name,
-                outcome,
-                assembler.position,
+            self.retrier.end_attempt(
+                work, grant, attempt_id, outcome, assembler.position
             )
-            self.retrier.placer.finish(work.request_id, done)
 
     def _take_chunks(
         self,
--- a/catkintrail/daemon.py
+++ b/catkintrail/daemon.py
@@ -157,6 +157,7 @@
 
         retrier = retrying.Retrier(
             self.control,
+            self._count_attempt,
             random.Random(self.rng.random()),
             time.monotonic,
             time.sleep,
@@ -167,7 +168,6 @@
             self.ids,
             self.core.book,
             self.settings.instance.name,
-            self._count_attempt,
         )
         service_runner = service_calls.ServiceRunner(
             retrier,
@@ -175,7 +175,6 @@
             self.store,
             self.ids,
             save_later,
-            self._count_attempt,
         )
         self.callers = caller_api.CallerApi(
             completion_runner,
--- a/catkintrail/retrying.py
+++ b/catkintrail/retrying.py
@@ -17,7 +17,6 @@
     "DECLINED",
     "FAILED",
     "LEAVING",
-    "OUTCOME_NAMES",
     "Placer",
     "Retrier",
     "WHOLE",
@@ -53,6 +52,7 @@
 
     Attributes:
         placer: The control of the instance.
+        note_attempt: Counts an attempt's outcome.
         rng: Random source of the pauses.
         clock: Monotonic time in seconds.
         sleep: Waits some seconds.
@@ -61,11 +61,13 @@
     def __init__(
         self,
         placer: Placer,
+        note_attempt: Callable[[str], None],
         rng: random.Random,
         clock: Callable[[], float],
         sleep: Callable[[float], None],
     ) -> None:
         self.placer = placer
+        self.note_attempt = note_attempt
         self.rng = rng
         self.clock = clock
         self.sleep = sleep
@@ -125,6 +127,32 @@
         self.sleep(pause)
         return True
 
+    def end_attempt(
+        self,
+        work: dispatch.Work,
+        grant: messages.Granted,
+        attempt_id: str,
+        outcome: int,
+        output_tokens: int,
+    ) -> None:
+        """Counts and logs an attempt's end, and tells the owner."""
+        target = grant.members[0].name
+        name = OUTCOME_NAMES[outcome]
+        self.note_attempt(name)
+        _LOG.info(
+            "attempt ended",
+            extra={
+                "request_id": work.request_id,
+                "attempt_id": attempt_id,
+                "target": target,
+                "outcome": name,
+            },
+        )
+        done = messages.Released(
+            work.request_id, target, outcome, output_tokens
+        )
+        self.placer.finish(work.request_id, done)
+
     def log_failure(
         self,
         request_id: str,
--- a/catkintrail/service_calls.py
+++ b/catkintrail/service_calls.py
@@ -62,7 +62,6 @@
         store: The platform's store.
         ids: Source of attempt ids.
         save_later: Takes a result that the store did not take.
-        note_attempt: Counts an attempt's outcome.
         wall_clock: Unix time in seconds.
     """
 
@@ -73,7 +72,6 @@
         store: platform_port.Platform,
         ids: attempts.IdSource,
         save_later: Callable[[idempotency.Begun, idempotency.OnceRecord], None],
-        note_attempt: Callable[[str], None],
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self.retrier = retrier
@@ -81,7 +79,6 @@
         self.store = store
         self.ids = ids
         self.save_later = save_later
-        self.note_attempt = note_attempt
         self.wall_clock = wall_clock
 
     def call(self, request: ServiceRequest) -> targets_port.CallAnswer:
@@ -179,11 +176,12 @@
         work: dispatch.Work,
         grant: messages.Granted,
     ) -> targets_port.CallAnswer:
+        attempt_id = self.ids.make()
         outcome = retrying.FAILED
         try:
             left = self.retrier.time_left(request.deadline)
             call = targets_port.ServiceCall(
-                self.ids.make(),
+                attempt_id,
                 request.method,
                 request.path,
                 request.headers,
@@ -196,11 +194,7 @@
             outcome = retrying.outcome_of(error)
             raise
         finally:
-            self.note_attempt(retrying.OUTCOME_NAMES[outcome])
-            done = messages.Released(
-                work.request_id, grant.members[0].name, outcome, 0
-            )
-            self.retrier.placer.finish(work.request_id, done)
+            self.retrier.end_attempt(work, grant, attempt_id, outcome, 0)
 
     def _call_work(
         self, request: ServiceRequest, number: int, avoid: tuple[str, ...]
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -201,6 +201,7 @@
         self.unwritten = []
         retrier = retrying.Retrier(
             changes.get("placer") or FakePlacer(),
+            lambda outcome: None,
             random.Random(1),
             self.clock,
             self.clock.sleep,
@@ -211,7 +212,6 @@
             self.ids,
             changes.get("book") or reservation.ReservationBook(),
             name,
-            lambda outcome: None,
         ).complete
         self.call = service_calls.ServiceRunner(
             retrier,
@@ -219,6 +219,5 @@
             store or FaultyStore(),
             self.ids,
             lambda begun, record: self.unwritten.append((begun, record)),
-            lambda outcome: None,
             lambda: 1_000.0,
         ).call
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -209,6 +209,28 @@
         self.assertTrue(is_whole)
         self.assertTrue(processes.is_continuous(text))
 
+    def test_caller_that_leaves_ends_the_work_at_the_engine(self):
+        stream = self.fleet.complete("x1", max_tokens=900)
+        lines = iter(stream)
+        for _ in range(4):
+            next(lines)
+        stream.close()
+
+        def is_cancelled():
+            text = processes.get(self.fleet.urls["x1"] + "/metrics").data
+            return b'attempts_total{outcome="cancelled"} 1' in text
+
+        processes.wait_until(is_cancelled, "the attempt's cancellation")
+
+        def is_idle(address):
+            state = processes.get(f"http://{address}/standin/state").json()
+            return not state["running"] and not state["kv_used"]
+
+        processes.wait_until(
+            lambda: all(map(is_idle, self.fleet.engines.values())),
+            "idle engines",
+        )
+
     def test_frozen_owner_is_passed_over(self):
         owner = self.fleet.owner()
         self.fleet.kill(owner, signal.SIGSTOP)
