--- a/catkintrail/adapters/peer_streams.py
+++ b/catkintrail/adapters/peer_streams.py
@@ -116,7 +116,7 @@
             self._accept,
             self.address,
             self.settings.port,
-            ssl=_server_context(self.settings),
+            ssl=_tls_context(self.settings, ssl.Purpose.CLIENT_AUTH),
         )
 
     async def _close(self) -> None:
@@ -249,7 +249,9 @@
         settings = self.streams.settings
         reader, writer = await asyncio.wait_for(
             asyncio.open_connection(
-                host.strip("[]"), int(port), ssl=_client_context(settings)
+                host.strip("[]"),
+                int(port),
+                ssl=_tls_context(settings, ssl.Purpose.SERVER_AUTH),
             ),
             CONNECT_TIMEOUT_SECONDS,
         )
@@ -297,28 +299,15 @@
     return hmac.digest(secret.encode(), text, "sha256")
 
 
-def _server_context(
-    settings: settings_module.PeerSettings,
+def _tls_context(
+    settings: settings_module.PeerSettings, purpose: ssl.Purpose
 ) -> ssl.SSLContext | None:
+    """Returns the TLS settings of either end; None where TLS is off."""
     if not settings.certificate:
         return None
-    context = ssl.create_default_context(
-        ssl.Purpose.CLIENT_AUTH, cafile=settings.authority
-    )
-    context.verify_mode = ssl.CERT_REQUIRED
-    context.load_cert_chain(settings.certificate, settings.private_key)
-    return context
-
-
-def _client_context(
-    settings: settings_module.PeerSettings,
-) -> ssl.SSLContext | None:
-    if not settings.certificate:
-        return None
-    context = ssl.create_default_context(
-        ssl.Purpose.SERVER_AUTH, cafile=settings.authority
-    )
+    context = ssl.create_default_context(purpose, cafile=settings.authority)
     # Peers are known by IP number; the authority signs only peers.
     context.check_hostname = False
+    context.verify_mode = ssl.CERT_REQUIRED
     context.load_cert_chain(settings.certificate, settings.private_key)
     return context
