Never say 'not run' of a completion whose earlier attempt may have run

Cause: the loops around attempts of completions and of service calls were twins but for one thing: only service calls kept the worst verdict of all attempts. A completion whose first attempt was cut, and whose next was declined or found no place, was refused as not_run.

Ruled out: the placement's own verdict, which is of that placement alone.

Change: one piece, retrying.Tries, holds number, verdict and avoided targets for both. Tests failing before, passing now: test_later_failure_does_not_make_a_doubtful_attempt_not_run and test_refused_retry_does_not_make_a_doubtful_attempt_not_run.

--- a/catkintrail/completions.py
+++ b/catkintrail/completions.py
@@ -94,30 +94,22 @@
                 be resumed.
         """
         assembler = attempts.AnswerAssembler()
-        avoid: tuple[str, ...] = ()
-        self.retrier.note_first_try(
-            request.organisation_name, request.organisation
+        tries = retrying.Tries(
+            self.retrier,
+            request.request_id,
+            request.organisation_name,
+            request.organisation,
+            request.deadline,
         )
-        for number in range(1, retrying.MAX_ATTEMPTS + 1):
-            work = self._completion_work(request, number, avoid)
-            grant = self.retrier.place(work, number > 1)
+        while True:
+            work, grant = tries.place(_work_of(request))
             try:
                 yield from self._attempt(request, work, grant, assembler)
                 return
             except errors.TargetError as error:
-                self.retrier.log_failure(request.request_id, grant, error)
-                is_repeatable = not assembler.position or request.model.resume
-                if not self.retrier.may_retry(
-                    request.organisation_name,
-                    error,
-                    is_repeatable,
-                    number,
-                    request.deadline,
-                ):
-                    raise errors.RequestError(
-                        retrying.refusal_of(error, assembler.position)
-                    ) from error
-                avoid += (grant.members[0].name,)
+                has_answered = assembler.position > 0
+                is_repeatable = request.model.resume or not has_answered
+                tries.note_failure(grant, error, is_repeatable, has_answered)
 
     def _attempt(
         self,
@@ -202,19 +194,17 @@
             # The engine ends the attempt by its own timeout.
             pass
 
-    def _completion_work(
-        self, request: Completion, number: int, avoid: tuple[str, ...]
-    ) -> dispatch.Work:
-        return dispatch.Work(
-            f"{request.request_id}/{number}",
-            request.model_name,
-            request.organisation_name,
-            request.organisation.weight,
-            request.prompt_tokens,
-            request.max_tokens,
-            request.blocks,
-            request.urgency,
-            request.first_token_weight,
-            request.deadline,
-            avoid,
-        )
+
+def _work_of(request: Completion) -> dispatch.Work:
+    return dispatch.Work(
+        request.request_id,
+        request.model_name,
+        request.organisation_name,
+        request.organisation.weight,
+        request.prompt_tokens,
+        request.max_tokens,
+        request.blocks,
+        request.urgency,
+        request.first_token_weight,
+        request.deadline,
+    )
--- a/catkintrail/retrying.py
+++ b/catkintrail/retrying.py
@@ -19,9 +19,9 @@
     "LEAVING",
     "Placer",
     "Retrier",
+    "Tries",
     "WHOLE",
     "outcome_of",
-    "refusal_of",
 ]
 
 _LOG = logging.getLogger("catkintrail.runner")
@@ -105,27 +105,10 @@
             budget = self._budgets.setdefault(name, retry.RetryBudget())
             budget.note_first_try(organisation.retry_fraction)
 
-    def may_retry(
-        self,
-        organisation: str,
-        error: errors.TargetError,
-        is_repeatable: bool,
-        number: int,
-        deadline: float,
-    ) -> bool:
-        """Returns whether to try again, after a pause that has passed then."""
-        if number >= MAX_ATTEMPTS:
-            return False
-        if not retry.may_retry(error.verdict, is_repeatable):
-            return False
+    def take_retry(self, organisation: str) -> bool:
+        """Spends one retry; returns False where none is left."""
         with self._lock:
-            if not self._budgets[organisation].take():
-                return False
-        pause = retry.backoff_seconds(number, self.rng)
-        if self.clock() + pause >= deadline:
-            return False
-        self.sleep(pause)
-        return True
+            return self._budgets[organisation].take()
 
     def end_attempt(
         self,
@@ -153,22 +136,113 @@
         )
         self.placer.finish(work.request_id, done)
 
-    def log_failure(
+
+class Tries:
+    """The attempts at one request.
+
+    Attributes:
+        verdict: Whether any attempt so far may have run.
+        number: Attempts so far.
+        avoid: Targets on which an attempt failed.
+    """
+
+    def __init__(
         self,
+        retrier: Retrier,
         request_id: str,
+        organisation_name: str,
+        organisation: objects.Organisation,
+        deadline: float,
+    ) -> None:
+        self.retrier = retrier
+        self.request_id = request_id
+        self.organisation_name = organisation_name
+        self.deadline = deadline
+        self.verdict = verdicts.Verdict.NOT_RUN
+        self.number = 0
+        self.avoid: tuple[str, ...] = ()
+        retrier.note_first_try(organisation_name, organisation)
+
+    def place(
+        self, work: dispatch.Work
+    ) -> tuple[dispatch.Work, messages.Granted]:
+        """Places the next attempt.
+
+        Args:
+            work: The request, without what differs between attempts.
+
+        Returns:
+            What was asked for, and the grant.
+
+        Raises:
+            errors.RequestError: There is no place.
+        """
+        self.number += 1
+        work = work._replace(
+            request_id=f"{self.request_id}/{self.number}", avoid=self.avoid
+        )
+        try:
+            return work, self.retrier.place(work, self.number > 1)
+        except errors.RequestError as error:
+            refusal = error.refusal
+            verdict = verdicts.worst(self.verdict, refusal.verdict)
+            raise errors.RequestError(
+                refusal._replace(verdict=verdict)
+            ) from error
+
+    def note_failure(
+        self,
         grant: messages.Granted,
         error: errors.TargetError,
+        is_repeatable: bool,
+        has_answered: bool,
     ) -> None:
-        """Notes a failed attempt in the log."""
+        """Notes a failed attempt, and waits for the time of the next.
+
+        Args:
+            grant: Where the attempt was made.
+            error: How it failed.
+            is_repeatable: Whether running the request twice does no harm.
+            has_answered: Whether any part of an answer has come: then it ran,
+                whatever the error says.
+
+        Raises:
+            errors.RequestError: There will be no further attempt.
+        """
+        target = grant.members[0].name
         _LOG.warning(
             "attempt failed",
             extra={
-                "request_id": request_id,
-                "target": grant.members[0].name,
+                "request_id": self.request_id,
+                "target": target,
                 "verdict": error.verdict.value,
                 "error": str(error),
             },
         )
+        self.verdict = verdicts.worst(self.verdict, error.verdict)
+        if has_answered:
+            self.verdict = verdicts.Verdict.MAY_HAVE_RUN
+        if not self._may_retry(error, is_repeatable):
+            refusal = verdicts.Refusal(
+                self.verdict, verdicts.Reason.TARGET_FAILED, str(error), 1.0
+            )
+            raise errors.RequestError(refusal) from error
+        self.avoid += (target,)
+
+    def _may_retry(
+        self, error: errors.TargetError, is_repeatable: bool
+    ) -> bool:
+        if self.number >= MAX_ATTEMPTS:
+            return False
+        if not retry.may_retry(error.verdict, is_repeatable):
+            return False
+        if not self.retrier.take_retry(self.organisation_name):
+            return False
+        pause = retry.backoff_seconds(self.number, self.retrier.rng)
+        if self.retrier.clock() + pause >= self.deadline:
+            return False
+        self.retrier.sleep(pause)
+        return True
 
 
 def outcome_of(error: errors.TargetError) -> int:
@@ -180,16 +254,6 @@
     return FAILED
 
 
-def refusal_of(error: errors.TargetError, position: int) -> verdicts.Refusal:
-    """Returns the refusal after `position` tokens of an answer."""
-    verdict = error.verdict
-    if position:
-        verdict = verdicts.Verdict.MAY_HAVE_RUN
-    return verdicts.Refusal(
-        verdict, verdicts.Reason.TARGET_FAILED, str(error), 1.0
-    )
-
-
 def _deadline_passed() -> verdicts.Refusal:
     return verdicts.Refusal(
         verdicts.Verdict.NOT_RUN,
--- a/catkintrail/service_calls.py
+++ b/catkintrail/service_calls.py
@@ -135,40 +135,19 @@
     def _run_call(
         self, request: ServiceRequest, is_repeatable: bool
     ) -> targets_port.CallAnswer:
-        avoid: tuple[str, ...] = ()
-        ran = verdicts.Verdict.NOT_RUN
-        self.retrier.note_first_try(
-            request.organisation_name, request.organisation
+        tries = retrying.Tries(
+            self.retrier,
+            request.request_id,
+            request.organisation_name,
+            request.organisation,
+            request.deadline,
         )
-        number = 0
         while True:
-            number += 1
-            work = self._call_work(request, number, avoid)
-            try:
-                grant = self.retrier.place(work, number > 1)
-            except errors.RequestError as error:
-                refusal = error.refusal
-                verdict = verdicts.worst(ran, refusal.verdict)
-                raise errors.RequestError(
-                    refusal._replace(verdict=verdict)
-                ) from error
+            work, grant = tries.place(_work_of(request))
             try:
                 return self._attempt_call(request, work, grant)
             except errors.TargetError as error:
-                self.retrier.log_failure(request.request_id, grant, error)
-                ran = verdicts.worst(ran, error.verdict)
-                if not self.retrier.may_retry(
-                    request.organisation_name,
-                    error,
-                    is_repeatable,
-                    number,
-                    request.deadline,
-                ):
-                    failed = errors.TargetError(str(error), ran)
-                    raise errors.RequestError(
-                        retrying.refusal_of(failed, 0)
-                    ) from error
-                avoid += (grant.members[0].name,)
+                tries.note_failure(grant, error, is_repeatable, False)
 
     def _attempt_call(
         self,
@@ -196,22 +175,20 @@
         finally:
             self.retrier.end_attempt(work, grant, attempt_id, outcome, 0)
 
-    def _call_work(
-        self, request: ServiceRequest, number: int, avoid: tuple[str, ...]
-    ) -> dispatch.Work:
-        return dispatch.Work(
-            f"{request.request_id}/{number}",
-            request.service_name,
-            request.organisation_name,
-            request.organisation.weight,
-            0,
-            0,
-            (),
-            request.urgency,
-            0.5,
-            request.deadline,
-            avoid,
-        )
+
+def _work_of(request: ServiceRequest) -> dispatch.Work:
+    return dispatch.Work(
+        request.request_id,
+        request.service_name,
+        request.organisation_name,
+        request.organisation.weight,
+        0,
+        0,
+        (),
+        request.urgency,
+        0.5,
+        request.deadline,
+    )
 
 
 def _replayed(record: idempotency.OnceRecord) -> targets_port.CallAnswer:
--- a/tests/test_completions.py
+++ b/tests/test_completions.py
@@ -164,6 +164,41 @@
         self.assertEqual(retrying.CANCELLED, placer.released[0][1].outcome)
 
 
+class VerdictTests(testtools.TestCase):
+
+    def test_later_failure_does_not_make_a_doubtful_attempt_not_run(self):
+        targets = fakes.FakeTargets(
+            streams=[stream("cut")] + [stream("not_run")] * 3
+        )
+        _, _, refusal = collect(make_runner(targets), completion())
+        self.assertIs(MAY_HAVE_RUN, refusal.verdict)
+
+    def test_refused_retry_does_not_make_a_doubtful_attempt_not_run(self):
+        """The first attempt passed text on; no place is left for another."""
+        for head in ([], [(0, 3)], [(0, 3), "not_run"]):
+            placer = fakes.FakePlacer()
+            original = placer.place
+
+            def place(work, is_retry, placer=placer, original=original):
+                if is_retry:
+                    placer.refusal = verdicts.Refusal(
+                        NOT_RUN, verdicts.Reason.OVERLOADED, "", 1.0
+                    )
+                return original(work, is_retry)
+
+            placer.place = place
+            targets = fakes.FakeTargets(streams=[stream(*head, "cut")])
+            runner = make_runner(targets, placer=placer)
+            _, _, refusal = collect(runner, completion())
+            self.assertIs(MAY_HAVE_RUN, refusal.verdict)
+            self.assertIs(verdicts.Reason.OVERLOADED, refusal.reason)
+
+    def test_declined_attempts_are_not_run(self):
+        targets = fakes.FakeTargets(streams=[stream("not_run")] * 4)
+        _, _, refusal = collect(make_runner(targets), completion())
+        self.assertIs(NOT_RUN, refusal.verdict)
+
+
 class DeadlineTests(testtools.TestCase):
 
     def test_passed_deadline_sends_nothing(self):
