Remove what nothing uses

Constants and attributes without a reader, and the hook by which a stream could be cut from another thread: every caller passed one that did nothing.

--- a/catkintrail/adapters/actors.py
+++ b/catkintrail/adapters/actors.py
@@ -40,7 +40,6 @@
 _LOG = logging.getLogger("catkintrail.control")
 
 TICK_SECONDS = 0.05
-RECORD_RETRY_SECONDS = 1.0
 MAX_UNWRITTEN_RECORDS = 10_000
 
 
--- a/catkintrail/adapters/target_client.py
+++ b/catkintrail/adapters/target_client.py
@@ -5,9 +5,8 @@
 """
 
 import http.client
-import socket
 import time
-from typing import Any, Callable, Iterator, TypedDict
+from typing import Any, Iterator, TypedDict
 
 import msgspec
 import urllib3
@@ -48,12 +47,10 @@
         address: str,
         call: targets_port.GenerateCall,
         timeout: float,
-        on_open: Callable[[Callable[[], None]], None],
     ) -> Iterator[attempts.Chunk]:
         """Streams a completion."""
         connection = _connect(address)
         try:
-            on_open(lambda: _cut(connection))
             response = _send(
                 connection,
                 "POST",
@@ -330,12 +327,3 @@
 
 def _failed(message: str) -> errors.TargetError:
     return errors.TargetError(message, verdicts.Verdict.MAY_HAVE_RUN)
-
-
-def _cut(connection: connections.HTTPConnection) -> None:
-    sock = connection.sock
-    if sock is not None:
-        try:
-            sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass
--- a/catkintrail/completions.py
+++ b/catkintrail/completions.py
@@ -147,9 +147,7 @@
                 left,
             )
             is_open = True
-            chunks = self.targets.generate(
-                address, call, left, lambda cut: None
-            )
+            chunks = self.targets.generate(address, call, left)
             yield from self._take_chunks(work, chunks, assembler)
             outcome = retrying.WHOLE
         except errors.TargetError as error:
--- a/catkintrail/core/instance.py
+++ b/catkintrail/core/instance.py
@@ -101,7 +101,6 @@
         self.refused_frames = 0
         self._cleanups: list[TargetCleanup] = []
         self._next_summary = now
-        self._generation = 0
         self._handlers = self._make_handlers()
 
     # Local calls.
--- a/catkintrail/core/target_state.py
+++ b/catkintrail/core/target_state.py
@@ -86,7 +86,6 @@
         self.unstarted_long = 0
         self.held_for = ""
         self.foreign_kv = 0
-        self.foreign_prefill = 0.0
         self.foreign_until = 0.0
         self.foreign_requests = 0
 
--- a/catkintrail/ports/targets.py
+++ b/catkintrail/ports/targets.py
@@ -1,6 +1,6 @@
 """What the system asks of targets."""
 
-from typing import Callable, Iterator, NamedTuple, Protocol
+from typing import Iterator, NamedTuple, Protocol
 
 from catkintrail.core import attempts
 from catkintrail.core import prefix_index
@@ -130,7 +130,6 @@
         address: str,
         call: GenerateCall,
         timeout: float,
-        on_open: Callable[[Callable[[], None]], None],
     ) -> Iterator[attempts.Chunk]:
         """Streams a completion.
 
@@ -138,7 +137,6 @@
             address: The engine's `IP:port`.
             call: The completion.
             timeout: Seconds until the call is given up.
-            on_open: Gets a function that cuts the stream from another thread.
         """
 
     def cancel(self, address: str, attempt_id: str) -> None:
--- a/catkintrail/standin/engine.py
+++ b/catkintrail/standin/engine.py
@@ -21,7 +21,6 @@
 __all__ = ["Engine", "EngineOptions"]
 
 MAX_EVENTS = 256
-MAX_BODY_BYTES = 32 << 20
 PART_TIMEOUT_SECONDS = 120.0
 IDLE_SECONDS = 0.02
 DONE = -1
--- a/catkintrail/standin/engine_model.py
+++ b/catkintrail/standin/engine_model.py
@@ -70,7 +70,6 @@
         self.prefill_left = prompt_tokens
         self.produced = 0
         self.cached_tokens = 0
-        self.is_admitted = False
 
 
 class Produced(NamedTuple):
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -170,7 +170,7 @@
         body = f"result {self.executions}".encode()
         return targets_port.CallAnswer(200, "text/plain", body)
 
-    def generate(self, address, call, timeout, on_open):
+    def generate(self, address, call, timeout):
         self.calls.append((address, call, timeout))
         make = self.streams.pop(0)
         yield from make(call)
--- a/tests/test_target_client.py
+++ b/tests/test_target_client.py
@@ -64,7 +64,7 @@
 def generate(address, timeout=5.0):
     call = targets_port.GenerateCall("a1", "m", b"{}", 4, 1, 0, (), timeout)
     client = target_client.TargetClient()
-    return list(client.generate(address, call, timeout, lambda cut: None))
+    return list(client.generate(address, call, timeout))
 
 
 class ServiceCallTests(testtools.TestCase):
