Reserve engine memory for prompts beyond one engine's memory

Change: the engines of a group that keep a share of the memory get a reservation each; its lease is three quarters of the time within which unused memory has to be free, renewed while the request runs. An order without an answer may be carried out late: its reservation is released again until then.

--- a/catkintrail/adapters/metrics.py
+++ b/catkintrail/adapters/metrics.py
@@ -103,6 +103,10 @@
         aioprometheus.Gauge,
         "Requests sent on a kept connection since the start.",
     ),
+    "catkintrail_memory_orders": (
+        aioprometheus.Gauge,
+        "Orders about engine memory since the start.",
+    ),
     "catkintrail_datagrams_dropped": (
         aioprometheus.Gauge,
         "Messages to or from peers that were dropped since the start.",
--- a/catkintrail/core/engine_placement.py
+++ b/catkintrail/core/engine_placement.py
@@ -95,12 +95,14 @@
 
     Attributes:
         engines: The engine that answers, then its helpers.
+        memory: Tokens that each of them keeps.
         part_ms: Prefill time of each engine's part.
         first_token_ms: Predicted time to the first token.
         cost: Cost by which it was chosen.
     """
 
     engines: tuple[target_records.Target, ...]
+    memory: tuple[int, ...]
     part_ms: float
     first_token_ms: float
     cost: float
@@ -121,12 +123,11 @@
     context = 0
     held = 0
     for attempt in attempts:
-        is_first = attempt.targets[0] == target.name
-        if is_first:
-            held += attempt.prompt_tokens
+        kept = dict(zip(attempt.targets, attempt.memory))[target.name]
+        held += kept
         if attempt.is_decoding:
             decoding += 1
-            context += attempt.prompt_tokens
+            context += kept
         else:
             backlog = max(backlog, (attempt.prefill_end - now) * 1000.0)
     pass_ms = 0.0
@@ -159,24 +160,24 @@
         max_parts: The most engines that may take part.
 
     Returns:
-        The choice; None where no engine has the memory.
+        The choice; None where the engines do not have the memory.
     """
     own_weight = engine_cost.weight(figures, work.prompt_tokens)
     alone_ms = engine_cost.prefill_ms(figures, work.prompt_tokens)
     burst_ms = engine_cost.pass_prefill_limit_ms(figures, work.prompt_tokens)
     need = work.prompt_tokens + work.output_tokens
-    room = figures.kv_tokens * KV_SHARE
-    usable = [e for e in engines if e.kv_tokens + need <= room]
-    if not usable:
-        return None
+    room = int(figures.kv_tokens * KV_SHARE)
     best: Choice | None = None
     for parts in PART_COUNTS:
         if parts > min(max_parts, len(engines)):
             break
+        holders = _holders(engines, need, room, parts)
+        if not holders:
+            continue
         part_ms = alone_ms / parts
         choice = _choose_parts(
             work,
-            usable,
+            holders,
             engines,
             parts,
             part_ms,
@@ -193,7 +194,7 @@
 
 def _choose_parts(
     work: Work,
-    usable: Sequence[EngineState],
+    holders: "_Holders",
     engines: Sequence[EngineState],
     parts: int,
     part_ms: float,
@@ -212,12 +213,12 @@
             + _use_cost(engine)
         )
 
-    first = min(usable, key=first_cost)
+    ranked = sorted(holders.engines, key=first_cost)
+    first = ranked[0]
     delay = _first_token_ms(first, part_ms)
     cost = first_cost(first)
     chosen = [first]
     if parts > 1:
-        others = [e for e in engines if e is not first]
 
         def helper_cost(engine: EngineState) -> float:
             late = part_ms * engine.slowness + engine.pass_ms
@@ -228,8 +229,10 @@
                 + _use_cost(engine)
             )
 
+        keepers = sorted(ranked[1:], key=helper_cost)[: holders.count - 1]
+        others = [e for e in engines if e is not first and e not in keepers]
         others.sort(key=helper_cost)
-        helpers = others[: parts - 1]
+        helpers = keepers + others[: parts - 1 - len(keepers)]
         chosen += helpers
         for engine in helpers:
             helper_delay = part_ms * engine.slowness + engine.pass_ms
@@ -239,7 +242,37 @@
             _delay_cost(delay, work.goal_ms)
             - _delay_cost(_first_token_ms(first, part_ms), work.goal_ms)
         )
-    return Choice(tuple(e.target for e in chosen), part_ms, delay, cost)
+    memory = [0] * len(chosen)
+    memory[: holders.count] = [holders.tokens] * holders.count
+    return Choice(
+        tuple(e.target for e in chosen), tuple(memory), part_ms, delay, cost
+    )
+
+
+class _Holders(NamedTuple):
+    """Engines of which some keep a prompt's memory.
+
+    Attributes:
+        engines: Those with room for a share.
+        count: How many of them share the memory.
+        tokens: Share of each.
+    """
+
+    engines: list[EngineState]
+    count: int
+    tokens: int
+
+
+def _holders(
+    engines: Sequence[EngineState], need: int, room: int, parts: int
+) -> _Holders | None:
+    """Finds the fewest engines that can keep a prompt; None for no such."""
+    for count in range(-(-need // room), parts + 1):
+        tokens = -(-need // count)
+        able = [e for e in engines if e.kv_tokens + tokens <= room]
+        if len(able) >= count:
+            return _Holders(able, count, tokens)
+    return None
 
 
 def _first_token_ms(engine: EngineState, part_ms: float) -> float:
--- a/catkintrail/core/fleet_load.py
+++ b/catkintrail/core/fleet_load.py
@@ -18,7 +18,8 @@
     Attributes:
         key: Unique in the deployment.
         targets: The target that answers, then its helpers.
-        prompt_tokens: Length of the prompt; 0 for a plain service.
+        memory: Tokens that each target keeps for the request; 0 for helpers
+            that only prefill, and for plain services.
         prefill_ms: Prefill time of each target's part.
         gap_goal_ms: The longest useful pause between events; 0 for none.
         weight: What a failure would cost callers, against a mean request.
@@ -29,7 +30,7 @@
 
     key: str
     targets: tuple[str, ...]
-    prompt_tokens: int
+    memory: tuple[int, ...]
     prefill_ms: float
     gap_goal_ms: float
     weight: float
@@ -42,8 +43,8 @@
     """Attempts by target.
 
     Attributes:
-        by_target: Attempts at each target, by key; helpers only while the
-            prompt is prefilled.
+        by_target: Attempts at each target, by key; helpers without memory
+            only while the prompt is prefilled.
         by_owner: Keys of the attempts that each instance told of.
     """
 
@@ -59,12 +60,10 @@
         """Adds an attempt, or replaces it."""
         self.drop(owner, attempt.key)
         self.by_owner.setdefault(owner, {})[attempt.key] = attempt
-        # Helpers are done when the first token is there.
-        targets = (
-            attempt.targets[:1] if attempt.is_decoding else (attempt.targets)
-        )
-        for target in targets:
-            self.by_target.setdefault(target, {})[attempt.key] = attempt
+        for target, memory in zip(attempt.targets, attempt.memory):
+            # Helpers without memory are done when the first token is there.
+            if memory or not attempt.is_decoding or not any(attempt.memory):
+                self.by_target.setdefault(target, {})[attempt.key] = attempt
 
     def drop(self, owner: str, key: str) -> None:
         """Removes an attempt; an unknown one is no error."""
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -108,6 +108,8 @@
     Attributes:
         target: The target that answers.
         helpers: Engines that prefill parts of the prompt.
+        memory: Tokens that the target and each helper keep; what a helper
+            keeps has to be reserved there.
         predicted_ms: Predicted time to the first token; 0 where unknown.
         valid_until: The request must not be sent later.
         candidates: Number of targets that were weighed.
@@ -116,6 +118,7 @@
 
     target: target_records.Target
     helpers: tuple[target_records.Target, ...]
+    memory: tuple[int, ...]
     predicted_ms: float
     valid_until: float
     candidates: int
@@ -559,9 +562,15 @@
             (cost(target), self.rng.random(), target) for target in candidates
         ]
         best_cost, _, target = min(costs, key=lambda item: item[:2])
-        self._count(request, (target,), 0.0, 0.0, 0.0, now)
+        self._count(request, (target,), (0,), 0.0, 0.0, 0.0, now)
         return Grant(
-            target, (), 0.0, self._valid_until(), len(candidates), best_cost
+            target,
+            (),
+            (0,),
+            0.0,
+            self._valid_until(),
+            len(candidates),
+            best_cost,
         )
 
     def _place_prompt(
@@ -603,6 +612,7 @@
         self._count(
             request,
             choice.engines,
+            choice.memory,
             choice.part_ms,
             choice.first_token_ms,
             engine_cost.weight(figures, request.prompt_tokens),
@@ -611,6 +621,7 @@
         return Grant(
             choice.engines[0],
             choice.engines[1:],
+            choice.memory,
             choice.first_token_ms,
             self._valid_until(),
             len(candidates),
@@ -621,6 +632,7 @@
         self,
         request: PlaceRequest,
         chosen: tuple[target_records.Target, ...],
+        memory: tuple[int, ...],
         part_ms: float,
         first_token_ms: float,
         weight: float,
@@ -629,7 +641,7 @@
         attempt = fleet_load.Attempt(
             request.key,
             tuple(target.name for target in chosen),
-            request.prompt_tokens,
+            memory,
             part_ms,
             request.admission.route.gap_goal_ms,
             weight,
@@ -685,7 +697,7 @@
     return messages.AttemptReport(
         attempt.key,
         attempt.targets,
-        attempt.prompt_tokens,
+        attempt.memory,
         round(attempt.prefill_ms, 1),
         attempt.gap_goal_ms,
         round(attempt.weight, 3),
@@ -701,7 +713,7 @@
     return fleet_load.Attempt(
         report.key,
         report.targets,
-        report.prompt_tokens,
+        report.memory,
         report.prefill_ms,
         report.gap_goal_ms,
         report.weight,
--- a/catkintrail/errors.py
+++ b/catkintrail/errors.py
@@ -88,6 +88,8 @@
         verdict: Whether the target may have run the call.
         is_leaving: Whether the target said that it is being shut down.
         is_silent: Whether the target did not answer in time.
+        at_fault: Name or address of the target at fault, where it is not the
+            one that was asked; else "".
     """
 
     def __init__(
@@ -96,10 +98,12 @@
         verdict: verdicts.Verdict,
         is_leaving: bool = False,
         is_silent: bool = False,
+        at_fault: str = "",
     ) -> None:
         self.verdict = verdict
         self.is_leaving = is_leaving
         self.is_silent = is_silent
+        self.at_fault = at_fault
         super().__init__(message)
 
 
--- a/catkintrail/messages.py
+++ b/catkintrail/messages.py
@@ -378,7 +378,7 @@
 
     key: str
     targets: tuple[str, ...]
-    prompt_tokens: int
+    memory: tuple[int, ...]
     prefill_ms: float
     gap_goal_ms: float
     weight: float
--- a/catkintrail/platform/boot.py
+++ b/catkintrail/platform/boot.py
@@ -69,6 +69,7 @@
             retry_extra=float(bounds["budget-extra"]),
             retry_window_seconds=float(bounds["budget-window-s"]),
             reservation_max_seconds=bounds.get("hold-max-ms", 0) / 1000.0,
+            memory_free_seconds=bounds.get("free-ms", 4000) / 1000.0,
             stall_seconds=bounds.get("stall_ms", 1500) / 1000.0,
         )
     except (KeyError, TypeError, ValueError, IndexError) as error:
--- a/catkintrail/platform/engines.py
+++ b/catkintrail/platform/engines.py
@@ -33,6 +33,7 @@
 # Time-outs handed to the socket; zero would make it non-blocking.
 MIN_TIMEOUT_SECONDS = 0.001
 MAX_HEADER_BYTES = 64 << 10
+AT_SERVER = "at-server"
 
 
 class _Idle(NamedTuple):
@@ -280,8 +281,7 @@
         if request.organisation:
             headers.append(("Tenant", request.organisation))
         if request.helpers:
-            addresses = ",".join(h.address for h in request.helpers)
-            headers.append(("Helpers", addresses))
+            headers.append(("Helpers", _helper_list(request.helpers)))
         if request.urgency is not None:
             headers.append(("Request-Priority", str(request.urgency)))
         if request.body or request.method not in ("GET", "HEAD", "DELETE"):
@@ -425,9 +425,11 @@
     if wire.NOT_EXECUTED in own or answer.status == 421:
         raise errors.TargetError(
             f"{address} did not run it: {answer.status}"
-            f" {own.get('at-server', '')}".rstrip(),
+            f" {own.get(AT_SERVER, '')}".rstrip(),
             verdicts.Verdict.NOT_RUN,
             is_leaving=answer.status == 421,
+            # An address; helpers fail too.
+            at_fault=own.get(AT_SERVER, ""),
         )
     if own.get(wire.ATTEMPT_ID) != answer.request.request_id:
         raise errors.TargetError(
@@ -441,6 +443,15 @@
         )
 
 
+def _helper_list(
+    helpers: tuple[tuple[target_records.Target, str], ...],
+) -> str:
+    return ",".join(
+        f"{target.address}/{reservation}" if reservation else target.address
+        for target, reservation in helpers
+    )
+
+
 def _key(target: target_records.Target) -> tuple[str, str, int]:
     return target.address, target.name, target.born
 
--- /dev/null
+++ b/catkintrail/platform/orders.py
@@ -0,0 +1,91 @@
+"""Orders to engines: reservations of memory."""
+
+import msgspec
+import urllib3
+
+from catkintrail import errors
+from catkintrail import verdict as verdicts
+from catkintrail.core import targets as target_records
+
+__all__ = ["OrderClient"]
+
+ORDER_PATH = "/api/order"
+# Engines answer orders within a few milliseconds, or not at all.
+ANSWER_TIMEOUT_SECONDS = 0.3
+CONNECT_TIMEOUT_SECONDS = 0.3
+MAX_POOLS = 64
+
+
+class OrderClient:
+    """Gives orders to engines.
+
+    Attributes:
+        orders: Orders given.
+    """
+
+    def __init__(self) -> None:
+        self.orders = 0
+        self.http = urllib3.PoolManager(num_pools=MAX_POOLS, retries=False)
+
+    def reserve(
+        self,
+        target: target_records.Target,
+        reservation: str,
+        tokens: int,
+        hold_seconds: float,
+    ) -> None:
+        """Reserves memory, or renews a reservation.
+
+        Raises:
+            errors.TargetError: The memory is not free (`NOT_RUN`), or no answer
+                came (`MAY_HAVE_RUN`).
+        """
+        order = {
+            "op": "reserve",
+            "id": reservation,
+            "tokens": tokens,
+            # The lease counts from the order's arrival.
+            "hold-ms": int(hold_seconds * 1000),
+        }
+        self._give(target, order)
+
+    def release(self, target: target_records.Target, reservation: str) -> None:
+        """Ends a reservation; an unknown one is no error."""
+        self._give(target, {"op": "release", "id": reservation})
+
+    def _give(self, target: target_records.Target, order: dict) -> None:
+        self.orders += 1
+        try:
+            response = self.http.request(
+                "POST",
+                f"http://{target.address}{ORDER_PATH}",
+                body=msgspec.json.encode(order),
+                headers={
+                    "Content-Type": "application/json",
+                    "Expect-Instance": target.name,
+                },
+                timeout=urllib3.Timeout(
+                    connect=CONNECT_TIMEOUT_SECONDS, read=ANSWER_TIMEOUT_SECONDS
+                ),
+            )
+        except (
+            urllib3.exceptions.ConnectTimeoutError,
+            urllib3.exceptions.NewConnectionError,
+        ) as error:
+            raise errors.TargetError(
+                f"{target.address}: {error}",
+                verdicts.Verdict.NOT_RUN,
+                is_silent=True,
+            ) from error
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise errors.TargetError(
+                f"{target.address}: {error}",
+                verdicts.Verdict.MAY_HAVE_RUN,
+                is_silent=True,
+            ) from error
+        if response.status != 200:
+            raise errors.TargetError(
+                f"{target.address}: the order got status {response.status}",
+                verdicts.Verdict.NOT_RUN,
+                is_leaving=response.status == 421,
+            )
--- a/catkintrail/ports/relaying.py
+++ b/catkintrail/ports/relaying.py
@@ -2,6 +2,7 @@
 
 from typing import Callable, NamedTuple, Protocol
 
+from catkintrail.core import memory_lease
 from catkintrail.core import targets as target_records
 
 __all__ = [
@@ -9,6 +10,7 @@
     "Caller",
     "CallerReply",
     "CallerRequest",
+    "MemoryLeases",
     "RelayTargets",
     "TargetRequest",
 ]
@@ -91,7 +93,8 @@
         headers: The caller's headers.
         body: The caller's body.
         organisation: Name of the key's holder; "" for none.
-        helpers: Engines that prefill parts of the prompt.
+        helpers: Engines that prefill parts of the prompt, with the id of the
+            reservation that keeps a part of its memory there, or "".
         urgency: 0 is first, 9 last; None for the target's default.
         resume_after: Id of the last event that arrived; -1 for none.
         deadline: When the answer is of no use any more, in seconds.
@@ -105,7 +108,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     organisation: str
-    helpers: tuple[target_records.Target, ...]
+    helpers: tuple[tuple[target_records.Target, str], ...]
     urgency: int | None
     resume_after: int
     deadline: float
@@ -138,6 +141,22 @@
         """Gives the connection back; closes it if the answer is not whole."""
 
 
+class MemoryLeases(Protocol):
+    """Reserves memory on engines for as long as a request uses it."""
+
+    def reserve(
+        self, target: target_records.Target, tokens: int
+    ) -> memory_lease.Lease:
+        """Reserves memory and keeps it reserved.
+
+        Raises:
+            errors.TargetError: It is not free, or the engine did not answer.
+        """
+
+    def give_up(self, lease: memory_lease.Lease) -> None:
+        """Gives the memory back, without waiting for it."""
+
+
 class RelayTargets(Protocol):
     """Sends requests to targets."""
 
--- a/catkintrail/relay.py
+++ b/catkintrail/relay.py
@@ -8,6 +8,7 @@
 from catkintrail import errors
 from catkintrail import verdict as verdicts
 from catkintrail.core import event_stream
+from catkintrail.core import memory_lease
 from catkintrail.core import request_router
 from catkintrail.core import route_table
 from catkintrail.ports import relaying
@@ -103,6 +104,7 @@
     Attributes:
         router: Decisions of this instance.
         targets: Sends requests.
+        leases: Reserves memory on engines.
         metrics: Where counts and times go.
         clock: Returns the time in seconds.
     """
@@ -112,12 +114,14 @@
         name: str,
         router: Router,
         targets: relaying.RelayTargets,
+        leases: relaying.MemoryLeases,
         metrics: RelayMetrics,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
         self.router = router
         self.targets = targets
+        self.leases = leases
         self.metrics = metrics
         self.clock = clock
         self.rng = rng
@@ -253,8 +257,13 @@
         )
         is_success = is_fault = is_silent = False
         outcome = "caller_left"
+        at_fault = grant.target.name
+        leases: dict[str, memory_lease.Lease] = {}
         try:
-            self._exchange(admission, progress, grant, key, reply, caller)
+            self._reserve(grant, leases)
+            self._exchange(
+                admission, progress, grant, leases, key, reply, caller
+            )
             is_success = True
             outcome = "answered"
             return None
@@ -264,13 +273,37 @@
             is_fault = True
             is_silent = error.is_silent and self.clock() < progress.until
             outcome = error.verdict.value
+            at_fault = _find_at_fault(grant, error)
             self._note_failure(progress, grant, error, sent_at)
             return error
         finally:
+            for lease in leases.values():
+                self.leases.give_up(lease)
             self.metrics.note_send(outcome)
-            self.router.note_end(
-                key, grant.target.name, is_success, is_fault, is_silent
-            )
+            self.router.note_end(key, at_fault, is_success, is_fault, is_silent)
+
+    def _reserve(
+        self,
+        grant: request_router.Grant,
+        leases: dict[str, memory_lease.Lease],
+    ) -> None:
+        """Reserves the memory that helpers keep; adds to `leases`.
+
+        Nothing waits for memory, so that no two requests wait for each other.
+        """
+        for helper, tokens in zip(grant.helpers, grant.memory[1:]):
+            if tokens:
+                try:
+                    lease = self.leases.reserve(helper, tokens)
+                except errors.TargetError as error:
+                    raise errors.TargetError(
+                        f"no memory for a part: {error}",
+                        Verdict.NOT_RUN,
+                        error.is_leaving,
+                        error.is_silent,
+                        helper.name,
+                    ) from error
+                leases[helper.name] = lease
 
     def _note_failure(
         self,
@@ -280,14 +313,16 @@
         sent_at: float,
     ) -> None:
         progress.verdict = verdicts.worst(progress.verdict, error.verdict)
-        progress.tried.add(grant.target.name)
+        at_fault = _find_at_fault(grant, error)
+        progress.tried.add(at_fault)
         if error.is_leaving:
-            self.router.note_leaving(grant.target.name)
+            self.router.note_leaving(at_fault)
         _LOG.warning(
             "send_failed",
             extra={
                 "request_id": progress.request.request_id,
                 "target": grant.target.name,
+                "at_fault": at_fault,
                 "verdict": error.verdict.value,
                 "reason": str(error),
                 "is_silent": error.is_silent,
@@ -301,6 +336,7 @@
         admission: request_router.Admission,
         progress: _Progress,
         grant: request_router.Grant,
+        leases: dict[str, memory_lease.Lease],
         key: str,
         reply: relaying.CallerReply,
         caller: relaying.Caller,
@@ -317,7 +353,15 @@
             request.headers,
             request.body,
             admission.organisation,
-            grant.helpers,
+            tuple(
+                (
+                    helper,
+                    leases[helper.name].reservation
+                    if helper.name in leases
+                    else "",
+                )
+                for helper in grant.helpers
+            ),
             None,
             resume_after,
             progress.until,
@@ -549,6 +593,16 @@
         _LOG.log(level, "request_ended", extra=extra)
 
 
+def _find_at_fault(
+    grant: request_router.Grant, error: errors.TargetError
+) -> str:
+    """Returns the name of the target that a failure is due to."""
+    for target in grant.helpers:
+        if error.at_fault in (target.name, target.address):
+            return target.name
+    return grant.target.name
+
+
 def _status(refusal: Refusal) -> int:
     """Returns the status of a refusal; it promises no more than is known."""
     status = verdicts.STATUS_OF_REASON[refusal.reason]
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -13,6 +13,7 @@
 
 from catkintrail import belief_loops
 from catkintrail import errors
+from catkintrail import memory_leases
 from catkintrail import relay as relays
 from catkintrail import relay_settings
 from catkintrail.adapters import caller_watch
@@ -26,6 +27,7 @@
 from catkintrail.platform import boot
 from catkintrail.platform import callers
 from catkintrail.platform import engines
+from catkintrail.platform import orders
 from catkintrail.platform import store
 from catkintrail.platform import wire
 
@@ -86,10 +88,19 @@
             rng,
         )
         self.watch = caller_watch.CallerWatch()
+        self.orders = orders.OrderClient()
+        self.leases = memory_leases.MemoryLeases(
+            # Ids of an earlier start must not be met again.
+            f"{settings.name}-{router.incarnation}",
+            self.orders,
+            settings.memory_free_seconds,
+            clock.boot_seconds,
+        )
         self.relay = relays.Relay(
             settings.name,
             self.router,
             self.client,
+            self.leases,
             _RelayMetrics(self.metrics),
             clock.boot_seconds,
             rng,
@@ -110,6 +121,7 @@
         self.datagrams.start()
         self.loops.start()
         self.watch.start()
+        self.leases.start()
         _serve(self.settings.ready_address, self._answer_ready, READY_THREADS)
         if self.settings.peer_address:
             _serve(self.settings.peer_address, self._answer_peer, PEER_THREADS)
@@ -255,6 +267,7 @@
             "catkintrail_store_calls": self.store.calls,
             "catkintrail_connections_opened": self.client.opened,
             "catkintrail_connections_reused": self.client.reused,
+            "catkintrail_memory_orders": self.orders.orders,
             "catkintrail_datagrams_dropped": self.datagrams.dropped,
         }
         for name, value in gauges.items():
--- a/catkintrail/relay_settings.py
+++ b/catkintrail/relay_settings.py
@@ -29,6 +29,8 @@
         retry_extra: Repeats allowed besides in a window, over all instances.
         retry_window_seconds: Length of that window.
         reservation_max_seconds: The longest reservation of engine memory.
+        memory_free_seconds: Memory that no request uses any more is free again
+            by then.
         stall_seconds: Engines give up on a silent helper after this time.
     """
 
@@ -51,4 +53,5 @@
     retry_extra: float
     retry_window_seconds: float
     reservation_max_seconds: float
+    memory_free_seconds: float
     stall_seconds: float
--- a/tests/relaying.py
+++ b/tests/relaying.py
@@ -33,6 +33,7 @@
         retry_extra=100.0,
         retry_window_seconds=10.0,
         reservation_max_seconds=20.0,
+        memory_free_seconds=4.0,
         stall_seconds=1.5,
     )
     return settings._replace(**changes)
--- a/tests/test_engine_placement.py
+++ b/tests/test_engine_placement.py
@@ -14,13 +14,21 @@
 
 def stream(key, engine, gap=200.0, tokens=5_000):
     return fleet_load.Attempt(
-        key, (engine,), tokens, 20.0, gap, 0.5, 0.0, True, 0.0
+        key, (engine,), (tokens,), 20.0, gap, 0.5, 0.0, True, 0.0
     )
 
 
 def prefill(key, engine, left_ms, tokens=210_000):
     return fleet_load.Attempt(
-        key, (engine,), tokens, left_ms, 800.0, 10.0, left_ms / 1e3, False, 0.0
+        key,
+        (engine,),
+        (tokens,),
+        left_ms,
+        800.0,
+        10.0,
+        left_ms / 1e3,
+        False,
+        0.0,
     )
 
 
@@ -89,6 +97,16 @@
         work = LONG._replace(prompt_tokens=460_000)
         self.assertIsNone(engine_placement.choose(work, engines([]), FIGURES))
 
+    def test_prompt_beyond_one_memory_is_kept_by_several(self):
+        work = LONG._replace(prompt_tokens=1_000_000)
+        state = engines(*[[] for _ in range(20)])
+        choice = engine_placement.choose(work, state, FIGURES)
+        self.assertGreaterEqual(sum(choice.memory), 1_000_800)
+        self.assertLessEqual(max(choice.memory), FIGURES.kv_tokens)
+        self.assertEqual(3, sum(1 for tokens in choice.memory if tokens))
+        self.assertEqual(len(choice.engines), len(choice.memory))
+        self.assertGreater(choice.memory[0], 0)
+
     def test_memory_in_use_counts(self):
         state = engines([prefill("a", "e-0", 0.0, 300_000)], [])
         self.assertEqual(["e-1"], self.names(LONG, state, max_parts=1))
--- /dev/null
+++ b/tests/test_memory_lease.py
@@ -0,0 +1,45 @@
+import testtools
+
+from catkintrail.core import memory_lease
+
+LEASE = memory_lease.Lease("a-1", "e-1", 1_000)
+
+
+class LeaseBookTests(testtools.TestCase):
+
+    def setUp(self):
+        super().setUp()
+        self.book = memory_lease.LeaseBook(4.0)
+
+    def due(self, now):
+        return [order.is_release for order in self.book.due(now)]
+
+    def test_lease_ends_before_memory_must_be_free(self):
+        self.assertLess(self.book.hold_seconds, 4.0)
+
+    def test_held_lease_is_renewed_before_it_ends_with_two_to_lose(self):
+        self.book.hold(LEASE, 0.0)
+        renewals = []
+        for tick in range(30):
+            renewals += self.due(tick * 0.1)
+        self.assertEqual([False] * 3, renewals)
+
+    def test_released_lease_is_left_alone(self):
+        self.book.hold(LEASE, 0.0)
+        self.book.give_up(LEASE, 1.0)
+        self.assertEqual([], self.due(20.0))
+
+    def test_order_that_may_come_late_is_undone_until_it_cannot_come(self):
+        self.book.hold(LEASE, 0.0)
+        self.book.note_unanswered(LEASE, 0.9)
+        self.book.give_up(LEASE, 1.0)
+        releases = []
+        for tick in range(200):
+            releases += self.due(1.0 + tick * 0.1)
+        self.assertTrue(all(releases))
+        self.assertGreaterEqual(len(releases), 8)
+        self.assertEqual({}, self.book.doubtful)
+
+    def test_reservation_without_an_answer_is_undone(self):
+        self.book.note_unanswered(LEASE, 0.0)
+        self.assertEqual([True], self.due(1.6))
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -41,7 +41,7 @@
         self.replies = list(replies)
         self.requests = []
         self.socket = socket.create_server(("127.0.0.1", 0))
-        self.address = "127.0.0.1:%d" % self.socket.getsockname()[1]
+        self.address = f"127.0.0.1:{self.socket.getsockname()[1]}"
         threading.Thread(target=self._run, daemon=True).start()
 
     def _run(self):
@@ -123,6 +123,8 @@
         super().setUp()
         self.client = engines.EngineClient(time.monotonic)
         self.caller = caller_watch.CallerConnection()
+        self.server = None
+        self.target = None
 
     def serve(self, *replies):
         server = ScriptedServer(*replies)
@@ -191,7 +193,7 @@
 
     def test_no_connection_is_not_run(self):
         server = socket.create_server(("127.0.0.1", 0))
-        address = "127.0.0.1:%d" % server.getsockname()[1]
+        address = f"127.0.0.1:{server.getsockname()[1]}"
         server.close()
         self.target = builders.make_target("e-1", address=address)
         self.fails(NOT_RUN)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -5,6 +5,7 @@
 from catkintrail import errors
 from catkintrail import relay
 from catkintrail import verdict as verdicts
+from catkintrail.core import memory_lease
 from catkintrail.ports import relaying
 from tests import relaying as builders
 
@@ -19,6 +20,7 @@
     def __init__(self):
         self.status = 0
         self.headers = {}
+        self.length = None
         self.body = b""
         self.is_aborted = False
         self.on_write = None
@@ -91,6 +93,8 @@
 
 class FakeMetrics:
 
+    outcome = ""
+
     def note_request(self, outcome, seconds):
         self.outcome = outcome
 
@@ -101,6 +105,24 @@
         pass
 
 
+class FakeLeases:
+    """Reserves memory, but not on the engines named as full."""
+
+    def __init__(self):
+        self.full = set()
+        self.held = []
+
+    def reserve(self, target, tokens):
+        if target.name in self.full:
+            raise fault(NOT_RUN)
+        lease = memory_lease.Lease(f"r-{target.name}", target.name, tokens)
+        self.held.append(lease)
+        return lease
+
+    def give_up(self, lease):
+        self.held.remove(lease)
+
+
 class DirectRouter:
     """Calls a router in the test's own thread and time."""
 
@@ -144,6 +166,8 @@
         self.now = 100.0
         self.reply = FakeReply()
         self.caller = FakeCaller()
+        self.targets = None
+        self.leases = FakeLeases()
         self.metrics = FakeMetrics()
         self.router = builders.make_router(
             [builders.make_target(f"e-{i}") for i in range(1, 5)]
@@ -173,6 +197,7 @@
             "a-1",
             DirectRouter(self.router, self.clock),
             self.targets,
+            self.leases,
             self.metrics,
             self.clock,
             random.Random(1),
@@ -343,6 +368,35 @@
         self.assertEqual(event(13), self.reply.body)
 
 
+class MemoryTests(RelayTestCase):
+    """Prompts that no engine can keep alone."""
+
+    HUGE = {"prompt_tokens": 700_000, "output_tokens": 500}
+
+    def test_parts_are_reserved_and_given_back(self):
+        self.play(FakeAnswer(200, [event(0)]), **self.HUGE)
+        self.assertEqual(200, self.reply.status)
+        helpers = dict(self.targets.sends[0][1].helpers)
+        reserved = [ticket for ticket in helpers.values() if ticket]
+        self.assertEqual(1, len(reserved))
+        self.assertEqual([], self.leases.held)
+
+    def test_parts_are_given_back_when_the_answer_fails(self):
+        self.play(fault(MAY_HAVE_RUN), fault(MAY_HAVE_RUN), **self.HUGE)
+        self.assertEqual([], self.leases.held)
+
+    def test_engine_without_memory_is_left_out_of_the_next_try(self):
+        self.leases.full = {"e-1", "e-2"}
+        self.play(
+            FakeAnswer(200, [event(0)]),
+            FakeAnswer(200, [event(0)]),
+            **self.HUGE,
+        )
+        self.assertIn(self.reply.status, (200, 503))
+        self.assertEqual([], self.leases.held)
+        self.nothing_is_left_counted()
+
+
 class CallerLeavesTests(RelayTestCase):
 
     def test_nothing_is_sent_for_a_caller_that_left(self):
