Close the callers' port while draining; refuse long chunked bodies with 413

Change: the port is closed 2.6 s after SIGTERM, when the balancer has left an instance that others can replace; what was taken is finished. Two tests failed before: test_stop_finishes_what_was_taken_and_takes_no_more (no such call) and test_long_chunked_body (500).

--- a/catkintrail/platform/callers.py
+++ b/catkintrail/platform/callers.py
@@ -18,6 +18,7 @@
 _LOG = logging.getLogger("catkintrail.callers")
 
 LISTEN_BACKLOG = 512
+READ_BYTES = 64 << 10
 # Stacks hold few frames; the default reserves eight megabytes each.
 CONNECTIONS_PER_THREAD = 8
 # Callers that state no deadline wait this long; none of the users' does so.
@@ -200,6 +201,15 @@
             target=self._server.serve, name="callers", daemon=True
         ).start()
 
+    def stop(self, timeout_seconds: float) -> None:
+        """Closes the port and idle connections; finishes what was taken.
+
+        Args:
+            timeout_seconds: When to give up on requests in progress.
+        """
+        self._server.shutdown_timeout = timeout_seconds
+        self._server.stop()
+
     def apply_limits(
         self, max_header_bytes: int, max_body_bytes: int, idle_ms: int
     ) -> None:
@@ -249,10 +259,7 @@
     headers = request.inheaders
     body = b""
     if request.chunked_read:
-        body = request.rfile.read()
-        # Trailers are read, so that the next request begins behind them.
-        for _ in request.rfile.read_trailer_lines():
-            pass
+        body = _read_chunks(request)
     elif b"Content-Length" in headers:
         length = int(headers[b"Content-Length"])
         body = request.rfile.read(length) if length else b""
@@ -284,6 +291,23 @@
     )
 
 
+def _read_chunks(request: _Request) -> bytes:
+    """Reads a chunked body and its trailers."""
+    most = request.server.max_request_body_size
+    chunks = cheroot_server.ChunkedRFile(request.conn.rfile, 0)
+    parts = []
+    size = 0
+    while part := chunks.read(READ_BYTES):
+        parts.append(part)
+        size += len(part)
+        if size > most:
+            raise cheroot_errors.MaxSizeExceeded()
+    # Trailers are read, so that the next request begins behind them.
+    for _ in chunks.read_trailer_lines():
+        pass
+    return b"".join(parts)
+
+
 def _log_error(
     message: str = "", level: int = 20, traceback: bool = False
 ) -> None:
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -44,9 +44,6 @@
 SETTINGS_POLL_SECONDS = 1.0
 # The balancer leaves an instance after two checks, one second apart.
 DRAIN_NOTICE_SECONDS = 2.6
-# Idle connections are left to callers this long after the last request.
-DRAIN_LINGER_SECONDS = 0.3
-DRAIN_POLL_SECONDS = 0.05
 # The process ends this long before it is killed.
 DRAIN_MARGIN_SECONDS = 0.25
 PEER_TIMEOUT_SECONDS = 1.0
@@ -182,19 +179,20 @@
         _LOG.info(
             "instance_draining", extra={"in_flight": self.callers.in_flight}
         )
-        end = started + self.settings.drain_seconds - DRAIN_MARGIN_SECONDS
-        idle_since = None
-        while (now := clock.boot_seconds()) < end:
-            if self.callers.in_flight:
-                idle_since = None
-            elif idle_since is None:
-                idle_since = now
-            elif (
-                now - idle_since >= DRAIN_LINGER_SECONDS
-                and now - started >= DRAIN_NOTICE_SECONDS
-            ):
-                break
-            time.sleep(DRAIN_POLL_SECONDS)
+        time.sleep(DRAIN_NOTICE_SECONDS)
+        # Callers may still come: where few instances of a zone are ready, the
+        # balancer uses all of them. What is taken from here on could not be
+        # finished in time.
+        left = self.settings.drain_seconds - DRAIN_MARGIN_SECONDS
+        end = started + left
+        stopping = threading.Thread(
+            target=self.callers.stop,
+            args=(end - clock.boot_seconds(),),
+            name="drain",
+            daemon=True,
+        )
+        stopping.start()
+        stopping.join(max(0.0, end - clock.boot_seconds()))
         _LOG.info(
             "instance_stopped",
             extra={
