--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -30,7 +30,7 @@
         self.server = callers.CallerServer(
             f"127.0.0.1:{self.port}",
             4,
-            lambda *arguments: self.handler(*arguments),
+            self.pass_on,
             self.watch,
             time.monotonic,
         )
@@ -38,6 +38,9 @@
         self.server.start()
         self.addCleanup(self.server.stop, 0.1)
 
+    def pass_on(self, request, reply, caller):
+        self.handler(request, reply, caller)
+
     def answer(self, request, reply, caller):
         self.requests.append(request)
         reply.start(200, (("Engine-Stamp", "s"),), 2)
