Let few instances watch the store; the others learn from them

Change: one or two instances a zone watch and push what changed; the others compare digests with them and fetch what they missed. Loads reach other zones through one instance of each. Of other zones a large fleet greets few peers.

--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -5,6 +5,7 @@
 
 import pykka
 
+from catkintrail import errors
 from catkintrail import messages
 from catkintrail import relay_settings
 from catkintrail import verdict as verdicts
@@ -14,11 +15,17 @@
 from catkintrail.core import targets as target_records
 from catkintrail.ports import belief_source
 
-__all__ = ["PeerState", "RouterActor", "RouterClient", "Status"]
+__all__ = ["PeerState", "RouterActor", "RouterClient", "STORE", "Status"]
 
 _LOG = logging.getLogger("catkintrail.router")
 
 HEARTBEAT_SECONDS = 0.5
+# Source of what the platform's store says.
+STORE = "store"
+# Events of targets that are still listed.
+KNOWN_EVENTS = ("target_joined", "target_leaving")
+# Targets that one datagram tells of.
+NEWS_TARGETS = 100
 SNAPSHOT_SECONDS = 1.0
 # The actor does no I/O that waits; a longer silence is a fault.
 ANSWER_TIMEOUT_SECONDS = 5.0
@@ -31,12 +38,14 @@
     """What an instance that lacks the store learns from a peer.
 
     Attributes:
-        configuration: The newest known; None for none.
+        version: Version of the newest configuration known; -1 for none.
+        configuration: It; None where the other one has it.
         proof_age_seconds: How long ago it was surely the newest.
         targets: The listed targets.
         target_revision: Revision of the list.
     """
 
+    version: int
     configuration: route_table.Configuration | None
     proof_age_seconds: float
     targets: tuple[target_records.Target, ...]
@@ -55,6 +64,8 @@
         peers: Addresses of the peers that are alive.
         attempts: Attempts known at targets, its own and its peers'.
         peer_version: The newest version that a peer told of.
+        is_watcher: Whether it watches the store for its zone.
+        better_peer: Address of a peer that knows more; "" for none.
     """
 
     is_ready: bool
@@ -65,6 +76,8 @@
     peers: tuple[str, ...]
     attempts: int
     peer_version: int
+    is_watcher: bool
+    better_peer: str
 
 
 class RouterActor(pykka.ThreadingActor):
@@ -168,6 +181,8 @@
                 "source": source,
             },
         )
+        if source == STORE:
+            self._tell_news([])
         return True
 
     def learn_target_list(
@@ -179,21 +194,26 @@
             targets, reading.revision, self._clock()
         )
         _log_changes(changes, source)
+        if source == STORE:
+            self._tell_news(changes)
 
     def learn_target_events(
         self, reading: belief_source.TargetReading, source: str
     ) -> None:
         """Takes changes of the list of targets."""
         now = self._clock()
+        changes = []
         for event in reading.events:
-            changes = self._router.learn_target(
+            changes += self._router.learn_target(
                 event.target,
                 event.name,
                 event.is_removed,
                 reading.revision,
                 now,
             )
-            _log_changes(changes, source)
+        _log_changes(changes, source)
+        if source == STORE:
+            self._tell_news(changes)
 
     def note_store(self, is_up: bool) -> None:
         """Notes whether the store answered."""
@@ -215,6 +235,11 @@
         elif isinstance(message, messages.FleetHeartbeatAnswer):
             news = router.hear_answer(address, message, now)
             _log_peer(address, message.sender, news)
+        elif isinstance(message, messages.FleetNews):
+            changes = router.hear_news(address, message, now)
+            _log_changes(changes, f"peer {message.sender}")
+        elif isinstance(message, messages.Forwarded):
+            self._pass_on(address, message, now)
         else:
             router.hear_load(message, now)
 
@@ -222,22 +247,27 @@
         """Does what is due."""
         now = self._clock()
         router = self._router
-        _log_changes(router.expire(now), "expiry")
+        lapsed = router.expire(now)
+        _log_changes(lapsed, "expiry")
+        if lapsed and router.is_watcher(now):
+            self._tell_news(lapsed)
         if now >= self._next_heartbeat:
             self._next_heartbeat = now + HEARTBEAT_SECONDS
             heartbeat = router.heartbeat(now)
-            self._send(router.peers.to_greet(now), heartbeat)
+            self._send(router.peers.to_greet(now, router.rng), heartbeat)
         if now >= self._next_snapshot:
             self._next_snapshot = now + SNAPSHOT_SECONDS
-            self._send(router.load_receivers(now), router.snapshot(now))
+            self._tell(router.snapshot(now), now)
 
-    def peer_state(self) -> PeerState:
+    def peer_state(self, known_version: int = -1) -> PeerState:
         """Returns what another instance may learn from this one."""
         router = self._router
         table = router.configuration.table
+        is_news = table and table.configuration.version > known_version
         age = self._clock() - router.configuration.proven_at
         return PeerState(
-            table.configuration if table else None,
+            router.configuration.version,
+            table.configuration if is_news else None,
             age,
             tuple(router.targets.targets.values()),
             router.targets.revision,
@@ -256,11 +286,65 @@
             tuple(peer.address for peer in router.peers.alive(now)),
             sum(len(owned) for owned in router.load.by_owner.values()),
             router.peer_version,
+            router.is_watcher(now),
+            router.better_peer,
         )
 
-    def _tell(self, update: messages.LoadUpdate | None, now: float) -> None:
-        if update is not None:
-            self._send(self._router.load_receivers(now), update)
+    def forget_better_peer(self, address: str) -> None:
+        """Notes that a peer was asked for what it knows."""
+        if self._router.better_peer == address:
+            self._router.better_peer = ""
+
+    def _tell(
+        self,
+        update: messages.LoadUpdate | messages.LoadSnapshot | None,
+        now: float,
+    ) -> None:
+        """Tells all instances of own attempts."""
+        if update is None:
+            return
+        near, gateways = self._router.receivers(now)
+        self._send(near, update)
+        if gateways:
+            forwarded = messages.Forwarded(messages.encode(update))
+            self._send(gateways, forwarded)
+
+    def _tell_news(self, changes: list[beliefs.TargetChange]) -> None:
+        """Tells peers what the store said."""
+        now = self._clock()
+        router = self._router
+        known = [c.target for c in changes if c.event in KNOWN_EVENTS]
+        removed = [
+            c.target.name for c in changes if c.event not in KNOWN_EVENTS
+        ]
+        near, gateways = router.receivers(now)
+        for start in range(0, max(1, len(known)), NEWS_TARGETS):
+            news = messages.FleetNews(
+                router.settings.name,
+                router.configuration.version,
+                tuple(known[start : start + NEWS_TARGETS]),
+                tuple(removed) if start == 0 else (),
+            )
+            self._send(near, news)
+        if gateways and not changes:
+            # Each zone has watchers of its own; a new version is worth the
+            # few bytes, for they may be cut off from the store.
+            self._send(gateways, news)
+
+    def _pass_on(
+        self, address: str, message: messages.Forwarded, now: float
+    ) -> None:
+        """Passes a message from another zone on to the own one."""
+        try:
+            inner = messages.decode(message.content)
+        except errors.FrameError as error:
+            _LOG.info("forwarded_unreadable", extra={"reason": str(error)})
+            return
+        if isinstance(inner, messages.Forwarded):
+            return
+        near = [peer.address for peer in self._router.peers.near(now)]
+        self._send(near, inner)
+        self.hear(address, inner)
 
 
 class RouterClient:
@@ -307,9 +391,10 @@
         """Returns the state of beliefs."""
         return self.proxy.status().get(timeout=ANSWER_TIMEOUT_SECONDS)
 
-    def peer_state(self) -> PeerState:
+    def peer_state(self, known_version: int = -1) -> PeerState:
         """Returns what another instance may learn from this one."""
-        return self.proxy.peer_state().get(timeout=ANSWER_TIMEOUT_SECONDS)
+        future = self.proxy.peer_state(known_version)
+        return future.get(timeout=ANSWER_TIMEOUT_SECONDS)
 
 
 def _log_changes(changes: list[beliefs.TargetChange], source: str) -> None:
--- a/catkintrail/belief_loops.py
+++ b/catkintrail/belief_loops.py
@@ -29,7 +29,10 @@
 BACKOFF_SECONDS = 0.1
 BACKOFF_LIMIT_SECONDS = 1.0
 
-ReadPeer = Callable[[str], router_actor.PeerState]
+# Peers that are asked in a round.
+PEERS_ASKED = 4
+
+ReadPeer = Callable[[str, int], router_actor.PeerState]
 
 
 class _Backoff:
@@ -111,6 +114,9 @@
         backoff = _Backoff(self.rng)
         revision = -1
         while not self._stop.is_set():
+            if not self._may_watch():
+                revision = -1
+                continue
             sent_at = self.clock()
             try:
                 if revision < 0:
@@ -139,9 +145,20 @@
                 continue
             revision = reading.revision
             self.router.proxy.learn_configuration.defer(
-                reading.configuration, proven_at, "store"
+                reading.configuration, proven_at, router_actor.STORE
             )
 
+    def _may_watch(self) -> bool:
+        """Returns whether to watch; waits a little where not.
+
+        An instance that knows nothing yet reads, whoever watches.
+        """
+        status = self.router.status()
+        if status.is_watcher or not status.has_targets or status.version < 0:
+            return True
+        self._stop.wait(CHECK_SECONDS)
+        return False
+
     def _configuration_wait(self) -> float:
         status = self.router.status()
         return (
@@ -154,6 +171,9 @@
         backoff = _Backoff(self.rng)
         revision = -1
         while not self._stop.is_set():
+            if not self._may_watch():
+                revision = -1
+                continue
             is_list = revision < 0
             try:
                 if is_list:
@@ -179,14 +199,18 @@
                 if is_list
                 else proxy.learn_target_events
             )
-            learn.defer(reading, "store")
+            learn.defer(reading, router_actor.STORE)
 
     def _keep_proof(self) -> None:
-        """Renews a proof that watches and heartbeats left to grow old."""
+        """Renews what watches, heartbeats and news left to grow old."""
         next_try = 0.0
         backoff = _Backoff(self.rng)
         while not self._stop.wait(CHECK_SECONDS):
             status = self.router.status()
+            if status.better_peer:
+                self.router.proxy.forget_better_peer.defer(status.better_peer)
+                if self._ask_peer(status.better_peer, status):
+                    continue
             is_stale = status.proof_age_seconds > STALE_PROOF_SECONDS
             is_behind = status.peer_version > status.version
             if not (is_stale or is_behind or not status.has_targets):
@@ -208,7 +232,7 @@
         self._note_store(True)
         if reading.configuration is not None:
             self.router.proxy.learn_configuration.defer(
-                reading.configuration, sent_at, "store"
+                reading.configuration, sent_at, router_actor.STORE
             )
         return True
 
@@ -216,35 +240,36 @@
         """Asks one peer after the other until one knows enough."""
         peers = list(status.peers)
         self.rng.shuffle(peers)
-        for peer in peers:
-            sent_at = self.clock()
-            try:
-                state = self.read_peer(peer)
-            except errors.PlatformError as error:
-                _LOG.info(
-                    "peer_silent", extra={"peer": peer, "reason": str(error)}
-                )
-                continue
-            if state.configuration is None:
-                continue
-            source = f"peer {peer}"
-            proxy = self.router.proxy
-            # The age counts from before the question: transit adds nothing.
-            proxy.learn_configuration.defer(
-                state.configuration, sent_at - state.proof_age_seconds, source
-            )
-            if not status.has_targets and state.targets:
-                events = tuple(
-                    belief_source.TargetEvent(target.name, target, False)
-                    for target in state.targets
-                )
-                proxy.learn_target_list.defer(
-                    belief_source.TargetReading(events, state.target_revision),
-                    source,
-                )
-            if state.proof_age_seconds < STALE_PROOF_SECONDS:
+        for peer in peers[:PEERS_ASKED]:
+            if self._ask_peer(peer, status):
                 return
 
+    def _ask_peer(self, peer: str, status: router_actor.Status) -> bool:
+        """Takes what a peer knows; returns whether that is recent."""
+        sent_at = self.clock()
+        try:
+            state = self.read_peer(peer, status.version)
+        except errors.PlatformError as error:
+            _LOG.info("peer_silent", extra={"peer": peer, "reason": str(error)})
+            return False
+        if state.version < 0 or state.version < status.version:
+            return False
+        source = f"peer {peer}"
+        proxy = self.router.proxy
+        # The age counts from before the question: transit adds nothing.
+        proven_at = sent_at - state.proof_age_seconds
+        proxy.learn_configuration.defer(state.configuration, proven_at, source)
+        if state.targets and not status.is_watcher:
+            events = tuple(
+                belief_source.TargetEvent(target.name, target, False)
+                for target in state.targets
+            )
+            proxy.learn_target_list.defer(
+                belief_source.TargetReading(events, state.target_revision),
+                source,
+            )
+        return state.proof_age_seconds < STALE_PROOF_SECONDS
+
     def _note_reset(self, subject: str, error: Exception) -> None:
         _LOG.warning(
             "history_gone", extra={"subject": subject, "reason": str(error)}
--- a/catkintrail/core/beliefs.py
+++ b/catkintrail/core/beliefs.py
@@ -5,6 +5,8 @@
 
 from typing import NamedTuple
 
+import xxhash
+
 from catkintrail.core import route_table
 from catkintrail.core import targets as target_records
 
@@ -75,9 +77,20 @@
         self.targets: dict[str, target_records.Target] = {}
         self.by_service: dict[str, dict[str, target_records.Target]] = {}
         self.revision = -1
+        self._digest = 0
+        self._is_digest_old = True
         self._left: dict[str, int] = {}
         self._lapses: dict[str, float] = {}
 
+    @property
+    def digest(self) -> int:
+        """A digest of what is known, to compare with a peer's."""
+        if self._is_digest_old:
+            self._is_digest_old = False
+            known = sorted(tuple(t) for t in self.targets.values())
+            self._digest = xxhash.xxh32_intdigest(repr(known).encode())
+        return self._digest
+
     def replace_all(
         self,
         listed: list[target_records.Target],
@@ -114,6 +127,7 @@
             return []
         old = self.targets.get(target.name)
         self.targets[target.name] = target
+        self._is_digest_old = True
         if target.is_leaving:
             self._left[target.name] = target.born
             self._hide(target.name)
@@ -167,6 +181,7 @@
 
     def _drop(self, name: str, event: str) -> list[TargetChange]:
         target = self.targets.pop(name, None)
+        self._is_digest_old = True
         self._left.pop(name, None)
         self._hide(name)
         return [TargetChange(target, event)] if target else []
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -42,8 +42,9 @@
 SLOT_COST = 0.1
 QUEUED_COST = 1.0
 OTHER_ZONE_COST = 0.12
-# From this many instances on, loads are told within a zone only.
-FULL_MESH_INSTANCES = 16
+# A watcher whose targets differ from the own ones for this long knows better:
+# news of a change was lost.
+DIFFERENCE_SECONDS = 0.8
 # Targets that left are told to peers for this long.
 LEFT_MEMORY_SECONDS = 10.0
 # Callers leave a stream after the longest of these; the platform states them.
@@ -147,6 +148,7 @@
         is_store_up: Whether the store answered its last call.
         store_returned_at: When it last answered after a failure.
         peer_version: The newest version that a peer told of.
+        better_peer: Address of a peer that knows more; "" for none.
     """
 
     def __init__(
@@ -164,11 +166,14 @@
         self.health = target_health.TargetHealth()
         self.peers = fleet_peers.FleetPeers(
             settings.address,
+            settings.availability_zone,
             [seed.rpartition(":")[0] for seed in settings.seeds],
         )
         self.is_store_up = True
         self.store_returned_at = float("-inf")
         self.peer_version = -1
+        self.better_peer = ""
+        self._differs_since: dict[str, float] = {}
         self.has_targets = False
         self._budgets: dict[str, repeat_budget.RepeatBudget] = {}
         self._left: dict[str, tuple[int, float]] = {}
@@ -398,9 +403,11 @@
             self.incarnation,
             nonce,
             self.configuration.version,
-            self.targets.revision,
+            self.targets.digest,
+            self.is_watcher(now),
+            self.is_store_up,
             tuple((name, born) for name, (born, _) in self._left.items()),
-            tuple(peer.address for peer in self.peers.alive(now)),
+            self.peers.to_tell(now, self.rng),
         )
 
     def answer_heartbeat(
@@ -427,8 +434,10 @@
             heartbeat.availability_zone,
             heartbeat.incarnation,
             now,
+            heartbeat.has_store,
         )
-        self.peer_version = max(self.peer_version, heartbeat.version)
+        self._compare(address, heartbeat, now)
+        self._note_version(address, heartbeat.version)
         for other in heartbeat.addresses:
             self.peers.learn(other, now)
         changes = []
@@ -447,7 +456,7 @@
             answer.incarnation,
             now,
         )
-        self.peer_version = max(self.peer_version, answer.version)
+        self._note_version(address, answer.version)
         sent_at = self._asked.get(answer.nonce)
         # The age counts from before the question, so transit adds nothing.
         if sent_at is not None and answer.proof_age_ms >= 0:
@@ -479,25 +488,55 @@
             tuple(_to_report(attempt, now) for attempt in own.values()),
         )
 
-    def load_receivers(self, now: float) -> list[str]:
-        """Returns the addresses of peers that are told of loads."""
-        alive = self.peers.alive(now)
-        if len(alive) < FULL_MESH_INSTANCES:
-            return [peer.address for peer in alive]
-        zone = self.settings.availability_zone
-        return [p.address for p in alive if p.availability_zone == zone]
+    def hear_news(
+        self, address: str, news: messages.FleetNews, now: float
+    ) -> list[beliefs.TargetChange]:
+        """Takes what a watcher learned; returns what changed."""
+        self._note_version(address, news.version)
+        changes = []
+        for target in news.targets:
+            changes += self.targets.put(target, self.targets.revision)
+        for name in news.removed:
+            changes += self.targets.remove(
+                name, self.targets.revision, now, now
+            )
+        return self._note_left(changes, now)
+
+    def receivers(self, now: float) -> tuple[list[str], list[str]]:
+        """Returns who is told directly, and who passes messages on."""
+        if not self.peers.is_large:
+            return [peer.address for peer in self.peers.alive(now)], []
+        near = [peer.address for peer in self.peers.near(now)]
+        return near, self.peers.gateways(now, self.rng)
+
+    def is_watcher(self, now: float) -> bool:
+        """Returns whether this instance watches the store for its zone."""
+        return self.peers.watch_rank(now) < self.peers.watchers()
 
     def is_proof_holder(self, now: float) -> bool:
         """Returns whether this instance proves the configuration for its zone.
 
         One of a zone's instances asks the store often; the others ask peers.
         """
-        zone = self.settings.availability_zone
-        return all(
-            self.settings.address < peer.address
-            for peer in self.peers.alive(now)
-            if peer.availability_zone == zone
-        )
+        return self.peers.watch_rank(now) == 0
+
+    def _note_version(self, address: str, version: int) -> None:
+        self.peer_version = max(self.peer_version, version)
+        if version > self.configuration.version:
+            self.better_peer = address
+
+    def _compare(
+        self, address: str, heartbeat: messages.FleetHeartbeat, now: float
+    ) -> None:
+        """Notices that news of targets were lost."""
+        is_same = heartbeat.target_digest == self.targets.digest
+        if is_same or not heartbeat.is_watcher or self.is_watcher(now):
+            self._differs_since.pop(address, None)
+            return
+        since = self._differs_since.setdefault(address, now)
+        if now - since >= DIFFERENCE_SECONDS:
+            self.better_peer = address
+            del self._differs_since[address]
 
     def _valid_until(self) -> float:
         bound = self.settings.revocation_seconds
--- a/catkintrail/messages.py
+++ b/catkintrail/messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from catkintrail import errors
+from catkintrail.core import targets
 
 __all__ = [
     "Ack",
@@ -17,6 +18,8 @@
     "Declined",
     "FleetHeartbeat",
     "FleetHeartbeatAnswer",
+    "FleetNews",
+    "Forwarded",
     "Granted",
     "GroupMember",
     "HoldingsClaimed",
@@ -411,9 +414,11 @@
         incarnation: Rises with each start.
         nonce: The answer carries it.
         version: Version of the configuration that it knows.
-        target_revision: Revision of the newest target entry that it knows.
+        target_digest: Digest of the targets that it knows.
+        is_watcher: Whether it watches the store for its zone.
+        has_store: Whether the store answers it.
         left: Names and starts of targets that left lately.
-        addresses: Addresses of instances that it knows.
+        addresses: Addresses of some instances that it knows.
     """
 
     sender: str
@@ -421,7 +426,9 @@
     incarnation: int
     nonce: int
     version: int
-    target_revision: int
+    target_digest: int
+    is_watcher: bool
+    has_store: bool
     left: tuple[tuple[str, int], ...]
     addresses: tuple[str, ...]
 
@@ -445,6 +452,28 @@
     proof_age_ms: float
 
 
+class FleetNews(NamedTuple):
+    """A watcher learned of something newer.
+
+    Attributes:
+        sender: Its name.
+        version: Version of the configuration that it knows.
+        targets: Entries of targets that changed.
+        removed: Names of targets that are gone.
+    """
+
+    sender: str
+    version: int
+    targets: tuple[targets.Target, ...]
+    removed: tuple[str, ...]
+
+
+class Forwarded(NamedTuple):
+    """A message to pass on to all instances of the receiver's zone."""
+
+    content: bytes
+
+
 _TYPES: tuple[type, ...] = (
     Ping,
     Ack,
@@ -475,6 +504,8 @@
     LoadSnapshot,
     FleetHeartbeat,
     FleetHeartbeatAnswer,
+    FleetNews,
+    Forwarded,
 )
 _TAGS = {kind: tag for tag, kind in enumerate(_TYPES)}
 
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -7,6 +7,7 @@
 import threading
 import time
 from typing import Any
+import zlib
 
 import msgspec
 import urllib3
@@ -50,6 +51,8 @@
 METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
 STATE_PATH = "/state"
+# Configurations shrink to a tenth at the fastest level.
+STATE_COMPRESSION = 1
 
 
 class RelayInstance:
@@ -206,8 +209,8 @@
         while True:
             self.router.proxy.tick.defer()
             self.client.close_idle()
-            state = self.router.peer_state()
-            if state.configuration and state.configuration.version != version:
+            state = self.router.peer_state(version)
+            if state.configuration is not None:
                 version = state.configuration.version
                 limits = state.configuration.limits
                 self.callers.apply_limits(
@@ -220,21 +223,24 @@
     def _hear(self, address: str, message: Any) -> None:
         self.router.proxy.hear.defer(address, message)
 
-    def _read_peer(self, address: str) -> router_actor.PeerState:
+    def _read_peer(
+        self, address: str, known_version: int
+    ) -> router_actor.PeerState:
         port = self.settings.peer_address.rpartition(":")[2]
         try:
             response = self.http.request(
                 "GET",
-                f"http://{address}:{port}{STATE_PATH}",
+                f"http://{address}:{port}{STATE_PATH}?have={known_version}",
                 timeout=PEER_TIMEOUT_SECONDS,
             )
             return msgspec.json.decode(
-                response.data, type=router_actor.PeerState
+                zlib.decompress(response.data), type=router_actor.PeerState
             )
         except (
             urllib3.exceptions.HTTPError,
             OSError,
             msgspec.DecodeError,
+            zlib.error,
         ) as error:
             raise errors.PlatformUnavailableError(
                 f"peer {address}: {error}"
@@ -249,9 +255,20 @@
 
     def _answer_peer(self, request: wsgi.Request) -> wsgi.Response:
         if request.path == STATE_PATH:
-            return wsgi.json_response(200, self.router.peer_state())
+            return self._answer_state(request)
         return self._answer_metrics(request)
 
+    def _answer_state(self, request: wsgi.Request) -> wsgi.Response:
+        have = request.query.get("have", "")
+        known_version = int(have) if have.isdigit() else -1
+        state = self.router.peer_state(known_version)
+        body = zlib.compress(msgspec.json.encode(state), STATE_COMPRESSION)
+        headers = [
+            ("Content-Type", "application/octet-stream"),
+            ("Content-Length", str(len(body))),
+        ]
+        return wsgi.Response(200, headers, [body])
+
     def _answer_metrics(self, request: wsgi.Request) -> wsgi.Response:
         if request.path != METRICS_PATH:
             return wsgi.Response(404, [("Content-Length", "0")], [])
--- a/tests/test_request_router.py
+++ b/tests/test_request_router.py
@@ -203,6 +203,7 @@
         )
         self.assertTrue(self.first.is_proof_holder(101.0))
         self.assertFalse(self.second.is_proof_holder(101.0))
+        self.assertTrue(self.second.is_watcher(101.0))
         # The next one takes over when the first falls silent.
         self.assertTrue(self.second.is_proof_holder(103.0))
 
