--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -27,6 +27,10 @@
 # Targets that one datagram tells of.
 NEWS_TARGETS = 100
 SNAPSHOT_SECONDS = 1.0
+LARGE_SNAPSHOT_SECONDS = 4.0
+# Loads of other zones are passed on this late; a prefill takes longer.
+BATCH_SECONDS = 0.1
+BATCH_MESSAGES = 100
 # The actor does no I/O that waits; a longer silence is a fault.
 ANSWER_TIMEOUT_SECONDS = 5.0
 
@@ -97,6 +101,8 @@
         self._clock = clock
         self._next_heartbeat = 0.0
         self._next_snapshot = 0.0
+        self._batch: list[bytes] = []
+        self._batch_since = float("inf")
 
     def admit(
         self, host: str, path: str, api_key: str
@@ -111,7 +117,7 @@
         now = self._clock()
         grant = self._router.place(request, now)
         if isinstance(grant, request_router.Grant):
-            self._tell(self._router.placed_update(request.key, now), now)
+            self._tell(self._router.placed_update(request.key, now))
         return grant
 
     def note_first_token(
@@ -122,7 +128,7 @@
         update = self._router.note_first_token(
             key, measured_ms, predicted_ms, now
         )
-        self._tell(update, now)
+        self._tell(update)
 
     def note_end(
         self,
@@ -142,7 +148,7 @@
                 "target_ejected",
                 extra={"target": target, "is_silent": is_silent},
             )
-        self._tell(update, now)
+        self._tell(update)
 
     def note_leaving(self, target: str) -> None:
         """Notes that a target is not at its address any more."""
@@ -240,6 +246,8 @@
             _log_changes(changes, f"peer {message.sender}")
         elif isinstance(message, messages.Forwarded):
             self._pass_on(address, message, now)
+        elif isinstance(message, messages.Batch):
+            self._hear_batch(address, message)
         else:
             router.hear_load(message, now)
 
@@ -249,15 +257,19 @@
         router = self._router
         lapsed = router.expire(now)
         _log_changes(lapsed, "expiry")
-        if lapsed and router.is_watcher(now):
+        if lapsed and router.is_watcher():
             self._tell_news(lapsed)
         if now >= self._next_heartbeat:
             self._next_heartbeat = now + HEARTBEAT_SECONDS
             heartbeat = router.heartbeat(now)
-            self._send(router.peers.to_greet(now, router.rng), heartbeat)
+            self._send(router.peers.greet(now, router.rng), heartbeat)
         if now >= self._next_snapshot:
-            self._next_snapshot = now + SNAPSHOT_SECONDS
-            self._tell(router.snapshot(now), now)
+            wait = SNAPSHOT_SECONDS
+            if router.peers.is_large:
+                wait = LARGE_SNAPSHOT_SECONDS
+            self._next_snapshot = now + wait * router.rng.uniform(0.8, 1.2)
+            self._tell(router.snapshot(now))
+        self._pass_batch(now)
 
     def peer_state(self, known_version: int = -1) -> PeerState:
         """Returns what another instance may learn from this one."""
@@ -281,12 +293,12 @@
             router.is_ready(now),
             router.configuration.version,
             now - router.configuration.proven_at,
-            router.is_proof_holder(now),
+            router.is_proof_holder(),
             router.has_targets,
-            tuple(peer.address for peer in router.peers.alive(now)),
+            tuple(peer.address for peer in router.peers.alive()),
             sum(len(owned) for owned in router.load.by_owner.values()),
             router.peer_version,
-            router.is_watcher(now),
+            router.is_watcher(),
             router.better_peer,
         )
 
@@ -298,12 +310,11 @@
     def _tell(
         self,
         update: messages.LoadUpdate | messages.LoadSnapshot | None,
-        now: float,
     ) -> None:
         """Tells all instances of own attempts."""
         if update is None:
             return
-        near, gateways = self._router.receivers(now)
+        near, gateways = self._router.receivers()
         self._send(near, update)
         if gateways:
             forwarded = messages.Forwarded(messages.encode(update))
@@ -311,13 +322,12 @@
 
     def _tell_news(self, changes: list[beliefs.TargetChange]) -> None:
         """Tells peers what the store said."""
-        now = self._clock()
         router = self._router
         known = [c.target for c in changes if c.event in KNOWN_EVENTS]
         removed = [
             c.target.name for c in changes if c.event not in KNOWN_EVENTS
         ]
-        near, gateways = router.receivers(now)
+        near, gateways = router.receivers()
         for start in range(0, max(1, len(known)), NEWS_TARGETS):
             news = messages.FleetNews(
                 router.settings.name,
@@ -338,13 +348,35 @@
         try:
             inner = messages.decode(message.content)
         except errors.FrameError as error:
-            _LOG.info("forwarded_unreadable", extra={"reason": str(error)})
+            _LOG.info("message_unreadable", extra={"reason": str(error)})
             return
-        if isinstance(inner, messages.Forwarded):
+        if isinstance(inner, (messages.Forwarded, messages.Batch)):
             return
-        near = [peer.address for peer in self._router.peers.near(now)]
-        self._send(near, inner)
         self.hear(address, inner)
+        self._batch.append(message.content)
+        self._batch_since = min(self._batch_since, now)
+        self._pass_batch(now)
+
+    def _pass_batch(self, now: float) -> None:
+        """Sends what other zones said to the own zone, a few at a time."""
+        if not self._batch or now - self._batch_since < BATCH_SECONDS:
+            return
+        near = [peer.address for peer in self._router.peers.near()]
+        for start in range(0, len(self._batch), BATCH_MESSAGES):
+            part = self._batch[start : start + BATCH_MESSAGES]
+            self._send(near, messages.Batch(tuple(part)))
+        self._batch.clear()
+        self._batch_since = float("inf")
+
+    def _hear_batch(self, address: str, batch: messages.Batch) -> None:
+        for content in batch.contents:
+            try:
+                inner = messages.decode(content)
+            except errors.FrameError as error:
+                _LOG.info("message_unreadable", extra={"reason": str(error)})
+                continue
+            if not isinstance(inner, (messages.Forwarded, messages.Batch)):
+                self.hear(address, inner)
 
 
 class RouterClient:
--- a/catkintrail/belief_loops.py
+++ b/catkintrail/belief_loops.py
@@ -22,9 +22,20 @@
 # Other watches wait long: they only bring changes. Keep-alive probes find
 # connections that went silent.
 LONG_WAIT_SECONDS = 20.0
-# From this age on an instance asks the store itself, and then its peers.
-STALE_PROOF_SECONDS = 2.6
+# From this age on an instance asks the store itself, and then its peers: the
+# proof holder's own one grows to about three seconds.
+STALE_PROOF_SECONDS = 3.4
 CHECK_SECONDS = 0.25
+# How often an instance that does not watch looks whether it should.
+ROLE_CHECK_SECONDS = 0.5
+# Pause after a watch that brought changes: changes that follow at once come in
+# one answer then, and each call is paid for.
+WATCH_PAUSE_SECONDS = 0.15
+# An instance whose peers know nothing recent either asks the store this often.
+STORE_PAUSE_SECONDS = 2.0
+# A watcher's own calls renew its proof; where they hang, it is renewed besides
+# after this.
+WATCHER_SLACK_SECONDS = 0.5
 # Pauses after failures of the store, doubled up to the limit, with jitter.
 BACKOFF_SECONDS = 0.1
 BACKOFF_LIMIT_SECONDS = 1.0
@@ -147,6 +158,8 @@
             self.router.proxy.learn_configuration.defer(
                 reading.configuration, proven_at, router_actor.STORE
             )
+            if reading.configuration is not None:
+                self._stop.wait(WATCH_PAUSE_SECONDS)
 
     def _may_watch(self) -> bool:
         """Returns whether to watch; waits a little where not.
@@ -156,7 +169,7 @@
         status = self.router.status()
         if status.is_watcher or not status.has_targets or status.version < 0:
             return True
-        self._stop.wait(CHECK_SECONDS)
+        self._stop.wait(ROLE_CHECK_SECONDS)
         return False
 
     def _configuration_wait(self) -> float:
@@ -200,10 +213,12 @@
                 else proxy.learn_target_events
             )
             learn.defer(reading, router_actor.STORE)
+            if reading.events:
+                self._stop.wait(WATCH_PAUSE_SECONDS)
 
     def _keep_proof(self) -> None:
         """Renews what watches, heartbeats and news left to grow old."""
-        next_try = 0.0
+        next_store = next_peers = 0.0
         backoff = _Backoff(self.rng)
         while not self._stop.wait(CHECK_SECONDS):
             status = self.router.status()
@@ -211,16 +226,31 @@
                 self.router.proxy.forget_better_peer.defer(status.better_peer)
                 if self._ask_peer(status.better_peer, status):
                     continue
-            is_stale = status.proof_age_seconds > STALE_PROOF_SECONDS
-            is_behind = status.peer_version > status.version
-            if not (is_stale or is_behind or not status.has_targets):
+            if not self._lacks_knowledge(status):
                 backoff.reset()
                 continue
-            if self.clock() < next_try:
-                continue
-            if not self._read_store():
-                self._ask_peers(status)
-            next_try = self.clock() + backoff.next()
+            now = self.clock()
+            if now >= next_peers and not status.is_watcher:
+                next_peers = now + backoff.next()
+                if self._ask_peers(status):
+                    continue
+            if now >= next_store:
+                next_store = now + STORE_PAUSE_SECONDS * self.rng.uniform(
+                    0.5, 1
+                )
+                if not self._read_store() and status.is_watcher:
+                    self._ask_peers(status)
+
+    def _lacks_knowledge(self, status: router_actor.Status) -> bool:
+        """Returns whether what is known is old or incomplete."""
+        limit = STALE_PROOF_SECONDS
+        if status.is_watcher:
+            limit += WATCHER_SLACK_SECONDS
+        return (
+            status.proof_age_seconds > limit
+            or status.peer_version > status.version
+            or not status.has_targets
+        )
 
     def _read_store(self) -> bool:
         sent_at = self.clock()
@@ -236,13 +266,14 @@
             )
         return True
 
-    def _ask_peers(self, status: router_actor.Status) -> None:
-        """Asks one peer after the other until one knows enough."""
+    def _ask_peers(self, status: router_actor.Status) -> bool:
+        """Asks some peers until one knows enough; returns whether one did."""
         peers = list(status.peers)
         self.rng.shuffle(peers)
         for peer in peers[:PEERS_ASKED]:
             if self._ask_peer(peer, status):
-                return
+                return True
+        return False
 
     def _ask_peer(self, peer: str, status: router_actor.Status) -> bool:
         """Takes what a peer knows; returns whether that is recent."""
--- a/catkintrail/core/fleet_peers.py
+++ b/catkintrail/core/fleet_peers.py
@@ -5,11 +5,13 @@
 
 __all__ = ["FleetPeers", "Peer"]
 
-# Three heartbeats, for peers that are greeted with each.
-SILENCE_SECONDS = 1.6
-# Of a large fleet's other zones, a few peers are greeted with each heartbeat.
-FAR_SILENCE_SECONDS = 8.0
-FAR_GREETINGS = 3
+# A peer that did not answer this many heartbeats is down.
+MISSED_HEARTBEATS = 4
+# Peers of the own zone that a large fleet greets with each heartbeat: the
+# first ones, which watch the store, and some others.
+FIRST_GREETINGS = 3
+NEAR_GREETINGS = 3
+FAR_GREETINGS = 1
 # A peer that is silent this long is asked no more; it comes back by itself.
 FORGET_SECONDS = 20.0
 # From this many instances on, a fleet is large: what every instance tells every
@@ -31,6 +33,7 @@
         incarnation: Rises with each start.
         heard_at: When it was last heard; when it became known, before that.
         is_heard: Whether it was heard at all.
+        missed: Heartbeats sent to it since then.
         has_store: Whether the store answers it.
     """
 
@@ -40,6 +43,7 @@
     incarnation: int
     heard_at: float
     is_heard: bool
+    missed: int
     has_store: bool
 
 
@@ -90,71 +94,79 @@
         if has_store is None:
             has_store = old.has_store if old else False
         self.peers[address] = Peer(
-            address, name, availability_zone, incarnation, now, True, has_store
+            address,
+            name,
+            availability_zone,
+            incarnation,
+            now,
+            True,
+            0,
+            has_store,
         )
-        self.most = max(self.most, len(self.alive(now)) + 1)
+        self.most = max(self.most, len(self.alive()) + 1)
         if old is None or not old.is_heard:
             return "joined"
         if old.incarnation != incarnation:
             return "restarted"
-        return "back" if now - old.heard_at > SILENCE_SECONDS else ""
+        return "back" if old.missed >= MISSED_HEARTBEATS else ""
 
     def learn(self, address: str, now: float) -> None:
         """Notes an address that a peer told of."""
         if address != self.own_address and address not in self.peers:
-            self.peers[address] = Peer(address, "", "", 0, now, False, False)
+            self.peers[address] = Peer(address, "", "", 0, now, False, 0, False)
 
     @property
     def is_large(self) -> bool:
         """Whether instances tell only some of the others."""
         return self.most >= LARGE_FLEET
 
-    def alive(self, now: float) -> list[Peer]:
-        """Returns the peers that were heard lately."""
-        far = FAR_SILENCE_SECONDS if self.is_large else SILENCE_SECONDS
+    def alive(self) -> list[Peer]:
+        """Returns the peers that are not known to be down."""
         return [
             peer
             for peer in self.peers.values()
-            if peer.is_heard
-            and now - peer.heard_at
-            <= (SILENCE_SECONDS if self._is_near(peer) else far)
+            if peer.is_heard and peer.missed < MISSED_HEARTBEATS
         ]
 
-    def near(self, now: float) -> list[Peer]:
-        """Returns the live peers of the own zone."""
-        return [peer for peer in self.alive(now) if self._is_near(peer)]
+    def near(self) -> list[Peer]:
+        """Returns the live peers of the own zone, by address."""
+        near = [peer for peer in self.alive() if self._is_near(peer)]
+        return sorted(near, key=lambda peer: peer.address)
 
-    def to_greet(self, now: float, rng: random.Random) -> list[str]:
-        """Returns the addresses that get heartbeats; forgets old ones."""
+    def gateways(self) -> list[str]:
+        """Returns the first live peer of each other zone."""
+        first: dict[str, str] = {}
+        for peer in self.alive():
+            if not self._is_near(peer):
+                known = first.setdefault(peer.availability_zone, peer.address)
+                first[peer.availability_zone] = min(known, peer.address)
+        return [first[zone] for zone in sorted(first)]
+
+    def greet(self, now: float, rng: random.Random) -> list[str]:
+        """Returns the addresses that get a heartbeat now.
+
+        Peers that stay silent are counted as down, and later forgotten.
+        """
         for address, peer in list(self.peers.items()):
             if now - peer.heard_at > FORGET_SECONDS:
                 del self.peers[address]
-        near = set(self.seeds)
-        far = []
-        for address, peer in self.peers.items():
-            if self.is_large and peer.is_heard and not self._is_near(peer):
-                far.append(address)
-            else:
-                near.add(address)
-        far = rng.sample(far, min(FAR_GREETINGS, len(far)))
-        return sorted(near | set(far))
-
-    def to_tell(self, now: float, rng: random.Random) -> tuple[str, ...]:
+        if self.is_large:
+            chosen = self._choose_greeted(rng)
+        else:
+            chosen = set(self.peers)
+        chosen |= set(self.seeds)
+        for address in chosen:
+            peer = self.peers.get(address)
+            if peer is not None:
+                self.peers[address] = peer._replace(missed=peer.missed + 1)
+        return sorted(chosen)
+
+    def to_tell(self, rng: random.Random) -> tuple[str, ...]:
         """Returns some addresses of live peers, for others to learn."""
-        alive = [peer.address for peer in self.alive(now)]
+        alive = [peer.address for peer in self.alive()]
         return tuple(rng.sample(alive, min(TOLD_ADDRESSES, len(alive))))
 
-    def gateways(self, now: float, rng: random.Random) -> list[str]:
-        """Returns a live peer of each other zone, which passes messages on."""
-        zones: dict[str, list[str]] = {}
-        for peer in self.alive(now):
-            if not self._is_near(peer):
-                zones.setdefault(peer.availability_zone, []).append(
-                    peer.address
-                )
-        return [rng.choice(zones[zone]) for zone in sorted(zones)]
-
-    def watch_rank(self, now: float) -> int:
+    def watch_rank(self) -> int:
         """Returns how many instances of the zone go first as watchers.
 
         Those go first that the store answers, and of them those with the
@@ -162,7 +174,7 @@
         """
         return sum(
             1
-            for peer in self.near(now)
+            for peer in self.near()
             if peer.has_store and peer.address < self.own_address
         )
 
@@ -174,5 +186,22 @@
             return WATCHERS_OF_LARGE_FLEET
         return 1
 
+    def _choose_greeted(self, rng: random.Random) -> set[str]:
+        near = [peer.address for peer in self.near()]
+        chosen = set(near[:FIRST_GREETINGS])
+        chosen |= set(self.gateways())
+        others = [
+            (address, self._is_near(peer))
+            for address, peer in self.peers.items()
+            if peer.is_heard and address not in chosen
+        ]
+        for is_near, count in ((True, NEAR_GREETINGS), (False, FAR_GREETINGS)):
+            pool = sorted(a for a, its_near in others if its_near is is_near)
+            chosen |= set(rng.sample(pool, min(count, len(pool))))
+        # Those that were told of are greeted until they answer.
+        return chosen | {
+            address for address, peer in self.peers.items() if not peer.is_heard
+        }
+
     def _is_near(self, peer: Peer) -> bool:
         return peer.availability_zone == self.own_zone
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -42,6 +42,8 @@
 SLOT_COST = 0.1
 QUEUED_COST = 1.0
 OTHER_ZONE_COST = 0.12
+# Answers to heartbeats that come later are not taken.
+ANSWER_SECONDS = 1.6
 # A watcher whose targets differ from the own ones for this long knows better:
 # news of a change was lost.
 DIFFERENCE_SECONDS = 0.8
@@ -370,7 +372,7 @@
     def expire(self, now: float) -> list[beliefs.TargetChange]:
         """Drops beliefs that are too old."""
         self.load.expire(now)
-        alive = {peer.name for peer in self.peers.alive(now)}
+        alive = {peer.name for peer in self.peers.alive()}
         alive.add(self.settings.name)
         for owner in list(self.load.by_owner):
             if owner not in alive:
@@ -379,7 +381,7 @@
             if now - since > LEFT_MEMORY_SECONDS:
                 del self._left[name]
         for nonce, sent_at in list(self._asked.items()):
-            if now - sent_at > fleet_peers.SILENCE_SECONDS:
+            if now - sent_at > ANSWER_SECONDS:
                 del self._asked[nonce]
         return self._note_left(self.targets.expire(now), now)
 
@@ -404,10 +406,10 @@
             nonce,
             self.configuration.version,
             self.targets.digest,
-            self.is_watcher(now),
+            self.is_watcher(),
             self.is_store_up,
             tuple((name, born) for name, (born, _) in self._left.items()),
-            self.peers.to_tell(now, self.rng),
+            self.peers.to_tell(self.rng),
         )
 
     def answer_heartbeat(
@@ -502,23 +504,23 @@
             )
         return self._note_left(changes, now)
 
-    def receivers(self, now: float) -> tuple[list[str], list[str]]:
+    def receivers(self) -> tuple[list[str], list[str]]:
         """Returns who is told directly, and who passes messages on."""
         if not self.peers.is_large:
-            return [peer.address for peer in self.peers.alive(now)], []
-        near = [peer.address for peer in self.peers.near(now)]
-        return near, self.peers.gateways(now, self.rng)
+            return [peer.address for peer in self.peers.alive()], []
+        near = [peer.address for peer in self.peers.near()]
+        return near, self.peers.gateways()
 
-    def is_watcher(self, now: float) -> bool:
+    def is_watcher(self) -> bool:
         """Returns whether this instance watches the store for its zone."""
-        return self.peers.watch_rank(now) < self.peers.watchers()
+        return self.peers.watch_rank() < self.peers.watchers()
 
-    def is_proof_holder(self, now: float) -> bool:
+    def is_proof_holder(self) -> bool:
         """Returns whether this instance proves the configuration for its zone.
 
         One of a zone's instances asks the store often; the others ask peers.
         """
-        return self.peers.watch_rank(now) == 0
+        return self.peers.watch_rank() == 0
 
     def _note_version(self, address: str, version: int) -> None:
         self.peer_version = max(self.peer_version, version)
@@ -530,7 +532,7 @@
     ) -> None:
         """Notices that news of targets were lost."""
         is_same = heartbeat.target_digest == self.targets.digest
-        if is_same or not heartbeat.is_watcher or self.is_watcher(now):
+        if is_same or not heartbeat.is_watcher or self.is_watcher():
             self._differs_since.pop(address, None)
             return
         since = self._differs_since.setdefault(address, now)
--- a/catkintrail/messages.py
+++ b/catkintrail/messages.py
@@ -9,6 +9,7 @@
 from catkintrail.core import targets
 
 __all__ = [
+    "Batch",
     "Ack",
     "Acquire",
     "AttemptReport",
@@ -474,6 +475,12 @@
     content: bytes
 
 
+class Batch(NamedTuple):
+    """Messages of other zones."""
+
+    contents: tuple[bytes, ...]
+
+
 _TYPES: tuple[type, ...] = (
     Ping,
     Ack,
@@ -506,6 +513,7 @@
     FleetHeartbeatAnswer,
     FleetNews,
     Forwarded,
+    Batch,
 )
 _TAGS = {kind: tag for tag, kind in enumerate(_TYPES)}
 
--- a/catkintrail/relay.py
+++ b/catkintrail/relay.py
@@ -96,6 +96,15 @@
         self.sequence = event_stream.EventSequence(request.last_event)
         self.has_started = False
         self.first_event_at = 0.0
+        self.last_event_at = 0.0
+        self.longest_gap = 0.0
+
+    def note_events(self, now: float) -> None:
+        """Notes that events are passed on."""
+        if self.last_event_at:
+            gap = now - self.last_event_at
+            self.longest_gap = max(self.longest_gap, gap)
+        self.last_event_at = now
 
 
 class Relay:
@@ -478,6 +487,7 @@
                 if not progress.has_started:
                     progress.has_started = True
                     reply.start(answer.status, answer.headers, None)
+                progress.note_events(self.clock())
                 reply.write(b"".join(event.data for event in events))
                 wait_until = progress.until
                 if may_resume:
@@ -582,6 +592,8 @@
             if progress.first_event_at:
                 first = progress.first_event_at - request.received_at
                 extra["first_event_ms"] = round(first * 1000.0, 1)
+                gap_ms = progress.longest_gap * 1000.0
+                extra["longest_gap_ms"] = round(gap_ms, 1)
         if refusal is not None:
             extra["verdict"] = refusal.verdict.value
             extra["cause"] = refusal.reason.value
--- a/tests/test_request_router.py
+++ b/tests/test_request_router.py
@@ -192,6 +192,8 @@
         self.second.hear_load(self.first.snapshot(101.0), 101.0)
         self.second.expire(102.0)
         self.assertIn("a-1", self.second.load.by_owner)
+        for _ in range(4):
+            self.second.peers.greet(102.0, random.Random(1))
         self.second.expire(103.0)
         self.assertEqual({}, self.second.load.by_target)
 
@@ -201,11 +203,13 @@
         self.first.hear_heartbeat(
             "10.0.0.2", self.second.heartbeat(101.0), 101.0
         )
-        self.assertTrue(self.first.is_proof_holder(101.0))
-        self.assertFalse(self.second.is_proof_holder(101.0))
-        self.assertTrue(self.second.is_watcher(101.0))
+        self.assertTrue(self.first.is_proof_holder())
+        self.assertFalse(self.second.is_proof_holder())
+        self.assertTrue(self.second.is_watcher())
         # The next one takes over when the first falls silent.
-        self.assertTrue(self.second.is_proof_holder(103.0))
+        for _ in range(4):
+            self.second.peers.greet(103.0, random.Random(1))
+        self.assertTrue(self.second.is_proof_holder())
 
 
 class TargetChoiceTests(testtools.TestCase):
