Ask another engine early where it can answer in time; tell peers of faults

Change: where another engine can still answer within the goal and repeats are plenty, it is asked after twice the predicted time; peers hear of faults; groups stay within a zone; targets of a zone whose instances all fell silent are left out; a delay costs at most what the request is worth; a proof covers the time at which a request was sent.

--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -20,6 +20,9 @@
 _LOG = logging.getLogger("catkintrail.router")
 
 HEARTBEAT_SECONDS = 0.5
+# A new instance gets to know its peers, and their loads, before callers come.
+START_SECONDS = 2.0
+START_HEARTBEAT_SECONDS = 0.1
 # Source of what the platform's store says.
 STORE = "store"
 # Events of targets that are still listed.
@@ -99,6 +102,7 @@
         self._router = router
         self._send = send
         self._clock = clock
+        self._started_at = clock()
         self._next_heartbeat = 0.0
         self._next_snapshot = 0.0
         self._batch: list[bytes] = []
@@ -238,6 +242,9 @@
             _log_changes(changes, f"peer {message.sender}")
             _log_peer(address, message.sender, news)
             self._send([address], router.answer_heartbeat(message, now))
+            if news:
+                # The newcomer knows nothing of what runs where.
+                self._send([address], router.snapshot(now))
         elif isinstance(message, messages.FleetHeartbeatAnswer):
             news = router.hear_answer(address, message, now)
             _log_peer(address, message.sender, news)
@@ -260,7 +267,10 @@
         if lapsed and router.is_watcher():
             self._tell_news(lapsed)
         if now >= self._next_heartbeat:
-            self._next_heartbeat = now + HEARTBEAT_SECONDS
+            wait = HEARTBEAT_SECONDS
+            if now < self._started_at + START_SECONDS:
+                wait = START_HEARTBEAT_SECONDS
+            self._next_heartbeat = now + wait
             heartbeat = router.heartbeat(now)
             self._send(router.peers.greet(now, router.rng), heartbeat)
         if now >= self._next_snapshot:
--- a/catkintrail/core/engine_placement.py
+++ b/catkintrail/core/engine_placement.py
@@ -25,12 +25,17 @@
 # A pause is predicted to be too long at this share of the goal; predictions
 # miss the time that events travel.
 GAP_MARGIN = 0.85
+# Callers of the shortest streams leave after such a pause; the platform states
+# it.
+GIVE_UP_GAP_MS = 2_000.0
 # The first event is aimed at this share of the goal, for the same reason.
 GOAL_MARGIN = 0.8
 # Cost of a delay within the goal: breaks ties towards sooner answers.
 EARLY_COST = 0.15
 # Cost of each goal's length beyond the goal, after the loss for being late.
 LATE_SLOPE = 0.25
+# The most that being later still costs: what a late answer is still worth.
+LATE_LIMIT = 0.5
 # Cost of each engine that takes part, as a share of a mean request: its other
 # requests are disturbed by the hand-over.
 PART_COST = 0.02
@@ -53,7 +58,9 @@
     Attributes:
         prompt_tokens: Length of the prompt.
         output_tokens: The most output tokens.
-        goal_ms: Time left until the first event should be there.
+        goal_ms: Time from its coming to the first event within which that is
+            of full use.
+        elapsed_ms: Time since it came.
         gap_goal_ms: The longest useful pause between its events.
         deadline_ms: Time left until the caller gives up.
     """
@@ -61,6 +68,7 @@
     prompt_tokens: int
     output_tokens: int
     goal_ms: float
+    elapsed_ms: float
     gap_goal_ms: float
     deadline_ms: float
 
@@ -171,21 +179,22 @@
     for parts in PART_COUNTS:
         if parts > min(max_parts, len(engines)):
             break
-        holders = _holders(engines, need, room, parts)
-        if not holders:
-            continue
         part_ms = alone_ms / parts
-        choice = _choose_parts(
-            work,
-            holders,
-            engines,
-            parts,
-            part_ms,
-            min(part_ms, burst_ms),
-            own_weight,
-        )
-        if best is None or choice.cost < best.cost:
-            best = choice
+        for group in _groups(engines, parts):
+            holders = _holders(group, need, room, parts)
+            if not holders:
+                continue
+            choice = _choose_parts(
+                work,
+                holders,
+                group,
+                parts,
+                part_ms,
+                min(part_ms, burst_ms),
+                own_weight,
+            )
+            if best is None or choice.cost < best.cost:
+                best = choice
         # More engines gain nothing once a part fits beside any stream.
         if part_ms < figures.step_ms * figures.steps_per_pass:
             break
@@ -207,7 +216,7 @@
         delay = _first_token_ms(engine, part_ms)
         opening = 0.0 if engine.pass_ms else OPEN_ENGINE_COST
         return (
-            own_weight * _delay_cost(delay, work.goal_ms)
+            own_weight * _delay_cost(delay, work)
             + harm(engine)
             + opening
             + _use_cost(engine)
@@ -224,7 +233,7 @@
             late = part_ms * engine.slowness + engine.pass_ms
             late += engine.backlog_ms
             return (
-                own_weight * _delay_cost(late, work.goal_ms) / parts
+                own_weight * _delay_cost(late, work) / parts
                 + harm(engine)
                 + _use_cost(engine)
             )
@@ -239,8 +248,8 @@
             delay = max(delay, helper_delay + engine.backlog_ms)
             cost += harm(engine) + _use_cost(engine) + PART_COST
         cost += own_weight * (
-            _delay_cost(delay, work.goal_ms)
-            - _delay_cost(_first_token_ms(first, part_ms), work.goal_ms)
+            _delay_cost(delay, work)
+            - _delay_cost(_first_token_ms(first, part_ms), work)
         )
     memory = [0] * len(chosen)
     memory[: holders.count] = [holders.tokens] * holders.count
@@ -249,6 +258,24 @@
     )
 
 
+def _groups(
+    engines: Sequence[EngineState], parts: int
+) -> list[Sequence[EngineState]]:
+    """Returns the sets of engines from which a choice is made.
+
+    The engines of a group talk to one another. Those of one availability zone
+    still do when zones are cut off from each other, so a group spans zones only
+    where no zone has enough engines.
+    """
+    if parts == 1:
+        return [engines]
+    zones: dict[str, list[EngineState]] = {}
+    for engine in engines:
+        zones.setdefault(engine.target.availability_zone, []).append(engine)
+    groups = [zone for zone in zones.values() if len(zone) >= parts]
+    return groups or [engines]
+
+
 class _Holders(NamedTuple):
     """Engines of which some keep a prompt's memory.
 
@@ -282,13 +309,14 @@
     return wait + engine.backlog_ms + part_ms * engine.slowness + passes
 
 
-def _delay_cost(delay_ms: float, goal_ms: float) -> float:
+def _delay_cost(delay_ms: float, work: Work) -> float:
     """Returns the share of a request's worth that a delay costs."""
-    share = delay_ms / max(1.0, goal_ms * GOAL_MARGIN)
+    share = (work.elapsed_ms + delay_ms) / (work.goal_ms * GOAL_MARGIN)
     if share <= 1.0:
         return EARLY_COST * share * share
     late = min(1.0, (share - 1.0) * 4.0)
-    return EARLY_COST + LATE_LOSS * late + LATE_SLOPE * (share - 1.0)
+    later = min(LATE_LIMIT, LATE_SLOPE * (share - 1.0))
+    return EARLY_COST + LATE_LOSS * late + later
 
 
 def _use_cost(engine: EngineState) -> float:
@@ -311,7 +339,9 @@
             before = engine.pass_ms + min(engine.backlog_ms, part_ms)
             after = engine.pass_ms + burst_ms * engine.slowness
             if attempt.is_decoding:
-                if after > limit:
+                if after > GIVE_UP_GAP_MS:
+                    cost += attempt.weight
+                elif after > limit:
                     cost += attempt.weight * LATE_LOSS
                 elif before + burst_ms > limit:
                     cost += attempt.weight * LATE_LOSS * 0.5
--- a/catkintrail/core/fleet_peers.py
+++ b/catkintrail/core/fleet_peers.py
@@ -133,6 +133,12 @@
         near = [peer for peer in self.alive() if self._is_near(peer)]
         return sorted(near, key=lambda peer: peer.address)
 
+    def cut_zones(self) -> set[str]:
+        """Returns the other zones of which every known peer is down."""
+        zones = {peer.availability_zone for peer in self.peers.values()}
+        alive = {peer.availability_zone for peer in self.alive()}
+        return zones - alive - {self.own_zone, ""}
+
     def gateways(self) -> list[str]:
         """Returns the first live peer of each other zone."""
         first: dict[str, str] = {}
--- a/catkintrail/core/repeat_budget.py
+++ b/catkintrail/core/repeat_budget.py
@@ -10,6 +10,8 @@
 
 # Of the stated bound, for targets count arrivals later than instances do.
 SAFETY_SHARE = 0.8
+# Repeats beyond this share are kept for requests that failed.
+PLENTY_SHARE = 0.4
 
 
 class RepeatBudget:
@@ -41,12 +43,19 @@
             instances: Instances that share the bound.
             now: Time in seconds.
         """
-        for times in (self._firsts, self._repeats):
-            while times and now - times[0] > self.window_seconds:
-                times.popleft()
-        allowed = self.ratio * len(self._firsts)
-        allowed += self.extra / max(1, instances)
+        allowed = self._allowed(instances, now)
         if len(self._repeats) + 1 > SAFETY_SHARE * allowed:
             return False
         self._repeats.append(now)
         return True
+
+    def is_plenty(self, instances: int, now: float) -> bool:
+        """Returns whether at most half of the repeats are taken."""
+        allowed = self._allowed(instances, now)
+        return len(self._repeats) + 1 <= PLENTY_SHARE * allowed
+
+    def _allowed(self, instances: int, now: float) -> float:
+        for times in (self._firsts, self._repeats):
+            while times and now - times[0] > self.window_seconds:
+                times.popleft()
+        return self.ratio * len(self._firsts) + self.extra / max(1, instances)
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -117,6 +117,8 @@
         valid_until: The request must not be sent later.
         candidates: Number of targets that were weighed.
         cost: Cost of the choice.
+        may_repeat_early: Whether repeats are plenty, so that one may be sent
+            before the target is surely silent.
     """
 
     target: target_records.Target
@@ -126,6 +128,7 @@
     valid_until: float
     candidates: int
     cost: float
+    may_repeat_early: bool
 
 
 def caller_patience_ms(route: route_table.Route) -> float:
@@ -236,7 +239,9 @@
         members = list(self.targets.by_service.get(service, {}).values())
         usable = [t for t in members if t.name not in request.tried]
         healthy = [t for t in usable if not self.health.is_out(t.name, now)]
-        candidates = healthy or usable
+        cut_zones = self.peers.cut_zones()
+        reached = [t for t in healthy if t.availability_zone not in cut_zones]
+        candidates = reached or healthy or usable
         if not candidates:
             return _not_run(
                 verdicts.Reason.NO_TARGET,
@@ -285,6 +290,8 @@
     ) -> tuple[messages.LoadUpdate, bool]:
         """Notes the end of an attempt.
 
+        Peers are told of a target's faults with it.
+
         Args:
             key: Of the attempt.
             target: The target that was asked.
@@ -302,7 +309,8 @@
             self.health.note_success(target)
         elif is_fault:
             is_ejected = self.health.note_failure(target, now, is_silent)
-        return self._update((), (key,), now), is_ejected
+        faults = (target,) if is_fault else ()
+        return self._update((), (key,), now, faults), is_ejected
 
     # Beliefs.
 
@@ -479,6 +487,8 @@
             return
         for key in update.drops:
             self.load.drop(update.sender, key)
+        for target in update.faults:
+            self.health.note_report(target, now)
         for report in update.puts:
             self.load.put(update.sender, _from_report(report, now))
 
@@ -612,6 +622,7 @@
             self._valid_until(),
             len(candidates),
             best_cost,
+            False,
         )
 
     def _place_prompt(
@@ -639,7 +650,8 @@
         work = engine_placement.Work(
             request.prompt_tokens,
             request.output_tokens,
-            max(1.0, route.goal_ms - request.elapsed_ms),
+            route.goal_ms,
+            request.elapsed_ms,
             route.gap_goal_ms,
             request.left_ms,
         )
@@ -667,6 +679,9 @@
             self._valid_until(),
             len(candidates),
             choice.cost,
+            self._budget(request.admission.service).is_plenty(
+                self.peers.most, now
+            ),
         )
 
     def _count(
@@ -702,11 +717,13 @@
         puts: tuple[fleet_load.Attempt, ...],
         drops: tuple[str, ...],
         now: float,
+        faults: tuple[str, ...] = (),
     ) -> messages.LoadUpdate:
         return messages.LoadUpdate(
             self.settings.name,
             tuple(_to_report(attempt, now) for attempt in puts),
             drops,
+            faults,
         )
 
     def _lapses_end(self) -> float:
--- a/catkintrail/core/target_health.py
+++ b/catkintrail/core/target_health.py
@@ -72,6 +72,15 @@
         self._records[target] = record
         return is_ejected
 
+    def note_report(self, target: str, now: float) -> None:
+        """Takes a peer's word of a failure.
+
+        The path between peer and target may be at fault: the target costs
+        more for a while, but is not ejected.
+        """
+        record = self._records.get(target, _CLEAN)
+        self._records[target] = record._replace(failed_at=now)
+
     def note_time(
         self, target: str, measured_ms: float, predicted_ms: float, now: float
     ) -> None:
--- a/catkintrail/messages.py
+++ b/catkintrail/messages.py
@@ -392,11 +392,19 @@
 
 
 class LoadUpdate(NamedTuple):
-    """Changes of an instance's attempts."""
+    """Changes of an instance's attempts.
+
+    Attributes:
+        sender: Its name.
+        puts: Attempts that are new or changed.
+        drops: Keys of attempts that ended.
+        faults: Names of targets that failed it.
+    """
 
     sender: str
     puts: tuple[AttemptReport, ...]
     drops: tuple[str, ...]
+    faults: tuple[str, ...]
 
 
 class LoadSnapshot(NamedTuple):
--- a/catkintrail/relay.py
+++ b/catkintrail/relay.py
@@ -26,8 +26,15 @@
 # predicted time, and at least the time below.
 SILENCE_FACTOR = 2.5
 SILENCE_FLOOR_SECONDS = 1.0
-# A stream goes on elsewhere at this share of its caller's patience.
-STALL_SHARE = 0.6
+# Where the other target can still answer within the goal, it is asked after
+# this many times the predicted time already.
+EARLY_FACTOR = 2.0
+EARLY_FLOOR_MS = 160.0
+# A target that was silent for less than this may just be slow.
+SILENT_SECONDS = 0.8
+# A stream goes on elsewhere at this share of its caller's patience: a pass that
+# holds a part of a long prompt takes up to 1.3 s.
+STALL_SHARE = 0.75
 # An answer of a plain service is silent after this share of its time-out, where
 # it may be sent once more.
 PLAIN_SILENCE_SHARE = 0.45
@@ -280,9 +287,14 @@
             if caller.is_gone:
                 raise errors.CallerGoneError("the caller left") from error
             is_fault = True
-            is_silent = error.is_silent and self.clock() < progress.until
+            waited = self.clock() - sent_at
+            is_silent = error.is_silent and (
+                waited >= SILENT_SECONDS or error.verdict is Verdict.NOT_RUN
+            )
             outcome = error.verdict.value
             at_fault = _find_at_fault(grant, error)
+            # A helper fails a group where it is gone or cannot be reached.
+            is_silent = is_silent or at_fault != grant.target.name
             self._note_failure(progress, grant, error, sent_at)
             return error
         finally:
@@ -374,7 +386,9 @@
             None,
             resume_after,
             progress.until,
-            grant.valid_until,
+            # The proof covers the time at which the caller sent the request.
+            # What was sent in time goes on, also when the store is away.
+            float("inf") if progress.sends else grant.valid_until,
         )
         sent_at = self.clock()
         head_by = self._first_answer_by(route, progress, grant, sent_at)
@@ -412,10 +426,15 @@
         if not route.is_repeatable or progress.sends + 1 >= route.max_sends:
             return progress.until
         if route.kind is route_table.Kind.STREAMING:
+            predicted = grant.predicted_ms
+            elapsed = (now - progress.request.received_at) * 1000.0
+            early = max(EARLY_FLOOR_MS, EARLY_FACTOR * predicted)
             wait = max(
-                SILENCE_FLOOR_SECONDS,
-                SILENCE_FACTOR * grant.predicted_ms / 1000.0,
+                SILENCE_FLOOR_SECONDS, SILENCE_FACTOR * predicted / 1000.0
             )
+            is_in_time = elapsed + early + predicted <= route.goal_ms
+            if grant.may_repeat_early and is_in_time:
+                wait = early / 1000.0
         else:
             wait = PLAIN_SILENCE_SHARE * route.timeout_ms / 1000.0
         return min(progress.until, now + wait)
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -42,6 +42,7 @@
 READY_THREADS = 2
 PEER_THREADS = 4
 TICK_SECONDS = 0.25
+START_TICK_SECONDS = 0.1
 SETTINGS_POLL_SECONDS = 1.0
 # The balancer leaves an instance after two checks, one second apart.
 DRAIN_NOTICE_SECONDS = 2.6
@@ -206,6 +207,7 @@
 
     def _tick(self) -> None:
         version = -1
+        started = clock.boot_seconds()
         while True:
             self.router.proxy.tick.defer()
             self.client.close_idle()
@@ -218,7 +220,9 @@
                     limits.max_body_bytes,
                     limits.idle_timeout_ms,
                 )
-            time.sleep(TICK_SECONDS)
+            age = clock.boot_seconds() - started
+            is_new = age < router_actor.START_SECONDS
+            time.sleep(START_TICK_SECONDS if is_new else TICK_SECONDS)
 
     def _hear(self, address: str, message: Any) -> None:
         self.router.proxy.hear.defer(address, message)
--- a/tests/test_engine_placement.py
+++ b/tests/test_engine_placement.py
@@ -8,8 +8,8 @@
 from tests import relaying as builders
 
 FIGURES = builders.FIGURES
-SHORT = engine_placement.Work(5_000, 1_600, 300.0, 200.0, 10_000.0)
-LONG = engine_placement.Work(210_000, 800, 3_000.0, 800.0, 15_000.0)
+SHORT = engine_placement.Work(5_000, 1_600, 300.0, 0.0, 200.0, 10_000.0)
+LONG = engine_placement.Work(210_000, 800, 3_000.0, 0.0, 800.0, 15_000.0)
 
 
 def stream(key, engine, gap=200.0, tokens=5_000):
@@ -107,6 +107,19 @@
         self.assertEqual(len(choice.engines), len(choice.memory))
         self.assertGreater(choice.memory[0], 0)
 
+    def test_late_request_does_not_trample_on_streams(self):
+        # Seed: day scale-2 of Brunnsrota: a question that was sent once more
+        # weighed its delay against what was left of its goal: nothing.
+        work = LONG._replace(prompt_tokens=46_000, goal_ms=1_500.0)
+        state = engines(
+            [stream(f"a{n}", "e-0") for n in range(6)],
+            [prefill("b", "e-1", 900.0)],
+        )
+        for elapsed in (0.0, 1_600.0):
+            late = work._replace(elapsed_ms=elapsed)
+            names = self.names(late, state, max_parts=1)
+            self.assertEqual(["e-1"], names)
+
     def test_memory_in_use_counts(self):
         state = engines([prefill("a", "e-0", 0.0, 300_000)], [])
         self.assertEqual(["e-1"], self.names(LONG, state, max_parts=1))
@@ -126,3 +139,38 @@
         names = self.names(work, state)
         self.assertEqual(len(names), len(set(names)))
         self.assertLessEqual(len(names), 16)
+
+
+class GroupTests(testtools.TestCase):
+
+    def state(self, counts):
+        found = []
+        for zone, count in counts.items():
+            for number in range(count):
+                found.append(
+                    engine_placement.describe_engine(
+                        builders.make_target(f"{zone}-{number}", zone=zone),
+                        (),
+                        FIGURES,
+                        0.0,
+                        1.0,
+                        0.0,
+                        zone == "za",
+                    )
+                )
+        return found
+
+    def zones(self, counts, tokens):
+        work = LONG._replace(prompt_tokens=tokens)
+        choice = engine_placement.choose(work, self.state(counts), FIGURES)
+        return {engine.availability_zone for engine in choice.engines}
+
+    def test_group_stays_in_one_zone_where_it_can(self):
+        # Seed: day scale-2 of Brunnsrota: at a zone's cut, groups that spanned
+        # zones were refused by their first engines, twice.
+        self.assertEqual({"za"}, self.zones({"za": 8, "zb": 8}, 300_000))
+
+    def test_group_spans_zones_where_no_zone_has_the_memory(self):
+        self.assertEqual(
+            {"za", "zb"}, self.zones({"za": 2, "zb": 2}, 1_000_000)
+        )
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -347,6 +347,27 @@
         self.assertTrue(self.reply.is_aborted)
         self.assertEqual(event(0), self.reply.body)
 
+    def test_stream_goes_on_when_the_proof_of_its_key_has_grown_old(self):
+        # Seed: day scale-1 of Thumbloop: streams that a cut zone broke were not
+        # resumed, for the zone had no proof any more.
+        def break_later():
+            self.now += 4.7
+            return fault(MAY_HAVE_RUN)
+
+        class Slow(FakeAnswer):
+
+            def read(self, until):
+                part = super().read(until)
+                if callable(part):
+                    raise part()
+                return part
+
+        self.play(
+            Slow(200, [event(0), break_later]), FakeAnswer(200, [event(1)])
+        )
+        self.assertEqual(event(0) + event(1), self.reply.body)
+        self.assertGreater(self.targets.sends[1][1].valid_until, self.now)
+
     def test_stream_that_ends_within_an_event_is_not_whole(self):
         self.play(
             FakeAnswer(200, [event(0), b"id: 1\n"]),
--- a/tests/test_request_router.py
+++ b/tests/test_request_router.py
@@ -240,3 +240,22 @@
             grant = place(router, f"k{number}", 100.0, 0, "/book/a")
             counts[grant.target.name] += 1
         self.assertEqual({"d-1": 6, "d-2": 6}, counts)
+
+
+class CutZoneTests(testtools.TestCase):
+
+    def test_targets_of_a_zone_that_fell_silent_are_left_out(self):
+        router = builders.make_router(
+            [
+                builders.make_target("e-1", zone="zb"),
+                builders.make_target("e-2", zone="za"),
+            ]
+        )
+        router.peers.hear("10.0.0.7", "b-1", "zb", 1, 100.0)
+        for _ in range(4):
+            router.peers.greet(100.0, random.Random(1))
+        for number in range(5):
+            grant = place(router, f"k{number}", 100.0)
+            self.assertEqual("e-2", grant.target.name)
+        grant = place(router, "k", 100.0, tried=["e-2"])
+        self.assertEqual("e-1", grant.target.name)
