--- a/catkintrail/belief_loops.py
+++ b/catkintrail/belief_loops.py
@@ -290,7 +290,8 @@
         # The age counts from before the question: transit adds nothing.
         proven_at = sent_at - state.proof_age_seconds
         proxy.learn_configuration.defer(state.configuration, proven_at, source)
-        if state.targets and not status.is_watcher:
+        # A watcher knows the targets better, unless the store is away.
+        if state.targets and not (status.is_watcher and self.is_store_up):
             events = tuple(
                 belief_source.TargetEvent(target.name, target, False)
                 for target in state.targets
--- a/catkintrail/platform/wire.py
+++ b/catkintrail/platform/wire.py
@@ -1,6 +1,6 @@
 """The platform's names on the wire, decoded into the project's types."""
 
-from typing import Any, NamedTuple
+from typing import Any
 
 from catkintrail import errors
 from catkintrail.core import route_table
@@ -11,14 +11,12 @@
     "AUTHORIZATION",
     "CONTENT_ENCODING",
     "DEADLINE_MS",
-    "ENGINE_LOAD",
     "ENGINE_STAMP",
     "EXPECT_INSTANCE",
     "HELPERS",
     "HOP_BY_HOP",
     "INSTANCE_ID",
     "LAST_EVENT_ID",
-    "LoadReport",
     "NOT_EXECUTED",
     "READY_PATH",
     "REQUEST_PRIORITY",
@@ -27,7 +25,6 @@
     "TOKEN_COUNTS",
     "decode_api_key",
     "decode_configuration",
-    "decode_engine_load",
     "decode_target",
     "decode_token_counts",
 ]
@@ -38,7 +35,6 @@
 AUTHORIZATION = "authorization"
 CONTENT_ENCODING = "content-encoding"
 DEADLINE_MS = "deadline-ms"
-ENGINE_LOAD = "engine-load"
 ENGINE_STAMP = "engine-stamp"
 EXPECT_INSTANCE = "expect-instance"
 HELPERS = "helpers"
@@ -90,14 +86,6 @@
 _STATES = {"ready": False, "draining": True}
 
 
-class LoadReport(NamedTuple):
-    """A target's load, as its answers carry it."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 def decode_api_key(authorization: str) -> str:
     """Returns the API key of an `Authorization` header; "" where none."""
     scheme, _, key = authorization.strip().partition(" ")
@@ -112,14 +100,6 @@
     return 0, 0
 
 
-def decode_engine_load(text: str) -> LoadReport | None:
-    """Returns the load that an answer carries; None where unreadable."""
-    parts = [part.strip() for part in text.split(",")]
-    if len(parts) != 3 or not all(part.isdigit() for part in parts):
-        return None
-    return LoadReport(*map(int, parts))
-
-
 def decode_target(record: Any) -> target_records.Target | None:
     """Decodes an entry of the list of targets.
 
--- /dev/null
+++ b/tests/test_platform_wire.py
@@ -0,0 +1,110 @@
+import testtools
+
+from catkintrail import errors
+from catkintrail.core import route_table
+from catkintrail.platform import boot
+from catkintrail.platform import wire
+from tests import platform_standins
+
+ENTRY = {
+    "metadata": {"name": "i-1"},
+    "spec": {
+        "service": "engines",
+        "address": "10.0.0.9:80",
+        "zone": "za",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold-left-ms": 0,
+        "seq": 4,
+        "born": 1_700_000_000_123,
+    },
+}
+
+
+class TargetTests(testtools.TestCase):
+
+    def decode(self, **changes):
+        return wire.decode_target(
+            {**ENTRY, "spec": {**ENTRY["spec"], **changes}}
+        )
+
+    def test_entry_is_decoded(self):
+        target = self.decode()
+        self.assertEqual("i-1", target.name)
+        self.assertEqual("za", target.availability_zone)
+        self.assertFalse(target.is_leaving)
+        self.assertEqual(1_700_000_000_123, target.born)
+
+    def test_draining_is_leaving(self):
+        self.assertTrue(self.decode(state="draining").is_leaving)
+
+    def test_entries_of_other_writers_name_no_target(self):
+        for changes in (
+            {"state": "odd"},
+            {"state": ["ready"]},
+            {"address": "nowhere"},
+            {"address": 7},
+            {"slots": "8"},
+            {"slots": True},
+            {"zone": None},
+        ):
+            self.assertIsNone(self.decode(**changes), changes)
+        for record in (None, 7, {}, {"metadata": {}}, {**ENTRY, "spec": None}):
+            self.assertIsNone(wire.decode_target(record))
+
+    def test_missing_start_is_unknown(self):
+        self.assertEqual(0, self.decode(born="yesterday").born)
+
+
+class ConfigurationTests(testtools.TestCase):
+
+    def test_configuration_is_decoded(self):
+        decoded = wire.decode_configuration(platform_standins.make_spec(7))
+        ask, book = decoded.routes
+        self.assertEqual(7, decoded.version)
+        self.assertEqual(route_table.Kind.STREAMING, ask.kind)
+        self.assertTrue(ask.is_repeatable)
+        self.assertFalse(book.is_repeatable)
+        self.assertEqual(("desk", 100.0), book.services[0])
+        self.assertEqual(256.0, decoded.services["engines"].engine[5])
+        self.assertIsNone(decoded.services["desk"].engine)
+        self.assertEqual("guild", decoded.organisations["key-1"].name)
+        self.assertEqual(16_384, decoded.limits.max_header_bytes)
+
+    def test_no_organisations_means_no_keys(self):
+        spec = platform_standins.make_spec()
+        del spec["tenants"]
+        self.assertIsNone(wire.decode_configuration(spec).organisations)
+
+    def test_other_forms_are_refused(self):
+        for spec in (None, {}, {"version": 1, "routes": [{}], "services": []}):
+            self.assertRaises(
+                errors.CheckError, wire.decode_configuration, spec
+            )
+
+
+class HeaderTests(testtools.TestCase):
+
+    def test_api_key(self):
+        self.assertEqual("k", wire.decode_api_key("Token k"))
+        for other in ("", "Basic k", "Token"):
+            self.assertEqual("", wire.decode_api_key(other))
+
+    def test_token_counts(self):
+        self.assertEqual((1460, 80), wire.decode_token_counts("1460,80"))
+        for other in ("", "1460", "x,1", "-1,2"):
+            self.assertEqual((0, 0), wire.decode_token_counts(other))
+
+
+class SettingsTests(testtools.TestCase):
+
+    def test_missing_fields_are_named(self):
+        error = self.assertRaises(errors.CheckError, boot.decode_settings, {})
+        self.assertIn("bounds", str(error))
+
+    def test_unreadable_file_is_named(self):
+        error = self.assertRaises(
+            errors.CheckError, boot.read_settings, "/nowhere/settings.toml"
+        )
+        self.assertIn("/nowhere/settings.toml", str(error))
--- /dev/null
+++ b/tests/test_relay_processes.py
@@ -0,0 +1,272 @@
+"""Relaying instances as processes, before small stand-ins of the platform."""
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+
+import testtools
+
+from tests import platform_standins
+from tests import processes
+
+ROOT = pathlib.Path(__file__).parent.parent
+START_SECONDS = 20.0
+SETTINGS = """
+node = "{name}"
+ip = "{ip}"
+zone = "za"
+internal-ports = [{udp}, {udp}]
+seeds = ["127.0.0.1:{control}", "127.0.0.2:{control}"]
+[listen]
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+control = "{ip}:{control}"
+[limits]
+memory-mb = 300
+max-fds = 4000
+[bounds]
+grace-s = 8
+drain-ms = 2000
+config-apply-ms = 2000
+strict-revoke = true
+revoke-ms = 5000
+retry-budget-ratio = 0.2
+retry-after-s = 0
+budget-extra = 100
+budget-window-s = 10
+free-ms = 4000
+hold-max-ms = 20000
+[platform]
+address = "{store}"
+"""
+
+
+class RelayProcess:
+    """An instance.
+
+    Attributes:
+        ip: Its address.
+        process: It.
+        lines: Its log, after it has ended.
+    """
+
+    def __init__(self, ip, ports, store):
+        self.ip = ip
+        self.ports = ports
+        self.folder = tempfile.TemporaryDirectory()
+        path = pathlib.Path(self.folder.name)
+        values = dict(ports, ip=ip, name=f"i-{ip}", store=store)
+        (path / "settings.toml").write_text(SETTINGS.format(**values))
+        self.log = open(path / "log", "w+", encoding="utf-8")
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "catkintrail", "relay"],
+            cwd=ROOT,
+            stdout=self.log,
+            stderr=subprocess.STDOUT,
+            env={
+                **os.environ,
+                "CATKINTRAIL_BOOT": str(path / "settings.toml"),
+            },
+        )
+
+    def is_ready(self):
+        url = f"http://{self.ip}:{self.ports['ready']}/api/ready"
+        try:
+            with urllib.request.urlopen(url, timeout=1.0) as response:
+                return response.status == 200
+        except OSError:
+            return False
+
+    def connect(self):
+        return socket.create_connection((self.ip, self.ports["front"]), 5.0)
+
+    def send(self, path, request_id, key="key-1", tokens="1000,100"):
+        connection = self.connect()
+        connection.settimeout(10.0)
+        connection.sendall(
+            f"POST {path} HTTP/1.1\r\nHost: wells.example\r\n"
+            f"Attempt-Id: {request_id}\r\nAuthorization: Token {key}\r\n"
+            f"Token-Counts: {tokens}\r\nDeadline-Ms: 9000\r\n"
+            "Connection: close\r\nContent-Length: 2\r\n\r\nhi".encode()
+        )
+        return connection
+
+    def ask(self, path, request_id, **changes):
+        """Returns the status and the whole answer."""
+        with self.send(path, request_id, **changes) as connection:
+            got = read_all(connection)
+        return int(got.split(b" ", 2)[1]), got
+
+    def read_log(self):
+        self.log.seek(0)
+        return [json.loads(line) for line in self.log if line.strip()]
+
+    def close(self):
+        if self.process.poll() is None:
+            self.process.kill()
+            self.process.wait(10.0)
+        self.log.close()
+        self.folder.cleanup()
+
+
+def read_all(connection):
+    got = b""
+    while part := connection.recv(65536):
+        got += part
+    return got
+
+
+def wait_until(condition, seconds=START_SECONDS):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if condition():
+            return True
+        time.sleep(0.05)
+    return False
+
+
+class RelayProcessTests(testtools.TestCase):
+
+    def setUp(self):
+        super().setUp()
+        names = ("front", "ready", "control", "udp")
+        self.ports = dict(zip(names, processes.free_ports(len(names))))
+        self.store = platform_standins.Store()
+        self.addCleanup(self.store.close)
+        self.engines = [self.add_engine(f"e-{n}") for n in range(2)]
+        self.desk = self.add_engine("d-0", "desk")
+        self.store.put("config", "main", platform_standins.make_spec(1))
+        self.relay = self.start("127.0.0.1")
+
+    def add_engine(self, name, service="engines"):
+        engine = platform_standins.Engine(name, service)
+        self.addCleanup(engine.close)
+        self.store.put("servers", name, engine.entry())
+        return engine
+
+    def start(self, ip):
+        relay = RelayProcess(ip, self.ports, self.store.address)
+        self.addCleanup(relay.close)
+        self.assertTrue(wait_until(relay.is_ready), "not ready")
+        return relay
+
+    def test_answers_of_engines_and_services_reach_callers(self):
+        status, got = self.relay.ask("/ask/a", "r1")
+        self.assertEqual(200, status)
+        for number in range(3):
+            self.assertIn(b"id: %d\n" % number, got)
+        status, got = self.relay.ask("/book/a", "r2")
+        self.assertEqual(200, status)
+        self.assertTrue(got.endswith(b"booked"))
+        self.assertEqual([("r2", "guild")], self.desk.runs)
+
+    def test_log_leads_from_the_id_to_the_cause(self):
+        for engine in self.engines:
+            engine.refuses = True
+        status, _ = self.relay.ask("/ask/a", "r1")
+        self.assertEqual(503, status)
+        self.relay.process.send_signal(signal.SIGTERM)
+        self.relay.process.wait(10.0)
+        lines = self.relay.read_log()
+        events = [ln["event"] for ln in lines if ln.get("request_id") == "r1"]
+        self.assertEqual(
+            ["request_placed", "send_failed"] * 2 + ["request_ended"], events
+        )
+        ended = next(ln for ln in lines if ln["event"] == "request_ended")
+        self.assertEqual("not_run", ended["verdict"])
+        names = {line["event"] for line in lines}
+        for event in (
+            "instance_started",
+            "store_regained",
+            "configuration_in_force",
+            "target_joined",
+            "instance_draining",
+            "instance_stopped",
+        ):
+            self.assertIn(event, names)
+
+    def test_cut_stream_goes_on_at_another_engine(self):
+        for engine in self.engines:
+            engine.events = 6
+            engine.cut_after = 4
+        status, got = self.relay.ask("/ask/a", "r1")
+        self.assertEqual(200, status)
+        positions = [got.find(b"id: %d\n" % number) for number in range(6)]
+        self.assertEqual(sorted(positions), positions)
+        self.assertGreater(positions[0], 0)
+        self.assertEqual(6, got.count(b"id: "))
+
+    def test_work_ends_when_the_caller_leaves(self):
+        for engine in self.engines:
+            engine.events = 200
+            engine.gap = 0.05
+        connection = self.relay.send("/ask/a", "r1")
+        connection.recv(10)
+        connection.close()
+        self.assertTrue(
+            wait_until(lambda: not any(e.active for e in self.engines), 3.0)
+        )
+
+    def test_key_that_is_taken_away_is_refused(self):
+        self.assertEqual(200, self.relay.ask("/ask/a", "r1")[0])
+        self.store.put(
+            "config", "main", platform_standins.make_spec(2, ("key-2",))
+        )
+        self.assertTrue(
+            wait_until(lambda: self.relay.ask("/ask/a", "r2")[0] == 401, 3.0)
+        )
+        self.assertEqual(200, self.relay.ask("/ask/a", "r3", key="key-2")[0])
+
+    def test_keys_are_not_served_without_a_recent_proof(self):
+        self.store.status = 503
+        self.assertTrue(
+            wait_until(lambda: self.relay.ask("/ask/a", "r1")[0] == 503, 8.0)
+        )
+        self.assertFalse(self.relay.is_ready())
+        self.store.status = 200
+        self.assertTrue(wait_until(self.relay.is_ready, 5.0))
+
+    def test_instance_without_the_store_learns_from_a_peer(self):
+        second = RelayProcess("127.0.0.2", self.ports, "127.0.0.1:9")
+        self.addCleanup(second.close)
+        self.assertTrue(wait_until(second.is_ready))
+        self.assertEqual(200, second.ask("/ask/a", "r1")[0])
+
+    def test_leaving_target_gets_no_more_requests(self):
+        leaving = self.engines[0]
+        self.store.put("servers", "e-0", leaving.entry(state="draining"))
+        time.sleep(1.0)
+        before = len(leaving.runs)
+        for number in range(6):
+            self.assertEqual(200, self.relay.ask("/ask/a", f"r{number}")[0])
+        self.assertEqual(before, len(leaving.runs))
+
+    def test_stop_finishes_streams_and_takes_no_more(self):
+        for engine in self.engines:
+            engine.events = 40
+            engine.gap = 0.1
+        connection = self.relay.send("/ask/a", "r1")
+        connection.recv(10)
+        self.relay.process.send_signal(signal.SIGTERM)
+        self.assertTrue(wait_until(lambda: not self.relay.is_ready(), 2.0))
+        time.sleep(3.2)
+        self.assertRaises(OSError, self.relay.connect)
+        got = read_all(connection)
+        self.assertIn(b"id: 39\n", got)
+        self.assertTrue(got.endswith(b"0\r\n\r\n"))
+        self.assertEqual(0, self.relay.process.wait(8.0))
+
+    def test_metrics_are_served(self):
+        self.relay.ask("/ask/a", "r1")
+        url = f"http://127.0.0.1:{self.ports['control']}/metrics"
+        with urllib.request.urlopen(url, timeout=5.0) as response:
+            text = response.read().decode()
+        self.assertIn('catkintrail_relayed_total{outcome="answered"} 1', text)
+        self.assertIn("catkintrail_first_token_seconds", text)
