--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -118,7 +118,7 @@
 
         class Handler(_Handler):
 
-            def do_GET(self):
+            def do_GET(self):  # pylint: disable=invalid-name
                 store.answer(self)
 
         self.server = _start(Handler)
@@ -227,7 +227,7 @@
 
         class Handler(_Handler):
 
-            def do_POST(self):
+            def do_POST(self):  # pylint: disable=invalid-name
                 engine.answer(self)
 
             do_GET = do_POST
