--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -4,6 +4,7 @@
 import os
 import random
 import signal
+import sys
 import threading
 import time
 from typing import Any
@@ -351,3 +352,9 @@
     threading.Thread(
         target=server.serve, name=f"serve-{port}", daemon=True
     ).start()
+
+
+if __name__ == "__main__":
+    # Instances on the users' platform start this module: the command line
+    # imports programs that they do not need.
+    sys.exit(run())
