Say 'ready' only when the callers' port is open

Cause: beside load three process tests failed with refused connections: the readiness check was answered before the port for callers was opened.

Change: the port is opened once something is known, or after 0.5 s, and then the readiness check is served. test_callers_are_taken_once_an_instance_is_ready failed before and passes now.

--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -41,6 +41,10 @@
 SERVING_THREADS = 160
 THREAD_STACK_BYTES = 512 << 10
 READY_THREADS = 2
+# The store answers in a few milliseconds; where it does not, callers are told
+# so from then on.
+KNOWLEDGE_SECONDS = 0.5
+KNOWLEDGE_POLL_SECONDS = 0.01
 PEER_THREADS = 4
 TICK_SECONDS = 0.25
 START_TICK_SECONDS = 0.1
@@ -124,13 +128,15 @@
         self.loops.start()
         self.watch.start()
         self.leases.start()
-        _serve(self.settings.ready_address, self._answer_ready, READY_THREADS)
         if self.settings.peer_address:
             _serve(self.settings.peer_address, self._answer_peer, PEER_THREADS)
         metrics_address = f"{self.settings.address}:{METRICS_PORT}"
         _serve(metrics_address, self._answer_metrics, 1)
         threading.Thread(target=self._tick, name="tick", daemon=True).start()
+        # Callers who come before anything is known could only be refused.
+        self._await_knowledge()
         self.callers.start()
+        _serve(self.settings.ready_address, self._answer_ready, READY_THREADS)
         _LOG.info(
             "instance_started",
             extra={
@@ -140,6 +146,13 @@
             },
         )
 
+    def _await_knowledge(self) -> None:
+        end = clock.boot_seconds() + KNOWLEDGE_SECONDS
+        while clock.boot_seconds() < end:
+            if self.router.status().is_ready:
+                return
+            time.sleep(KNOWLEDGE_POLL_SECONDS)
+
     def request_stop(self) -> None:
         """Starts to drain; `run` then ends."""
         self._stop.set()
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -263,6 +263,19 @@
         self.assertTrue(got.endswith(b"0\r\n\r\n"))
         self.assertEqual(0, self.relay.process.wait(8.0))
 
+    def test_callers_are_taken_once_an_instance_is_ready(self):
+        # Beside load, an instance said that it was ready before its port for
+        # callers was open.
+        for number in range(3):
+            relay = RelayProcess(
+                f"127.0.0.{number + 3}", self.ports, self.store.address
+            )
+            self.addCleanup(relay.close)
+            end = time.monotonic() + START_SECONDS
+            while time.monotonic() < end and not relay.is_ready():
+                pass
+            relay.connect().close()
+
     def test_metrics_are_served(self):
         self.relay.ask("/ask/a", "r1")
         url = f"http://127.0.0.1:{self.ports['control']}/metrics"
