Name the platform's request id at the boundary only; count dropped log lines

Cause: reading the diff: relay.py set a header by the platform's name, and lines dropped for want of a reader were counted nowhere.

Change: the callers' adapter names the request in answers of our own; a gauge shows dropped lines.

--- a/catkintrail/adapters/metrics.py
+++ b/catkintrail/adapters/metrics.py
@@ -103,6 +103,10 @@
         aioprometheus.Gauge,
         "Requests sent on a kept connection since the start.",
     ),
+    "catkintrail_log_lines_dropped": (
+        aioprometheus.Gauge,
+        "Log lines dropped since the start, for want of a reader.",
+    ),
     "catkintrail_memory_orders": (
         aioprometheus.Gauge,
         "Orders about engine memory since the start.",
--- a/catkintrail/platform/callers.py
+++ b/catkintrail/platform/callers.py
@@ -103,9 +103,14 @@
 
     def __init__(self, request: _Request, server: "CallerServer") -> None:
         self.is_started = False
+        self._request_id = ""
         self._request = request
         self._server = server
 
+    def name_request(self, request_id: str) -> None:
+        """Has answers of our own name the request; targets' do so already."""
+        self._request_id = request_id
+
     def start(
         self,
         status: int,
@@ -114,6 +119,9 @@
     ) -> None:
         """Sends the head; a length of None is an answer in pieces."""
         request = self._request
+        names = {name.lower() for name, _ in headers}
+        if self._request_id and wire.ATTEMPT_ID not in names:
+            headers += (("Attempt-Id", self._request_id),)
         request.status = f"{status} {_PHRASES.get(status, 'Status')}".encode()
         request.outheaders = [
             (name.encode("latin-1"), value.encode("latin-1"))
@@ -242,6 +250,7 @@
             request.close_connection = True
             reply.start(400, (), 0)
             return
+        reply.name_request(parsed.request_id)
         connection = request.conn.socket
         caller = self._watch.add(connection)
         try:
--- a/catkintrail/relay.py
+++ b/catkintrail/relay.py
@@ -572,7 +572,7 @@
         progress: _Progress | None = None,
     ) -> None:
         status = _status(refusal)
-        headers = [("Attempt-Id", request.request_id)]
+        headers = []
         wait = refusal.retry_after_seconds
         if status in (429, 503):
             wait = self._retry_after(Verdict.NOT_RUN) if wait is None else wait
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -66,11 +66,17 @@
 
     Attributes:
         settings: Its settings.
+        log_handler: Counts the log lines that were dropped.
         is_draining: Whether it was told to stop.
     """
 
-    def __init__(self, settings: relay_settings.RelaySettings) -> None:
+    def __init__(
+        self,
+        settings: relay_settings.RelaySettings,
+        log_handler: logs.BoundedQueueHandler,
+    ) -> None:
         self.settings = settings
+        self.log_handler = log_handler
         self.is_draining = False
         rng = random.Random(os.urandom(16))
         self.metrics = metrics_module.Metrics()
@@ -300,6 +306,7 @@
             "catkintrail_store_calls": self.store.calls,
             "catkintrail_connections_opened": self.client.opened,
             "catkintrail_connections_reused": self.client.reused,
+            "catkintrail_log_lines_dropped": self.log_handler.dropped,
             "catkintrail_memory_orders": self.orders.orders,
             "catkintrail_datagrams_dropped": self.datagrams.dropped,
         }
@@ -340,10 +347,10 @@
     """
     settings = boot.read_settings()
     threading.stack_size(THREAD_STACK_BYTES)
-    _, listener = logs.configure_queued(
+    log_handler, listener = logs.configure_queued(
         "info", settings.name, settings.availability_zone
     )
-    instance = RelayInstance(settings)
+    instance = RelayInstance(settings, log_handler)
     signal.signal(signal.SIGTERM, lambda *_: instance.request_stop())
     signal.signal(signal.SIGHUP, lambda *_: None)
     instance.start()
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -147,6 +147,10 @@
 
 class EndTests(CallerServerTestCase):
 
+    def test_own_answers_name_the_request(self):
+        got = self.ask(HEAD + b"Content-Length: 0\r\n\r\n")
+        self.assertIn(b"Attempt-Id: r1\r\n", got)
+
     def test_cut_answer_is_seen_to_be_cut(self):
         def cut(request, reply, caller):
             reply.start(200, (), None)
