--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -556,6 +556,10 @@
             return float("inf")
         return self.configuration.proven_at + bound - REVOCATION_MARGIN_SECONDS
 
+    def _send_until(self, admission: Admission) -> float:
+        """Returns when the proof of a request's key ends."""
+        return self._valid_until() if admission.organisation else float("inf")
+
     def _deny(
         self, reason: verdicts.Reason, message: str, age: float
     ) -> verdicts.Refusal:
@@ -619,7 +623,7 @@
             (),
             (0,),
             0.0,
-            self._valid_until(),
+            self._send_until(request.admission),
             len(candidates),
             best_cost,
             False,
@@ -676,7 +680,7 @@
             choice.engines[1:],
             choice.memory,
             choice.first_token_ms,
-            self._valid_until(),
+            self._send_until(request.admission),
             len(candidates),
             choice.cost,
             self._budget(request.admission.service).is_plenty(
--- a/tests/test_request_router.py
+++ b/tests/test_request_router.py
@@ -69,6 +69,18 @@
             self.admit(router, key="", now=200.0), request_router.Admission
         )
 
+    def test_request_of_a_public_route_may_be_sent_at_any_time(self):
+        # Seed: incident inc-a608 of Thumbloop: while the store was away, such
+        # requests were admitted and then not sent.
+        router = builders.make_router(
+            [builders.make_target("e-1")],
+            configuration=builders.make_configuration(
+                routes=(builders.make_route(is_public=True),)
+            ),
+        )
+        grant = place(router, "k", 200.0)
+        self.assertGreater(grant.valid_until, 200.0)
+
     def test_priority_of_an_organisation_goes_first(self):
         configuration = builders.make_configuration()
         holder = route_table.Organisation("guild", 7)
