--- /dev/null
+++ b/tests/test_memory_leases.py
@@ -0,0 +1,84 @@
+import threading
+import time
+
+import testtools
+
+from catkintrail import errors
+from catkintrail import memory_leases
+from catkintrail import verdict as verdicts
+from tests import relaying as builders
+
+
+class FakeOrders:
+    """Engines' memory.
+
+    Attributes:
+        held: Reservations by id.
+        renewals: Reserve orders that came.
+        releases: Release orders that came.
+        error: Raised instead of an answer; the order is carried out.
+    """
+
+    def __init__(self):
+        self.held = {}
+        self.renewals = 0
+        self.releases = 0
+        self.error = None
+        self.lock = threading.Lock()
+
+    def reserve(self, target, reservation, tokens, hold_seconds):
+        with self.lock:
+            self.held[reservation] = tokens
+            self.renewals += 1
+        if self.error:
+            raise self.error
+
+    def release(self, target, reservation):
+        with self.lock:
+            self.held.pop(reservation, None)
+            self.releases += 1
+        if self.error:
+            raise self.error
+
+
+class MemoryLeasesTests(testtools.TestCase):
+
+    def setUp(self):
+        super().setUp()
+        self.orders = FakeOrders()
+        self.leases = memory_leases.MemoryLeases(
+            "a-1", self.orders, 1.0, time.monotonic
+        )
+        self.leases.start()
+        self.target = builders.make_target("e-1")
+
+    def wait_for(self, condition, seconds=3.0):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end and not condition():
+            time.sleep(0.02)
+        self.assertTrue(condition())
+
+    def test_reservation_is_renewed_and_given_back(self):
+        lease = self.leases.reserve(self.target, 1_000)
+        self.wait_for(lambda: self.orders.renewals >= 3)
+        self.assertEqual({lease.reservation: 1_000}, self.orders.held)
+        self.leases.give_up(lease)
+        self.wait_for(lambda: not self.orders.held)
+
+    def test_order_without_an_answer_is_undone(self):
+        self.orders.error = errors.TargetError(
+            "silent", verdicts.Verdict.MAY_HAVE_RUN
+        )
+        self.assertRaises(
+            errors.TargetError, self.leases.reserve, self.target, 1_000
+        )
+        self.orders.error = None
+        self.assertEqual(1, len(self.orders.held))
+        self.wait_for(lambda: not self.orders.held)
+        self.assertGreaterEqual(self.orders.releases, 1)
+
+    def test_names_are_never_used_again(self):
+        names = {
+            self.leases.reserve(self.target, 1).reservation for _ in range(9)
+        }
+        self.assertEqual(9, len(names))
