--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import re
+import tomllib
 
 import testtools
 
@@ -66,3 +67,14 @@
         for path in (ROOT / "examples").rglob("*.json"):
             if path.name.startswith("entry-"):
                 settings.read_settings(str(path))
+
+
+class RequirementsTests(testtools.TestCase):
+
+    def test_the_users_platform_installs_what_the_package_declares(self):
+        declared = tomllib.loads((ROOT / "pyproject.toml").read_text())
+        installed = (ROOT / "deploy" / "requirements.txt").read_text()
+        self.assertEqual(
+            sorted(declared["project"]["dependencies"]),
+            sorted(installed.split()),
+        )
