Make one piece of the watches' loops; remove what nothing reads

Found on reading the change once more; behaviour stays.

- The loops that follow configuration and targets were twins; _follow serves both, and hands on what was found after the store's return is noted, as before.
- Gone, since nothing read them: Admission.limits, left_ms and api_key of PlaceRequest, deadline_ms and gap_goal_ms of Work, the urgency that was always None, a constant and a header name.

--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -367,14 +367,8 @@
         self, address: str, message: messages.Forwarded, now: float
     ) -> None:
         """Passes a message from another zone on to the own one."""
-        try:
-            inner = messages.decode(message.content)
-        except errors.FrameError as error:
-            _LOG.info("message_unreadable", extra={"reason": str(error)})
-            return
-        if isinstance(inner, (messages.Forwarded, messages.Batch)):
+        if not self._hear_inner(address, message.content):
             return
-        self.hear(address, inner)
         self._batch.append(message.content)
         self._batch_since = min(self._batch_since, now)
         self._pass_batch(now)
@@ -392,13 +386,19 @@
 
     def _hear_batch(self, address: str, batch: messages.Batch) -> None:
         for content in batch.contents:
-            try:
-                inner = messages.decode(content)
-            except errors.FrameError as error:
-                _LOG.info("message_unreadable", extra={"reason": str(error)})
-                continue
-            if not isinstance(inner, (messages.Forwarded, messages.Batch)):
-                self.hear(address, inner)
+            self._hear_inner(address, content)
+
+    def _hear_inner(self, address: str, content: bytes) -> bool:
+        """Takes a message that came inside another; returns whether it did."""
+        try:
+            inner = messages.decode(content)
+        except errors.FrameError as error:
+            _LOG.info("message_unreadable", extra={"reason": str(error)})
+            return False
+        if isinstance(inner, (messages.Forwarded, messages.Batch)):
+            return False
+        self.hear(address, inner)
+        return True
 
 
 class RouterClient:
--- a/catkintrail/belief_loops.py
+++ b/catkintrail/belief_loops.py
@@ -69,6 +69,21 @@
     run: Callable[[], None]
 
 
+class _Round(NamedTuple):
+    """What a reading or a watch led to.
+
+    Attributes:
+        revision: To watch from; -1 to read anew.
+        pause_seconds: Before the next call.
+        learn: Hands on what was found; called once the store's return is
+            noted, on which the meaning of removals depends.
+    """
+
+    revision: int
+    pause_seconds: float
+    learn: Callable[[], None]
+
+
 class BeliefLoops:
     """Threads that learn of the configuration and the targets.
 
@@ -122,26 +137,29 @@
                 self._stop.wait(BACKOFF_LIMIT_SECONDS)
 
     def _watch_configuration(self) -> None:
+        self._follow("configuration", self._read_configuration)
+
+    def _watch_targets(self) -> None:
+        self._follow("targets", self._read_targets)
+
+    def _follow(self, subject: str, read: Callable[[int], _Round]) -> None:
+        """Reads, then watches, as long as this instance is to watch.
+
+        Args:
+            subject: What is followed, for the log.
+            read: Reads anew where its argument is negative, else watches from
+                that revision.
+        """
         backoff = _Backoff(self.rng)
         revision = -1
         while not self._stop.is_set():
             if not self._may_watch():
                 revision = -1
                 continue
-            sent_at = self.clock()
             try:
-                if revision < 0:
-                    reading = self.source.read_configuration()
-                    proven_at = sent_at
-                else:
-                    wait = self._configuration_wait()
-                    reading = self.source.watch_configuration(revision, wait)
-                    proven_at = sent_at
-                    if reading.configuration is None:
-                        waited = min(wait, self.clock() - sent_at)
-                        proven_at += max(0.0, waited - WATCH_DOUBT_SECONDS)
+                found = read(revision)
             except errors.HistoryGoneError as error:
-                self._note_reset("configuration", error)
+                self._note_reset(subject, error)
                 revision = -1
                 continue
             except errors.PlatformError as error:
@@ -150,16 +168,45 @@
                 continue
             self._note_store(True)
             backoff.reset()
-            if reading.configuration is None and revision < 0:
+            found.learn()
+            revision = found.revision
+            self._stop.wait(found.pause_seconds)
+
+    def _read_configuration(self, revision: int) -> _Round:
+        sent_at = proven_at = self.clock()
+        if revision < 0:
+            reading = self.source.read_configuration()
+            if reading.configuration is None:
                 # Nothing is published yet.
-                self._stop.wait(BACKOFF_LIMIT_SECONDS)
-                continue
-            revision = reading.revision
-            self.router.proxy.learn_configuration.defer(
+                return _Round(-1, BACKOFF_LIMIT_SECONDS, lambda: None)
+        else:
+            wait = self._configuration_wait()
+            reading = self.source.watch_configuration(revision, wait)
+            if reading.configuration is None:
+                waited = min(wait, self.clock() - sent_at)
+                proven_at += max(0.0, waited - WATCH_DOUBT_SECONDS)
+        is_news = reading.configuration is not None
+        return _Round(
+            reading.revision,
+            WATCH_PAUSE_SECONDS if is_news else 0.0,
+            lambda: self.router.proxy.learn_configuration.defer(
                 reading.configuration, proven_at, router_actor.STORE
-            )
-            if reading.configuration is not None:
-                self._stop.wait(WATCH_PAUSE_SECONDS)
+            ),
+        )
+
+    def _read_targets(self, revision: int) -> _Round:
+        proxy = self.router.proxy
+        if revision < 0:
+            reading = self.source.list_targets()
+            learn = proxy.learn_target_list
+        else:
+            reading = self.source.watch_targets(revision, LONG_WAIT_SECONDS)
+            learn = proxy.learn_target_events
+        return _Round(
+            reading.revision,
+            WATCH_PAUSE_SECONDS if reading.events else 0.0,
+            lambda: learn.defer(reading, router_actor.STORE),
+        )
 
     def _may_watch(self) -> bool:
         """Returns whether to watch; waits a little where not.
@@ -175,47 +222,9 @@
     def _configuration_wait(self) -> float:
         status = self.router.status()
         return (
-            PROOF_WAIT_SECONDS
-            if status.is_proof_holder
-            else (LONG_WAIT_SECONDS)
+            PROOF_WAIT_SECONDS if status.is_proof_holder else LONG_WAIT_SECONDS
         )
 
-    def _watch_targets(self) -> None:
-        backoff = _Backoff(self.rng)
-        revision = -1
-        while not self._stop.is_set():
-            if not self._may_watch():
-                revision = -1
-                continue
-            is_list = revision < 0
-            try:
-                if is_list:
-                    reading = self.source.list_targets()
-                else:
-                    reading = self.source.watch_targets(
-                        revision, LONG_WAIT_SECONDS
-                    )
-            except errors.HistoryGoneError as error:
-                self._note_reset("targets", error)
-                revision = -1
-                continue
-            except errors.PlatformError as error:
-                self._note_store(False, error)
-                self._stop.wait(backoff.next())
-                continue
-            self._note_store(True)
-            backoff.reset()
-            revision = reading.revision
-            proxy = self.router.proxy
-            learn = (
-                proxy.learn_target_list
-                if is_list
-                else proxy.learn_target_events
-            )
-            learn.defer(reading, router_actor.STORE)
-            if reading.events:
-                self._stop.wait(WATCH_PAUSE_SECONDS)
-
     def _keep_proof(self) -> None:
         """Renews what watches, heartbeats and news left to grow old."""
         next_store = next_peers = 0.0
--- a/catkintrail/core/engine_placement.py
+++ b/catkintrail/core/engine_placement.py
@@ -61,16 +61,12 @@
         goal_ms: Time from its coming to the first event within which that is
             of full use.
         elapsed_ms: Time since it came.
-        gap_goal_ms: The longest useful pause between its events.
-        deadline_ms: Time left until the caller gives up.
     """
 
     prompt_tokens: int
     output_tokens: int
     goal_ms: float
     elapsed_ms: float
-    gap_goal_ms: float
-    deadline_ms: float
 
 
 class EngineState(NamedTuple):
@@ -224,14 +220,13 @@
 
     ranked = sorted(holders.engines, key=first_cost)
     first = ranked[0]
-    delay = _first_token_ms(first, part_ms)
+    first_delay = delay = _first_token_ms(first, part_ms)
     cost = first_cost(first)
     chosen = [first]
     if parts > 1:
 
         def helper_cost(engine: EngineState) -> float:
-            late = part_ms * engine.slowness + engine.pass_ms
-            late += engine.backlog_ms
+            late = _part_ready_ms(engine, part_ms)
             return (
                 own_weight * _delay_cost(late, work) / parts
                 + harm(engine)
@@ -244,12 +239,10 @@
         helpers = keepers + others[: parts - 1 - len(keepers)]
         chosen += helpers
         for engine in helpers:
-            helper_delay = part_ms * engine.slowness + engine.pass_ms
-            delay = max(delay, helper_delay + engine.backlog_ms)
+            delay = max(delay, _part_ready_ms(engine, part_ms))
             cost += harm(engine) + _use_cost(engine) + PART_COST
         cost += own_weight * (
-            _delay_cost(delay, work)
-            - _delay_cost(_first_token_ms(first, part_ms), work)
+            _delay_cost(delay, work) - _delay_cost(first_delay, work)
         )
     memory = [0] * len(chosen)
     memory[: holders.count] = [holders.tokens] * holders.count
@@ -302,9 +295,18 @@
     return None
 
 
+def _part_ready_ms(engine: EngineState, part_ms: float) -> float:
+    """Returns when a helper has prefilled its part."""
+    return part_ms * engine.slowness + engine.pass_ms + engine.backlog_ms
+
+
+def _queued(engine: EngineState) -> int:
+    """Returns how many requests one more would leave without a slot."""
+    return max(0, len(engine.attempts) + 1 - engine.target.slots)
+
+
 def _first_token_ms(engine: EngineState, part_ms: float) -> float:
-    queued = max(0, len(engine.attempts) + 1 - engine.target.slots)
-    wait = queued * engine.pass_ms * 4
+    wait = _queued(engine) * engine.pass_ms * 4
     passes = engine.pass_ms * (1 + MEAN_PASS_WAIT)
     return wait + engine.backlog_ms + part_ms * engine.slowness + passes
 
@@ -320,8 +322,7 @@
 
 
 def _use_cost(engine: EngineState) -> float:
-    queued = max(0, len(engine.attempts) + 1 - engine.target.slots)
-    cost = engine.penalty + QUEUED_COST * queued
+    cost = engine.penalty + QUEUED_COST * _queued(engine)
     if not engine.is_local:
         cost += OTHER_ZONE_COST
     return cost
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -43,8 +43,6 @@
 PATIENCE_FLOOR_MS = 2_000.0
 PATIENCE_GOALS = 4.0
 PATIENCE_GAPS = 8.0
-# Part of a caller's patience that a prediction may fill.
-PATIENCE_SHARE = 0.9
 
 
 class Admission(NamedTuple):
@@ -57,7 +55,6 @@
         priority: Rank; 0 is the most urgent.
         version: Version of the configuration that said so.
         proof_age_ms: Age of the proof that no newer version was in force.
-        limits: Bounds on what callers may send.
     """
 
     route: route_table.Route
@@ -66,7 +63,6 @@
     priority: int
     version: int
     proof_age_ms: float
-    limits: route_table.CallerLimits
 
 
 class PlaceRequest(NamedTuple):
@@ -78,10 +74,8 @@
         prompt_tokens: Length of the prompt; 0 where unknown.
         output_tokens: The most output tokens.
         elapsed_ms: Time since it came.
-        left_ms: Time until its deadline or its route's time-out.
         tried: Names of targets that were tried.
         is_repeat: Whether it was sent before.
-        api_key: The caller's key.
     """
 
     key: str
@@ -89,10 +83,8 @@
     prompt_tokens: int
     output_tokens: int
     elapsed_ms: float
-    left_ms: float
     tried: frozenset[str]
     is_repeat: bool
-    api_key: str
 
 
 class Grant(NamedTuple):
@@ -196,7 +188,6 @@
             priority,
             self.knowledge.configuration.version,
             age * 1000.0,
-            table.configuration.limits,
         )
 
     def place(
@@ -431,8 +422,6 @@
             request.output_tokens,
             route.goal_ms,
             request.elapsed_ms,
-            route.gap_goal_ms,
-            request.left_ms,
         )
         choice = engine_placement.choose(work, engines, figures)
         if choice is None:
--- a/catkintrail/memory_leases.py
+++ b/catkintrail/memory_leases.py
@@ -3,6 +3,7 @@
 from concurrent import futures
 import logging
 import threading
+import time
 from typing import Callable, Protocol
 
 from catkintrail import errors
@@ -106,7 +107,7 @@
                     self._wake.clear()
             for order in orders:
                 self._submit(order)
-            threading.Event().wait(CHECK_SECONDS)
+            time.sleep(CHECK_SECONDS)
 
     def _submit(self, order: memory_lease.LeaseOrder) -> None:
         self._pool.submit(self._carry_out, order)
--- a/catkintrail/platform/callers.py
+++ b/catkintrail/platform/callers.py
@@ -19,7 +19,7 @@
 
 LISTEN_BACKLOG = 512
 READ_BYTES = 64 << 10
-# Stacks hold few frames; the default reserves eight megabytes each.
+# Kept connections beyond this are closed after their next answer.
 CONNECTIONS_PER_THREAD = 8
 # Callers that state no deadline wait this long; none of the users' does so.
 DEFAULT_DEADLINE_MS = 10_000.0
--- a/catkintrail/platform/engines.py
+++ b/catkintrail/platform/engines.py
@@ -282,8 +282,6 @@
             headers.append(("Tenant", request.organisation))
         if request.helpers:
             headers.append(("Helpers", _helper_list(request.helpers)))
-        if request.urgency is not None:
-            headers.append(("Request-Priority", str(request.urgency)))
         if request.body or request.method not in ("GET", "HEAD", "DELETE"):
             headers.append(("Content-Length", str(len(request.body))))
         try:
--- a/catkintrail/platform/wire.py
+++ b/catkintrail/platform/wire.py
@@ -15,7 +15,6 @@
     "EXPECT_INSTANCE",
     "HELPERS",
     "HOP_BY_HOP",
-    "INSTANCE_ID",
     "LAST_EVENT_ID",
     "NOT_EXECUTED",
     "READY_PATH",
@@ -38,7 +37,6 @@
 ENGINE_STAMP = "engine-stamp"
 EXPECT_INSTANCE = "expect-instance"
 HELPERS = "helpers"
-INSTANCE_ID = "instance-id"
 LAST_EVENT_ID = "last-event-id"
 NOT_EXECUTED = "not-executed"
 READY_PATH = "/api/ready"
--- a/catkintrail/ports/relaying.py
+++ b/catkintrail/ports/relaying.py
@@ -99,7 +99,6 @@
         organisation: Name of the key's holder; "" for none.
         helpers: Engines that prefill parts of the prompt, with the id of the
             reservation that keeps a part of its memory there, or "".
-        urgency: 0 is first, 9 last; None for the target's default.
         resume_after: Id of the last event that arrived; -1 for none.
         deadline: When the answer is of no use any more, in seconds.
         valid_until: The request must not be sent later.
@@ -113,7 +112,6 @@
     body: bytes
     organisation: str
     helpers: tuple[tuple[target_records.Target, str], ...]
-    urgency: int | None
     resume_after: int
     deadline: float
     valid_until: float
--- a/catkintrail/relay.py
+++ b/catkintrail/relay.py
@@ -164,18 +164,16 @@
         key: str,
     ) -> request_router.Grant | Refusal:
         request = progress.request
-        now = self.clock()
+        elapsed_ms = (self.clock() - request.received_at) * 1000.0
         return self.router.place(
             request_router.PlaceRequest(
                 key,
                 admission,
                 request.prompt_tokens,
                 request.output_tokens,
-                (now - request.received_at) * 1000.0,
-                (progress.until - now) * 1000.0,
+                elapsed_ms,
                 frozenset(progress.tried),
                 progress.sends > 0,
-                request.api_key,
             )
         )
 
@@ -250,7 +248,7 @@
             at_fault = _find_at_fault(grant, error)
             # A helper fails a group where it is gone or cannot be reached.
             is_silent = is_silent or at_fault != grant.target.name
-            self._note_failure(progress, grant, error, sent_at)
+            self._note_failure(progress, grant, error, at_fault, waited)
             return error
         finally:
             for lease in leases.values():
@@ -286,10 +284,10 @@
         progress: _Progress,
         grant: request_router.Grant,
         error: errors.TargetError,
-        sent_at: float,
+        at_fault: str,
+        waited: float,
     ) -> None:
         progress.verdict = verdicts.worst(progress.verdict, error.verdict)
-        at_fault = _find_at_fault(grant, error)
         progress.tried.add(at_fault)
         if error.is_leaving:
             self.router.note_leaving(at_fault)
@@ -302,7 +300,7 @@
                 "verdict": error.verdict.value,
                 "reason": str(error),
                 "is_silent": error.is_silent,
-                "elapsed_ms": round((self.clock() - sent_at) * 1000.0, 1),
+                "elapsed_ms": round(waited * 1000.0, 1),
                 "last_event": progress.sequence.last,
             },
         )
@@ -338,7 +336,6 @@
                 )
                 for helper in grant.helpers
             ),
-            None,
             resume_after,
             progress.until,
             # The proof covers the time at which the caller sent the request.
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -39,6 +39,7 @@
 
 # Requests served at a time; each takes a thread.
 SERVING_THREADS = 160
+# Stacks hold few frames; the default reserves eight megabytes each.
 THREAD_STACK_BYTES = 512 << 10
 READY_THREADS = 2
 # The store answers in a few milliseconds; where it does not, callers are told
@@ -165,12 +166,8 @@
 
     def run(self) -> None:
         """Serves until told to stop; finishes what is in flight."""
-        next_poll = 0.0
         while not self._stop.wait(SETTINGS_POLL_SECONDS):
-            now = clock.boot_seconds()
-            if now >= next_poll:
-                next_poll = now + SETTINGS_POLL_SECONDS
-                self.reload()
+            self.reload()
         self._drain()
 
     def reload(self) -> None:
--- a/tests/engine_fleet.py
+++ b/tests/engine_fleet.py
@@ -203,10 +203,8 @@
                 arrival.tokens,
                 arrival.events * FIGURES.steps_per_pass,
                 0.0,
-                10_000.0,
                 frozenset(),
                 False,
-                "key-1",
             ),
             now,
         )
--- a/tests/test_engine_placement.py
+++ b/tests/test_engine_placement.py
@@ -8,8 +8,8 @@
 from tests import relaying as builders
 
 FIGURES = builders.FIGURES
-SHORT = engine_placement.Work(5_000, 1_600, 300.0, 0.0, 200.0, 10_000.0)
-LONG = engine_placement.Work(210_000, 800, 3_000.0, 0.0, 800.0, 15_000.0)
+SHORT = engine_placement.Work(5_000, 1_600, 300.0, 0.0)
+LONG = engine_placement.Work(210_000, 800, 3_000.0, 0.0)
 
 
 def stream(key, engine, gap=200.0, tokens=5_000):
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -109,7 +109,6 @@
         body=b"question",
         organisation="guild",
         helpers=(),
-        urgency=None,
         resume_after=-1,
         deadline=time.monotonic() + 5.0,
         valid_until=time.monotonic() + 5.0,
--- a/tests/test_request_router.py
+++ b/tests/test_request_router.py
@@ -14,7 +14,7 @@
 ):
     admission = router.admit("wells.example", path, "key-1", now)
     request = request_router.PlaceRequest(
-        key, admission, tokens, 500, 0.0, 9_000.0, frozenset(tried), repeat, ""
+        key, admission, tokens, 500, 0.0, frozenset(tried), repeat
     )
     return router.place(request, now)
 
