Bound how slowly callers may send; share engines' connections

Cause: a caller that opened a connection and sent nothing, or its head byte by byte, held a thread for the idle time-out (20 s), as the HTTP server has one time-out only. `header-timeout-ms` was read and unused. Idle connections to a target were bounded by 16 an instance, whatever the target accepts of all callers together. Refusals by the HTTP parser left no log line.

Change: reads of a head end at the header time-out, reads of a body at the caller's deadline (408; nothing has run). An instance keeps no more connections to a target than its share of `max-conns`; requests are never refused for it. Each refusal of an unread request is logged with its status and reason.

--- a/catkintrail/platform/callers.py
+++ b/catkintrail/platform/callers.py
@@ -2,14 +2,18 @@
 
 import logging
 import re
+import select
+import socket
 import threading
 from typing import Any, Callable
 
 from cheroot import errors as cheroot_errors
+from cheroot import makefile as cheroot_makefile
 from cheroot import server as cheroot_server
 
 from catkintrail import errors
 from catkintrail.adapters import caller_watch
+from catkintrail.core import route_table
 from catkintrail.platform import wire
 from catkintrail.ports import relaying
 
@@ -33,6 +37,7 @@
     400: "Bad Request",
     401: "Unauthorized",
     404: "Not Found",
+    408: "Request Timeout",
     413: "Content Too Large",
     429: "Too Many Requests",
     502: "Bad Gateway",
@@ -80,9 +85,56 @@
         return headers
 
 
+class _TimedSocket:
+    """A caller's socket whose reads end at a time.
+
+    Attributes:
+        until: When reads end; by `clock`.
+        clock: Returns the time in seconds.
+    """
+
+    def __init__(
+        self, connection: socket.socket, clock: Callable[[], float]
+    ) -> None:
+        self.until = 0.0
+        self.clock = clock
+        self._connection = connection
+        self._poll = select.poll()
+        self._poll.register(connection, select.POLLIN)
+
+    def recv_into(self, buffer: Any) -> int:
+        """Reads what has come; what came in time is read, also later.
+
+        Raises:
+            TimeoutError: Nothing came in time.
+        """
+        left_ms = (self.until - self.clock()) * 1000.0
+        if not self._poll.poll(max(0.0, left_ms)):
+            # The HTTP server knows time-outs by this text.
+            raise TimeoutError("timed out")
+        return self._connection.recv_into(buffer)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._connection, name)
+
+
 class _Request(cheroot_server.HTTPRequest):
     header_reader = _HeaderReader()
 
+    def parse_request(self) -> None:
+        """Reads the head within its time."""
+        owner: CallerServer = self.server.owner
+        self.conn.limit_reads(owner.limits.header_timeout_ms / 1000.0)
+        super().parse_request()
+
+    def simple_response(self, status: str, msg: str = "") -> None:
+        """Refuses a request that was not read to its end."""
+        _LOG.info(
+            "request_malformed",
+            extra={"status": int(status[:3]), "reason": msg or status},
+        )
+        super().simple_response(status, msg)
+
     def read_request_headers(self) -> bool:
         success = super().read_request_headers()
         # pylint: disable-next=attribute-defined-outside-init
@@ -93,6 +145,25 @@
 class _Connection(cheroot_server.HTTPConnection):
     RequestHandlerClass = _Request
 
+    def __init__(
+        self,
+        server: cheroot_server.HTTPServer,
+        sock: socket.socket,
+        makefile: Any = cheroot_makefile.MakeFile,
+    ) -> None:
+        self.timed = _TimedSocket(sock, server.owner.clock)
+
+        def make_timed(connection: Any, mode: str, size: int) -> Any:
+            return makefile(
+                self.timed if "r" in mode else connection, mode, size
+            )
+
+        super().__init__(server, sock, make_timed)
+
+    def limit_reads(self, seconds: float) -> None:
+        """Sets how long reads may take in all from now on."""
+        self.timed.until = self.timed.clock() + seconds
+
 
 class _Reply:
     """Sends one answer.
@@ -168,6 +239,8 @@
     Attributes:
         is_draining: Whether connections are closed after their next answer.
         in_flight: Requests being served.
+        limits: Bounds on what callers may send.
+        clock: Returns the time in seconds.
     """
 
     def __init__(
@@ -183,7 +256,8 @@
         self.in_flight = 0
         self._handler = handler
         self._watch = watch
-        self._clock = clock
+        self.limits = route_table.CallerLimits()
+        self.clock = clock
         self._lock = threading.Lock()
         self._server = cheroot_server.HTTPServer(
             (host, int(port)), _Gateway, minthreads=threads, maxthreads=threads
@@ -218,17 +292,18 @@
         self._server.shutdown_timeout = timeout_seconds
         self._server.stop()
 
-    def apply_limits(
-        self, max_header_bytes: int, max_body_bytes: int, idle_ms: int
-    ) -> None:
+    def apply_limits(self, limits: route_table.CallerLimits) -> None:
         """Sets the bounds on what callers may send."""
-        self._server.max_request_header_size = max_header_bytes
-        self._server.max_request_body_size = max_body_bytes
-        self._server.timeout = idle_ms / 1000.0 + IDLE_SLACK_SECONDS
+        self.limits = limits
+        self._server.max_request_header_size = limits.max_header_bytes
+        self._server.max_request_body_size = limits.max_body_bytes
+        self._server.timeout = (
+            limits.idle_timeout_ms / 1000.0 + IDLE_SLACK_SECONDS
+        )
 
     def serve_request(self, request: _Request) -> None:
         """Serves one request whose head was read."""
-        received_at = self._clock()
+        received_at = self.clock()
         with self._lock:
             self.in_flight += 1
         try:
@@ -242,13 +317,13 @@
         try:
             parsed = _parse(request, received_at)
         except cheroot_errors.MaxSizeExceeded:
-            request.close_connection = True
-            reply.start(413, (), 0)
+            _refuse(request, reply, 413, "the body is too long")
+            return
+        except TimeoutError:
+            _refuse(request, reply, 408, "the body did not come in time")
             return
         except ValueError as error:
-            _LOG.info("request_malformed", extra={"reason": str(error)})
-            request.close_connection = True
-            reply.start(400, (), 0)
+            _refuse(request, reply, 400, str(error))
             return
         reply.name_request(parsed.request_id)
         connection = request.conn.socket
@@ -264,8 +339,30 @@
             reply.abort()
 
 
+def _refuse(request: _Request, reply: _Reply, status: int, reason: str) -> None:
+    """Refuses a request that was not read to its end."""
+    _LOG.info(
+        "request_malformed",
+        extra={
+            "request_id": _header(request, wire.ATTEMPT_ID),
+            "status": status,
+            "reason": reason,
+        },
+    )
+    request.close_connection = True
+    reply.start(status, (), 0)
+
+
+def _header(request: _Request, name: str) -> str:
+    value = request.inheaders.get(name.title().encode(), b"")
+    return value.decode("latin-1")
+
+
 def _parse(request: _Request, received_at: float) -> relaying.CallerRequest:
     headers = request.inheaders
+    deadline = _header(request, wire.DEADLINE_MS)
+    deadline_ms = float(deadline) if deadline.isdigit() else DEFAULT_DEADLINE_MS
+    request.conn.limit_reads(deadline_ms / 1000.0)
     body = b""
     if request.chunked_read:
         body = _read_chunks(request)
@@ -275,24 +372,22 @@
         if len(body) < length:
             raise ValueError("the body is cut")
 
-    def header(name: str) -> str:
-        return headers.get(name.title().encode(), b"").decode("latin-1")
-
-    request_id = header(wire.ATTEMPT_ID)
+    request_id = _header(request, wire.ATTEMPT_ID)
     if len(request_id) > MAX_REQUEST_ID_CHARACTERS:
         raise ValueError("the request's id is too long")
-    deadline = header(wire.DEADLINE_MS)
-    prompt, output = wire.decode_token_counts(header(wire.TOKEN_COUNTS))
-    last_event = header(wire.LAST_EVENT_ID)
+    prompt, output = wire.decode_token_counts(
+        _header(request, wire.TOKEN_COUNTS)
+    )
+    last_event = _header(request, wire.LAST_EVENT_ID)
     return relaying.CallerRequest(
         request_id,
         request.method.decode("latin-1"),
         request.uri.decode("latin-1"),
-        header("host"),
+        _header(request, "host"),
         tuple(request.pairs),
         body,
-        wire.decode_api_key(header(wire.AUTHORIZATION)),
-        float(deadline) if deadline.isdigit() else DEFAULT_DEADLINE_MS,
+        wire.decode_api_key(_header(request, wire.AUTHORIZATION)),
+        deadline_ms,
         prompt,
         output,
         int(last_event) if last_event.isdigit() else -1,
--- a/catkintrail/platform/engines.py
+++ b/catkintrail/platform/engines.py
@@ -36,6 +36,10 @@
 AT_SERVER = "at-server"
 
 
+# The address, name and start of a target.
+_Key = tuple[str, str, int]
+
+
 class _Idle(NamedTuple):
     """A connection that may be used again until a time."""
 
@@ -50,13 +54,17 @@
         clock: Returns the time in seconds.
         opened: Connections opened.
         reused: Requests sent on a kept connection.
+        shares: This instance's share of the connections that each target of a
+            service accepts, by service; those in use are never refused.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self.clock = clock
         self.opened = 0
         self.reused = 0
-        self._idle: dict[tuple[str, str, int], collections.deque[_Idle]] = {}
+        self.shares: dict[str, int] = {}
+        self._idle: dict[_Key, collections.deque[_Idle]] = {}
+        self._open: collections.Counter[_Key] = collections.Counter()
         self._lock = threading.Lock()
 
     def send(
@@ -109,15 +117,26 @@
         idle_seconds: float,
     ) -> None:
         """Keeps a connection on which a whole answer came."""
-        if idle_seconds <= 0:
-            connection.close()
-            return
-        idle = _Idle(connection, self.clock() + idle_seconds)
+        key = _key(target)
+        share = self.shares.get(target.service, MAX_IDLE_CONNECTIONS)
+        with self._lock:
+            queue = self._idle.setdefault(key, collections.deque())
+            may_keep = (
+                idle_seconds > 0
+                and len(queue) < MAX_IDLE_CONNECTIONS
+                and self._open[key] <= max(1, share)
+            )
+            if may_keep:
+                queue.append(_Idle(connection, self.clock() + idle_seconds))
+            else:
+                self._close(key, connection)
+
+    def close(
+        self, target: target_records.Target, connection: socket.socket
+    ) -> None:
+        """Closes a connection that is not to be used again."""
         with self._lock:
-            queue = self._idle.setdefault(_key(target), collections.deque())
-            if len(queue) >= MAX_IDLE_CONNECTIONS:
-                queue.popleft().socket.close()
-            queue.append(idle)
+            self._close(_key(target), connection)
 
     def close_idle(self) -> None:
         """Closes kept connections whose time is over."""
@@ -127,20 +146,27 @@
                 for idle in list(queue):
                     if idle.until <= now:
                         queue.remove(idle)
-                        idle.socket.close()
+                        self._close(key, idle.socket)
                 if not queue:
                     del self._idle[key]
 
+    def _close(self, key: _Key, connection: socket.socket) -> None:
+        connection.close()
+        self._open[key] -= 1
+        if not self._open[key]:
+            del self._open[key]
+
     def _take(self, target: target_records.Target) -> socket.socket | None:
         now = self.clock()
+        key = _key(target)
         with self._lock:
-            queue = self._idle.get(_key(target))
+            queue = self._idle.get(key)
             while queue:
                 idle = queue.pop()
                 if idle.until > now and not _is_readable(idle.socket):
                     self.reused += 1
                     return idle.socket
-                idle.socket.close()
+                self._close(key, idle.socket)
         return None
 
     def _connect(
@@ -166,6 +192,8 @@
                 is_silent=True,
             ) from error
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with self._lock:
+            self._open[_key(target)] += 1
         return connection
 
 
@@ -249,7 +277,7 @@
         if self._is_whole and self._is_sent and self._may_reuse():
             self.client.give_back(self.target, self._socket, self._idle_time())
         else:
-            self._socket.close()
+            self.client.close(self.target, self._socket)
 
     def discard(self) -> None:
         """Closes the connection."""
@@ -450,7 +478,7 @@
     )
 
 
-def _key(target: target_records.Target) -> tuple[str, str, int]:
+def _key(target: target_records.Target) -> _Key:
     return target.address, target.name, target.born
 
 
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -26,6 +26,7 @@
 from catkintrail.adapters import router_actor
 from catkintrail.adapters import wsgi
 from catkintrail.core import request_router
+from catkintrail.core import route_table
 from catkintrail.platform import boot
 from catkintrail.platform import callers
 from catkintrail.platform import engines
@@ -224,19 +225,24 @@
 
     def _tick(self) -> None:
         version = -1
+        services: dict[str, route_table.Service] = {}
         started = clock.boot_seconds()
         while True:
             self.router.proxy.tick.defer()
             self.client.close_idle()
-            state = self.router.peer_state(version)
-            if state.configuration is not None:
-                version = state.configuration.version
-                limits = state.configuration.limits
-                self.callers.apply_limits(
-                    limits.max_header_bytes,
-                    limits.max_body_bytes,
-                    limits.idle_timeout_ms,
-                )
+            status = self.router.status()
+            if status.version != version:
+                state = self.router.peer_state(version)
+                if state.configuration is not None:
+                    version = state.configuration.version
+                    services = state.configuration.services
+                    self.callers.apply_limits(state.configuration.limits)
+            instances = len(status.peers) + 1
+            self.client.shares = {
+                service.name: service.max_connections // instances
+                for service in services.values()
+                if service.max_connections
+            }
             age = clock.boot_seconds() - started
             is_new = age < router_actor.START_SECONDS
             time.sleep(START_TICK_SECONDS if is_new else TICK_SECONDS)
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -1,12 +1,15 @@
 """Callers' connections over loopback."""
 
+import contextlib
 import socket
 import threading
 import time
 
 import testtools
+from testtools import matchers
 
 from catkintrail.adapters import caller_watch
+from catkintrail.core import route_table
 from catkintrail.platform import callers
 from tests import processes
 
@@ -15,6 +18,7 @@
     b"Attempt-Id: r1\r\nDeadline-Ms: 900\r\nToken-Counts: 1460,80\r\n"
     b"Authorization: Token key-1\r\n"
 )
+LIMITS = route_table.CallerLimits(2_000, 5_000, 600, 15_000)
 
 
 class CallerServerTestCase(testtools.TestCase):
@@ -34,7 +38,7 @@
             self.watch,
             time.monotonic,
         )
-        self.server.apply_limits(2_000, 5_000, 15_000)
+        self.server.apply_limits(LIMITS)
         self.server.start()
         self.addCleanup(self.server.stop, 0.1)
 
@@ -145,6 +149,72 @@
         self.refused(HEAD + b"X-A: " + b"a" * 3_000 + b"\r\n\r\n", b" 413 ")
 
 
+class SlowCallerTests(CallerServerTestCase):
+    """Callers that send little by little do not hold a thread for long."""
+
+    def trickle(self, connection, data):
+        started = time.monotonic()
+        connection.settimeout(0.1)
+        for number in range(100):
+            # The far end may close while we send.
+            with contextlib.suppress(OSError):
+                connection.sendall(data[number : number + 1])
+            try:
+                got = connection.recv(65536)
+                return got, time.monotonic() - started
+            except TimeoutError:
+                continue
+        return b"", time.monotonic() - started
+
+    def test_head_that_takes_too_long(self):
+        got, seconds = self.trickle(self.connect(), HEAD)
+        self.assertIn(b" 408 ", got)
+        self.assertThat(seconds, matchers.LessThan(2.0))
+
+    def test_connection_on_which_nothing_comes(self):
+        connection = self.connect()
+        started = time.monotonic()
+        self.read(connection)
+        seconds = time.monotonic() - started
+        self.assertThat(seconds, matchers.LessThan(2.0))
+
+    def test_body_that_takes_too_long(self):
+        connection = self.connect()
+        # The caller waits for 900 ms in all.
+        connection.sendall(HEAD + b"Content-Length: 1000\r\n\r\n")
+        got, seconds = self.trickle(connection, b"x" * 100)
+        self.assertIn(b" 408 ", got)
+        self.assertThat(seconds, matchers.LessThan(2.0))
+        self.assertEqual([], self.requests)
+
+    def test_kept_connection_may_rest_for_longer(self):
+        connection = self.connect()
+        self.ask(HEAD + b"Content-Length: 0\r\n\r\n", connection)
+        time.sleep(1.2)
+        got = self.ask(HEAD + b"Content-Length: 0\r\n\r\n", connection)
+        self.assertIn(b" 200 ", got)
+
+
+class RefusalLogTests(CallerServerTestCase):
+    """Each request that is refused unread leaves a line."""
+
+    def test_every_refusal_is_logged(self):
+        for data, status in (
+            (b"nonsense\r\n\r\n", 400),
+            (HEAD + b"X-A: " + b"a" * 3_000 + b"\r\n\r\n", 413),
+            (HEAD + b"Content-Length: 6000\r\n\r\n", 413),
+            (HEAD + b"Content-Length: +4\r\n\r\n", 400),
+            (b"POST /a HTTP/2.0\r\n\r\n", 505),
+        ):
+            with self.assertLogs("catkintrail.callers") as logs:
+                self.ask(data)
+            found = [
+                line for line in logs.records if line.msg == "request_malformed"
+            ]
+            self.assertEqual([status], [line.status for line in found])
+            self.assertNotEqual("", found[0].reason)
+
+
 class EndTests(CallerServerTestCase):
 
     def test_own_answers_name_the_request(self):
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -264,6 +264,70 @@
         self.cut(play)
 
 
+class KeepAliveServer:
+    """Answers any number of requests on any number of connections."""
+
+    def __init__(self):
+        self.socket = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.socket.getsockname()[1]}"
+        self.open = 0
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self):
+        while True:
+            try:
+                connection, _ = self.socket.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection):
+        self.open += 1
+        with connection:
+            while connection.recv(65536):
+                connection.sendall(answer())
+        self.open -= 1
+
+    def close(self):
+        self.socket.close()
+
+
+class ShareTests(EngineClientTestCase):
+    """All instances together stay within what a target accepts."""
+
+    def setUp(self):
+        super().setUp()
+        self.server = KeepAliveServer()
+        self.addCleanup(self.server.close)
+        self.target = builders.make_target("e-1", address=self.server.address)
+
+    def send_together(self, count):
+        answers = [self.send() for _ in range(count)]
+        for got in answers:
+            self.read_all(got)
+        time.sleep(0.1)
+
+    def test_no_more_connections_are_kept_than_the_share(self):
+        self.client.shares = {"engines": 2}
+        self.send_together(5)
+        self.assertEqual(2, self.server.open)
+
+    def test_connections_in_use_count(self):
+        self.client.shares = {"engines": 2}
+        busy = [self.send() for _ in range(2)]
+        self.send_together(1)
+        self.assertEqual(2, self.server.open)
+        for got in busy:
+            self.read_all(got)
+
+    def test_requests_go_on_beyond_the_share(self):
+        self.client.shares = {"engines": 0}
+        self.send_together(3)
+        self.assertEqual(1, self.server.open)
+
+
 class ReuseTests(EngineClientTestCase):
 
     def test_connection_is_used_again(self):
