Add explain and report, which read the logs of relaying instances

`explain REQUEST-ID LOG...` prints a request's lines of all instances in order, what its instance learnt shortly before of the store and the targets concerned, and a conclusion. `report LOG...` counts ends, causes of refusals, and first-token times by prompt length. `check` knows the platform's settings file.

--- a/catkintrail/cli.py
+++ b/catkintrail/cli.py
@@ -14,10 +14,12 @@
 from catkintrail import daemon
 from catkintrail import errors
 from catkintrail import load
+from catkintrail import log_commands
 from catkintrail import objects
 from catkintrail import settings
 from catkintrail.adapters import wsgi
 from catkintrail.core import publication
+from catkintrail.platform import boot
 from catkintrail.standin import engine
 from catkintrail.standin import engine_model
 from catkintrail.standin import platform
@@ -80,6 +82,7 @@
     _add_check(commands)
     _add_admin(commands)
     _add_load(commands)
+    log_commands.add_commands(commands, _add)
     _add_standin(commands)
     return parser
 
@@ -153,6 +156,9 @@
 
 
 def _check_file(path: str) -> str:
+    if path.endswith(".toml"):
+        boot.read_settings(path)
+        return "settings of a relaying instance are right"
     data = checking.read_document(path)
     if "instance" in data or "callers" in data or "peers" in data:
         settings.check_settings(data, path)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -10,6 +10,7 @@
 
 from catkintrail import cli
 from tests import processes
+from tests import test_relay_processes
 
 
 def run(*arguments):
@@ -38,6 +39,8 @@
     def test_every_command_has_help(self):
         commands = [
             ["entry"],
+            ["explain"],
+            ["report"],
             ["check"],
             ["load"],
             ["admin"],
@@ -76,6 +79,18 @@
         self.assertEqual(3, len(err.splitlines()))
         self.assertIn("did you mean 'call_seconds'", err)
 
+    def test_check_of_a_relaying_instances_settings(self):
+        path = pathlib.Path(self.folder.name) / "settings.toml"
+        text = test_relay_processes.SETTINGS.format(
+            name="a", ip="10.0.0.1", udp=1, control=2, front=3, ready=4, store=5
+        )
+        path.write_text(text)
+        self.assertEqual(cli.OK, run("check", str(path))[0])
+        path.write_text(text.replace("node =", "other ="))
+        code, _, complaint = run("check", str(path))
+        self.assertEqual(cli.MISTAKES, code)
+        self.assertIn("node", complaint)
+
     def test_check_of_no_json(self):
         code, _, err = run("check", self.write("{nonsense"))
         self.assertEqual((2, 1), (code, len(err.splitlines())))
