Start threads for callers as they are needed

Cause: 160 threads for callers were started on each instance, however little it had to do.

Change: 32 at the start, 16 more whenever fewer than 16 are free, at most 160.

--- a/catkintrail/platform/callers.py
+++ b/catkintrail/platform/callers.py
@@ -23,6 +23,8 @@
 
 LISTEN_BACKLOG = 512
 READ_BYTES = 64 << 10
+# Threads that are kept free: a burst fills them within some tenths of a second.
+SPARE_THREADS = 16
 # Kept connections beyond this are closed after their next answer.
 CONNECTIONS_PER_THREAD = 8
 # Callers that state no deadline wait this long; none of the users' does so.
@@ -236,6 +238,9 @@
 class CallerServer:
     """Serves callers.
 
+    Each request takes a thread. `threads` are the numbers of them at the start
+    and at most; `add_threads`, called now and then, starts more where needed.
+
     Attributes:
         is_draining: Whether connections are closed after their next answer.
         in_flight: Requests being served.
@@ -246,7 +251,7 @@
     def __init__(
         self,
         address: str,
-        threads: int,
+        threads: tuple[int, int],
         handler: Handler,
         watch: caller_watch.CallerWatch,
         clock: Callable[[], float],
@@ -260,12 +265,15 @@
         self.clock = clock
         self._lock = threading.Lock()
         self._server = cheroot_server.HTTPServer(
-            (host, int(port)), _Gateway, minthreads=threads, maxthreads=threads
+            (host, int(port)),
+            _Gateway,
+            minthreads=threads[0],
+            maxthreads=threads[1],
         )
         self._server.owner = self
         self._server.ConnectionClass = _Connection
         self._server.request_queue_size = LISTEN_BACKLOG
-        self._server.keep_alive_conn_limit = threads * CONNECTIONS_PER_THREAD
+        self._server.keep_alive_conn_limit = threads[1] * CONNECTIONS_PER_THREAD
         self._server.server_name = "catkintrail"
         self._server.error_log = _log_error
 
@@ -283,6 +291,14 @@
             target=self._server.serve, name="callers", daemon=True
         ).start()
 
+    def add_threads(self) -> None:
+        """Starts threads where few of them are free; none before `start`."""
+        if not self._server.ready:
+            return
+        pool = self._server.requests
+        if pool.idle < SPARE_THREADS:
+            pool.grow(SPARE_THREADS)
+
     def stop(self, timeout_seconds: float) -> None:
         """Closes the port and idle connections; finishes what was taken.
 
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -38,8 +38,8 @@
 
 _LOG = logging.getLogger("catkintrail.instance")
 
-# Requests served at a time; each takes a thread.
-SERVING_THREADS = 160
+# Requests served at a time, each in a thread: at the start, and at most.
+SERVING_THREADS = (32, 160)
 # Stacks hold few frames; the default reserves eight megabytes each.
 THREAD_STACK_BYTES = 512 << 10
 READY_THREADS = 2
@@ -230,6 +230,7 @@
         while True:
             self.router.proxy.tick.defer()
             self.client.close_idle()
+            self.callers.add_threads()
             status = self.router.status()
             if status.version != version:
                 state = self.router.peer_state(version)
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -33,7 +33,7 @@
         self.port = processes.free_ports(1)[0]
         self.server = callers.CallerServer(
             f"127.0.0.1:{self.port}",
-            4,
+            (4, 12),
             self.pass_on,
             self.watch,
             time.monotonic,
@@ -252,6 +252,40 @@
         self.assertTrue(seen.wait(2.0))
 
 
+class ThreadTests(CallerServerTestCase):
+
+    def test_more_requests_than_first_threads_are_served_together(self):
+        waiting = threading.Barrier(9)
+
+        def wait(request, reply, caller):
+            waiting.wait(5.0)
+            self.answer(request, reply, caller)
+
+        self.handler = wait
+        connections = [self.connect() for _ in range(8)]
+        for connection in connections:
+            connection.sendall(HEAD + b"Content-Length: 0\r\n\r\n")
+        time.sleep(0.2)
+        self.assertEqual(4, waiting.n_waiting)
+        self.server.add_threads()
+        waiting.wait(5.0)
+        for connection in connections:
+            self.assertIn(b" 200 ", self.read(connection))
+
+
+    def test_threads_are_not_added_before_the_start(self):
+        server = callers.CallerServer(
+            f"127.0.0.1:{processes.free_ports(1)[0]}",
+            (4, 12),
+            self.pass_on,
+            self.watch,
+            time.monotonic,
+        )
+        server.add_threads()
+        server.start()
+        self.addCleanup(server.stop, 0.1)
+
+
 class DrainTests(CallerServerTestCase):
 
     def test_connection_closes_after_its_answer(self):
