--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -26,6 +26,7 @@
 from catkintrail.adapters import router_actor
 from catkintrail.adapters import wsgi
 from catkintrail.core import request_router
+from catkintrail.core import route_table
 from catkintrail.platform import boot
 from catkintrail.platform import callers
 from catkintrail.platform import engines
@@ -37,8 +38,8 @@
 
 _LOG = logging.getLogger("catkintrail.instance")
 
-# Requests served at a time; each takes a thread.
-SERVING_THREADS = 160
+# Requests served at a time, each in a thread: at the start, and at most.
+SERVING_THREADS = (32, 160)
 # Stacks hold few frames; the default reserves eight megabytes each.
 THREAD_STACK_BYTES = 512 << 10
 READY_THREADS = 2
@@ -224,19 +225,25 @@
 
     def _tick(self) -> None:
         version = -1
+        services: dict[str, route_table.Service] = {}
         started = clock.boot_seconds()
         while True:
             self.router.proxy.tick.defer()
             self.client.close_idle()
-            state = self.router.peer_state(version)
-            if state.configuration is not None:
-                version = state.configuration.version
-                limits = state.configuration.limits
-                self.callers.apply_limits(
-                    limits.max_header_bytes,
-                    limits.max_body_bytes,
-                    limits.idle_timeout_ms,
-                )
+            self.callers.add_threads()
+            status = self.router.status()
+            if status.version != version:
+                state = self.router.peer_state(version)
+                if state.configuration is not None:
+                    version = state.configuration.version
+                    services = state.configuration.services
+                    self.callers.apply_limits(state.configuration.limits)
+            instances = len(status.peers) + 1
+            self.client.shares = {
+                service.name: service.max_connections // instances
+                for service in services.values()
+                if service.max_connections
+            }
             age = clock.boot_seconds() - started
             is_new = age < router_actor.START_SECONDS
             time.sleep(START_TICK_SECONDS if is_new else TICK_SECONDS)
