--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A soak of relaying instances: real processes, faults from outside."""
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,303 @@
+"""What each kind of fault does, and how it ends."""
+
+import asyncio
+import random
+import signal
+import time
+
+from soak import callers
+from soak import history as histories
+from soak import instances as processes
+from soak import operator as operators
+from soak import plan
+from soak import proxy as proxies
+from soak import targets as target_fleet
+from tests import platform_standins
+
+__all__ = ["FaultInjector"]
+
+# A process is started again this long after its end.
+RESTART_SECONDS = 0.5
+# The store drops the entry of a target that is silent after this time.
+EXPIRY_SECONDS = 3.0
+DRAIN_SECONDS = 2.0
+STORE = "store"
+BURST_FACTOR = 3.0
+SLOW_STORE_SECONDS = 0.3
+SLOW_LINK_SECONDS = 0.15
+
+
+class FaultInjector:
+    """Plays faults on the parts of a run."""
+
+    def __init__(
+        self,
+        instances: list[processes.Instance],
+        fleet: target_fleet.Fleet,
+        store: platform_standins.Store,
+        operator: operators.Operator,
+        load: callers.Callers,
+        history: histories.History,
+    ) -> None:
+        self._instances = instances
+        self._fleet = fleet
+        self._store = store
+        self._operator = operator
+        self._load = load
+        self._history = history
+        self._busy: set[str] = set()
+
+    async def play(self, fault: plan.Fault) -> None:
+        """Plays one fault to its end."""
+        rng = random.Random(fault.choice)
+        group, _, name = fault.kind.partition("_")
+        if group == "instance":
+            await self._disturb_instances(name, fault, rng)
+        elif group == "store":
+            await self._disturb_store(name, fault, rng)
+        elif group == "target":
+            await self._disturb_target(name, fault, rng)
+        elif group == "link":
+            await self._disturb_link(name, fault, rng)
+        else:
+            await getattr(self, f"_play_{fault.kind}")(fault, rng)
+
+    def _begin(self, subject: str, kind: str) -> int:
+        self._history.disturbances.append(
+            histories.Disturbance(subject, kind, time.monotonic(), float("inf"))
+        )
+        return len(self._history.disturbances) - 1
+
+    def _end(self, index: int) -> None:
+        found = self._history.disturbances[index]
+        self._history.disturbances[index] = found._replace(
+            until=time.monotonic()
+        )
+
+    # Instances.
+
+    async def _disturb_instances(
+        self, name: str, fault: plan.Fault, rng: random.Random
+    ) -> None:
+        count = 1
+        if name.endswith("_many"):
+            count = max(1, len(self._instances) // 2)
+        free = [i for i in self._instances if i.name not in self._busy]
+        chosen = rng.sample(free, min(count, len(free)))
+        play = {
+            "kill": self._kill,
+            "pause": self._pause,
+            "stop": self._stop,
+        }[name.partition("_")[0]]
+        self._busy |= {instance.name for instance in chosen}
+        try:
+            await asyncio.gather(
+                *(play(instance, fault.seconds) for instance in chosen)
+            )
+        finally:
+            self._busy -= {instance.name for instance in chosen}
+
+    async def _kill(self, instance: processes.Instance, seconds: float) -> None:
+        index = self._begin(instance.name, "kill")
+        instance.kill()
+        await asyncio.sleep(min(seconds, RESTART_SECONDS * 4))
+        instance.start()
+        self._end(index)
+
+    async def _pause(
+        self, instance: processes.Instance, seconds: float
+    ) -> None:
+        index = self._begin(instance.name, "pause")
+        instance.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        instance.send_signal(signal.SIGCONT)
+        self._end(index)
+
+    async def _stop(
+        self, instance: processes.Instance, _seconds: float
+    ) -> None:
+        index = self._begin(instance.name, "stop")
+        await instance.stop()
+        await asyncio.sleep(RESTART_SECONDS)
+        instance.start()
+        self._end(index)
+
+    async def _play_settings_change(
+        self, _fault: plan.Fault, rng: random.Random
+    ) -> None:
+        instance = rng.choice(self._instances)
+        instance.write_settings(processes.RETRY_EXTRA + rng.randint(0, 5))
+        instance.send_signal(signal.SIGHUP)
+
+    # The store.
+
+    async def _disturb_store(
+        self, name: str, fault: plan.Fault, rng: random.Random
+    ) -> None:
+        if name == "forget":
+            self._store.forget()
+            return
+        chosen = self._instances
+        if rng.random() < 0.5:
+            chosen = rng.sample(chosen, rng.randint(1, len(chosen)))
+        subjects = [instance.name for instance in chosen]
+        if len(chosen) == len(self._instances):
+            subjects = [STORE]
+        indices = [
+            self._begin(subject, f"store {name}") for subject in subjects
+        ]
+        if name in ("refuse", "busy"):
+            # For all: the store does not tell who calls.
+            indices.append(self._begin(STORE, name))
+            self._store.status = 503 if name == "refuse" else 429
+            await asyncio.sleep(fault.seconds)
+            self._store.status = 200
+        else:
+            mode, delay = {
+                "reset": (proxies.Mode.REFUSE, 0.0),
+                "silent": (proxies.Mode.SILENT, 0.0),
+                "one_way": (proxies.Mode.ONE_WAY, 0.0),
+                "slow": (proxies.Mode.DELAY, SLOW_STORE_SECONDS),
+            }[name]
+            for instance in chosen:
+                instance.store.change(mode, delay)
+            await asyncio.sleep(fault.seconds)
+            for instance in chosen:
+                instance.store.change(proxies.Mode.PASS)
+        for index in indices:
+            self._end(index)
+
+    # Targets.
+
+    def _choose_target(self, rng: random.Random) -> target_fleet.Target | None:
+        """Chooses a target that may be lost: others of its service stay."""
+        free = [
+            target
+            for name, target in sorted(self._fleet.targets.items())
+            if name not in self._busy and not target.is_leaving
+        ]
+        by_service = {target.service: 0 for target in free}
+        for target in free:
+            by_service[target.service] += 1
+        free = [target for target in free if by_service[target.service] > 1]
+        return rng.choice(free) if free else None
+
+    async def _disturb_target(
+        self, name: str, fault: plan.Fault, rng: random.Random
+    ) -> None:
+        target = self._choose_target(rng)
+        if target is None:
+            return
+        self._busy.add(target.name)
+        if name in ("crash", "drain", "lapse", "reuse"):
+            await getattr(self, f"_target_{name}")(target, rng)
+        else:
+            index = self._begin(target.name, name)
+            target.behaviour = target_fleet.Behaviour(name)
+            await asyncio.sleep(fault.seconds)
+            target.behaviour = target_fleet.Behaviour.SOUND
+            self._end(index)
+        self._busy.discard(target.name)
+
+    async def add_target(
+        self, service: str, zone: str, proxy: proxies.Proxy | None = None
+    ) -> None:
+        """Starts a target and enters it in the store's list."""
+        target = await self._fleet.add(service, zone, proxy)
+        self._store.put("servers", target.name, target.entry())
+
+    async def _target_crash(
+        self, target: target_fleet.Target, _rng: random.Random
+    ) -> None:
+        self._begin(target.name, "crash")
+        self._fleet.remove(target)
+        await asyncio.sleep(RESTART_SECONDS)
+        await self.add_target(target.service, target.zone)
+        await asyncio.sleep(EXPIRY_SECONDS)
+        self._store.remove("servers", target.name)
+
+    async def _target_drain(
+        self, target: target_fleet.Target, _rng: random.Random
+    ) -> None:
+        await self.add_target(target.service, target.zone)
+        target.is_leaving = True
+        self._store.put("servers", target.name, target.entry())
+        self._history.left[target.name] = time.monotonic()
+        await asyncio.sleep(DRAIN_SECONDS * 2)
+        self._begin(target.name, "gone")
+        self._fleet.remove(target)
+        self._store.remove("servers", target.name)
+
+    async def _target_lapse(
+        self, target: target_fleet.Target, _rng: random.Random
+    ) -> None:
+        await self.add_target(target.service, target.zone)
+        target.is_leaving = True
+        self._store.remove("servers", target.name)
+        self._history.left[target.name] = time.monotonic()
+        await asyncio.sleep(DRAIN_SECONDS * 2)
+        self._begin(target.name, "gone")
+        self._fleet.remove(target)
+
+    async def _target_reuse(
+        self, target: target_fleet.Target, _rng: random.Random
+    ) -> None:
+        """Gives the address of a crashed target to another service."""
+        service = target_fleet.ENGINES
+        if target.service == target_fleet.ENGINES:
+            service = target_fleet.DESK
+        self._begin(target.name, "crash")
+        self._fleet.remove(target)
+        await self.add_target(target.service, target.zone)
+        await asyncio.sleep(DRAIN_SECONDS)
+        await self.add_target(service, target.zone, target.proxy)
+        await asyncio.sleep(EXPIRY_SECONDS)
+        self._store.remove("servers", target.name)
+
+    async def _disturb_link(
+        self, name: str, fault: plan.Fault, rng: random.Random
+    ) -> None:
+        target = self._choose_target(rng)
+        if target is None or target.proxy is None:
+            return
+        index = self._begin(target.name, f"link {name}")
+        proxy = target.proxy
+        if name == "reset":
+            proxy.reset()
+        else:
+            mode, delay = {
+                "delay": (proxies.Mode.DELAY, SLOW_LINK_SECONDS),
+                "silent": (proxies.Mode.SILENT, 0.0),
+                "one_way": (proxies.Mode.ONE_WAY, 0.0),
+            }[name]
+            proxy.change(mode, delay)
+            await asyncio.sleep(fault.seconds)
+            proxy.change(proxies.Mode.PASS)
+        self._end(index)
+
+    # The operator and the callers.
+
+    async def _play_key_revoke(
+        self, _fault: plan.Fault, _rng: random.Random
+    ) -> None:
+        self._operator.revoke_key()
+
+    async def _play_key_add(
+        self, _fault: plan.Fault, _rng: random.Random
+    ) -> None:
+        self._operator.add_key()
+
+    async def _play_route_add(
+        self, _fault: plan.Fault, _rng: random.Random
+    ) -> None:
+        self._operator.add_route()
+
+    async def _play_timeouts_change(
+        self, _fault: plan.Fault, _rng: random.Random
+    ) -> None:
+        self._operator.change_timeouts()
+
+    async def _play_burst(self, fault: plan.Fault, _rng: random.Random) -> None:
+        self._load.rate *= BURST_FACTOR
+        await asyncio.sleep(fault.seconds)
+        self._load.rate /= BURST_FACTOR
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -272,7 +272,6 @@
         for connection in connections:
             self.assertIn(b" 200 ", self.read(connection))
 
-
     def test_threads_are_not_added_before_the_start(self):
         server = callers.CallerServer(
             f"127.0.0.1:{processes.free_ports(1)[0]}",
