--- a/soak/run.py
+++ b/soak/run.py
@@ -1,6 +1,7 @@
 """One run of the soak: starts everything, plays a plan, checks."""
 
 import asyncio
+import os
 import pathlib
 import random
 import tempfile
@@ -147,8 +148,11 @@
             zone = ZONES[number % len(ZONES)]
             await self.faults.add_target(targets.DESK, zone)
         numbers = processes.Ports(ports.free_ports(4))
+        # The metrics' port is the same everywhere; runs beside each other
+        # take different addresses.
+        net = 1 + os.getpid() % 250
         ips = [
-            f"127.0.{1 + number // 200}.{1 + number % 200}"
+            f"127.{net}.{number // 200}.{1 + number % 200}"
             for number in range(self.options.instances)
         ]
         seeds = [f"{ip}:{numbers.peers}" for ip in ips[:MAX_SEEDS]]
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -247,8 +247,11 @@
             if watch.done() and not work.done() and not _result(watch):
                 raise http1.ClosedError("the caller left")
             await work
-            # The next request may begin while this one ends.
-            connection.http.receive_data(_result(watch))
+            watch.cancel()
+            await asyncio.wait({watch})
+            if data := _result(watch):
+                # The next request begins while this one ends.
+                connection.http.receive_data(data)
         finally:
             work.cancel()
             watch.cancel()
@@ -445,7 +448,7 @@
 
 def _result(watch: asyncio.Future) -> bytes:
     """Returns what came on a connection; b"" where it was closed."""
-    if not watch.done() or watch.exception() is not None:
+    if watch.cancelled() or watch.exception() is not None:
         return b""
     return watch.result()
 
