--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import collections
+import signal
 import sys
 
 from catkintrail import request_story
@@ -32,6 +33,8 @@
         "--folder", default="", help="keep the instances' logs here"
     )
     options = parser.parse_args()
+    # The instances are ended, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     broken = 0
     for seed in range(options.seed, options.seed + options.count):
         result = run.play(
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -22,7 +22,7 @@
 CONTACT_SECONDS = 4.0
 # A request ends this long after its time is over at the latest.
 END_SLACK_SECONDS = 0.5
-TIMEOUT_SECONDS = {"ask": 10.0, "book": 1.4, "look": 1.4}
+ASK_TIMEOUT_SECONDS = 10.0
 SERVICES = {"ask": targets.ENGINES, "book": targets.DESK, "look": targets.DESK}
 ORGANISATION = "guild"
 REVOKE_SECONDS = 5.0
@@ -36,7 +36,7 @@
 RETRY_RATIO = 0.2
 RETRY_EXTRA = processes.RETRY_EXTRA + 5
 RETRY_WINDOW_SECONDS = 10.0
-MAX_SENDS = {"ask": 2, "book": 1, "look": 2}
+MAX_SENDS = 2
 # A stop leaves the last sixth of the grace time for requests that are cut.
 STOP_SECONDS = processes.GRACE_SECONDS * 5 / 6
 # After the last fault the fleet serves as before within this time.
@@ -157,7 +157,7 @@
     """A request has its end by its deadline and its route's time-out."""
     lag = max(history.lag_seconds, default=0.0)
     for sent in history.sent:
-        limit = min(sent.patience_seconds, TIMEOUT_SECONDS[sent.route])
+        limit = min(sent.patience_seconds, _timeout(history, sent))
         took = sent.ended_at - sent.sent_at
         if (
             sent.is_sent
@@ -287,7 +287,7 @@
     runs = _runs(history)
     for sent in history.sent:
         names = {run.target for run in runs[sent.request_id]}
-        if len(names) > MAX_SENDS[sent.route]:
+        if len(names) > MAX_SENDS:
             yield sent.request_id, f"ran at {sorted(names)}"
 
 
@@ -399,6 +399,25 @@
 }
 
 
+def _timeout(history: History, sent: histories.Sent) -> float:
+    """Returns the longest time-out that may be in force for a request."""
+    if sent.route == "ask":
+        return ASK_TIMEOUT_SECONDS
+    limit = APPLY_SECONDS
+    if history.is_disturbed(
+        (STORE,), sent.sent_at - CONTACT_SECONDS - STRETCH_SECONDS, sent.sent_at
+    ):
+        limit += STRETCH_SECONDS
+    seconds = [0.0]
+    for accepted_at, timeout in history.desk_timeouts:
+        if accepted_at <= sent.sent_at - limit:
+            # It has replaced those before it.
+            seconds.clear()
+        if accepted_at <= sent.ended_at:
+            seconds.append(timeout)
+    return max(seconds)
+
+
 def _runs(history: History) -> dict[str, list[histories.Arrival]]:
     runs = collections.defaultdict(list)
     for arrival in history.arrivals:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -59,8 +59,19 @@
             await self._disturb_target(name, fault, rng)
         elif group == "link":
             await self._disturb_link(name, fault, rng)
+        elif fault.kind == "settings_change":
+            self._change_settings(rng)
+        elif fault.kind == "burst":
+            self._load.rate *= BURST_FACTOR
+            await asyncio.sleep(fault.seconds)
+            self._load.rate /= BURST_FACTOR
         else:
-            await getattr(self, f"_play_{fault.kind}")(fault, rng)
+            {
+                "key_revoke": self._operator.revoke_key,
+                "key_add": self._operator.add_key,
+                "route_add": self._operator.add_route,
+                "timeouts_change": self._operator.change_timeouts,
+            }[fault.kind]()
 
     def _begin(self, subject: str, kind: str) -> int:
         self._history.disturbances.append(
@@ -122,9 +133,7 @@
         instance.start()
         self._end(index)
 
-    async def _play_settings_change(
-        self, _fault: plan.Fault, rng: random.Random
-    ) -> None:
+    def _change_settings(self, rng: random.Random) -> None:
         instance = rng.choice(self._instances)
         instance.write_settings(processes.RETRY_EXTRA + rng.randint(0, 5))
         instance.send_signal(signal.SIGHUP)
@@ -190,7 +199,7 @@
             return
         self._busy.add(target.name)
         if name in ("crash", "drain", "lapse", "reuse"):
-            await getattr(self, f"_target_{name}")(target, rng)
+            await getattr(self, f"_target_{name}")(target)
         else:
             index = self._begin(target.name, name)
             target.behaviour = target_fleet.Behaviour(name)
@@ -206,9 +215,7 @@
         target = await self._fleet.add(service, zone, proxy)
         self._store.put("servers", target.name, target.entry())
 
-    async def _target_crash(
-        self, target: target_fleet.Target, _rng: random.Random
-    ) -> None:
+    async def _target_crash(self, target: target_fleet.Target) -> None:
         self._begin(target.name, "crash")
         self._fleet.remove(target)
         await asyncio.sleep(RESTART_SECONDS)
@@ -216,32 +223,29 @@
         await asyncio.sleep(EXPIRY_SECONDS)
         self._store.remove("servers", target.name)
 
-    async def _target_drain(
-        self, target: target_fleet.Target, _rng: random.Random
-    ) -> None:
-        await self.add_target(target.service, target.zone)
-        target.is_leaving = True
-        self._store.put("servers", target.name, target.entry())
-        self._history.left[target.name] = time.monotonic()
-        await asyncio.sleep(DRAIN_SECONDS * 2)
-        self._begin(target.name, "gone")
-        self._fleet.remove(target)
-        self._store.remove("servers", target.name)
+    async def _target_drain(self, target: target_fleet.Target) -> None:
+        await self._leave(target, True)
+
+    async def _target_lapse(self, target: target_fleet.Target) -> None:
+        await self._leave(target, False)
 
-    async def _target_lapse(
-        self, target: target_fleet.Target, _rng: random.Random
+    async def _leave(
+        self, target: target_fleet.Target, has_notice: bool
     ) -> None:
         await self.add_target(target.service, target.zone)
         target.is_leaving = True
-        self._store.remove("servers", target.name)
+        if has_notice:
+            self._store.put("servers", target.name, target.entry())
+        else:
+            self._store.remove("servers", target.name)
         self._history.left[target.name] = time.monotonic()
         await asyncio.sleep(DRAIN_SECONDS * 2)
         self._begin(target.name, "gone")
         self._fleet.remove(target)
+        if has_notice:
+            self._store.remove("servers", target.name)
 
-    async def _target_reuse(
-        self, target: target_fleet.Target, _rng: random.Random
-    ) -> None:
+    async def _target_reuse(self, target: target_fleet.Target) -> None:
         """Gives the address of a crashed target to another service."""
         service = target_fleet.ENGINES
         if target.service == target_fleet.ENGINES:
@@ -274,30 +278,3 @@
             await asyncio.sleep(fault.seconds)
             proxy.change(proxies.Mode.PASS)
         self._end(index)
-
-    # The operator and the callers.
-
-    async def _play_key_revoke(
-        self, _fault: plan.Fault, _rng: random.Random
-    ) -> None:
-        self._operator.revoke_key()
-
-    async def _play_key_add(
-        self, _fault: plan.Fault, _rng: random.Random
-    ) -> None:
-        self._operator.add_key()
-
-    async def _play_route_add(
-        self, _fault: plan.Fault, _rng: random.Random
-    ) -> None:
-        self._operator.add_route()
-
-    async def _play_timeouts_change(
-        self, _fault: plan.Fault, _rng: random.Random
-    ) -> None:
-        self._operator.change_timeouts()
-
-    async def _play_burst(self, fault: plan.Fault, _rng: random.Random) -> None:
-        self._load.rate *= BURST_FACTOR
-        await asyncio.sleep(fault.seconds)
-        self._load.rate /= BURST_FACTOR
--- a/soak/history.py
+++ b/soak/history.py
@@ -155,6 +155,8 @@
         probes: Of routes that came late.
         disturbances: Faults; those that last are replaced at their end.
         added: When each key that came late was acknowledged.
+        desk_timeouts: Time-outs of the desk's routes, with the time at which
+            the store had accepted each.
         revoked: When the loss of each key was acknowledged.
         left: When the leaving of each target was acknowledged.
         stops: Instance, SIGTERM, end of its process; 0.0 while it runs.
@@ -170,6 +172,7 @@
     probes: list[Probe]
     disturbances: list[Disturbance]
     added: dict[str, float]
+    desk_timeouts: list[tuple[float, float]]
     revoked: dict[str, float]
     left: dict[str, float]
     stops: list[tuple[str, float, float]]
@@ -191,4 +194,4 @@
 
 def new_history() -> History:
     """Returns an empty history."""
-    return History([], [], [], [], [], [], {}, {}, {}, [], [], [], [])
+    return History([], [], [], [], [], [], {}, [], {}, {}, [], [], [], [])
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -28,6 +28,7 @@
         self._store = store
         self._version = 0
         self._made_keys = len(self.keys)
+        self._note_timeout()
 
     def publish(self) -> None:
         """Writes a version with what holds now."""
@@ -35,12 +36,13 @@
         spec = platform_standins.make_spec(self._version, self.keys)
         book = spec["routes"][1]
         book["timeout-ms"] = self.timeout_ms
+        # A second send is allowed where the first one did not run.
+        book["max-attempts"] = 2
         look = {
             **book,
             "name": "look",
             "path-prefix": "/look/",
             "kind": "idempotent",
-            "max-attempts": 2,
         }
         late = [
             {**look, "name": name, "path-prefix": f"/{name}/"}
@@ -75,3 +77,9 @@
         """Moves the time-outs of the desk's routes."""
         self.timeout_ms = 2_200 - self.timeout_ms
         self.publish()
+        self._note_timeout()
+
+    def _note_timeout(self) -> None:
+        self._history.desk_timeouts.append(
+            (time.monotonic(), self.timeout_ms / 1000.0)
+        )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -72,6 +72,7 @@
     def setUp(self):
         super().setUp()
         self.history = histories.new_history()
+        self.history.desk_timeouts.append((0.0, 1.4))
 
     def add(self, route="ask", request_id="r-1", **changes):
         self.history.sent.append(make_sent(request_id, route, **changes))
@@ -148,11 +149,19 @@
         self.finds("passed on unchanged")
 
     def test_late_end(self):
+        self.history.desk_timeouts.append((90.0, 0.8))
         self.add("book", ended_at=102.0)
         self.arrive("book")
         self.finds("ends in time")
 
+    def test_time_out_that_was_just_replaced_may_hold(self):
+        self.history.desk_timeouts.extend([(90.0, 1.6), (99.0, 0.8)])
+        self.add("book", ended_at=102.0)
+        self.arrive("book")
+        self.finds()
+
     def test_late_end_of_a_suspended_instance_is_allowed(self):
+        self.history.desk_timeouts.append((90.0, 0.8))
         self.add("book", ended_at=102.0)
         self.arrive("book")
         self.disturb("i0", 99.0, 101.0)
