--- a/catkintrail/platform/boot.py
+++ b/catkintrail/platform/boot.py
@@ -7,7 +7,14 @@
 from catkintrail import errors
 from catkintrail import relay_settings
 
-__all__ = ["SETTINGS_VARIABLE", "decode_settings", "read_settings"]
+__all__ = [
+    "SETTINGS_VARIABLE",
+    "decode_settings",
+    "parse_settings",
+    "read_settings",
+    "read_text",
+    "settings_path",
+]
 
 SETTINGS_VARIABLE = "CATKINTRAIL_BOOT"
 DEFAULT_PATH = "/etc/catkintrail/settings.toml"
@@ -22,15 +29,42 @@
     Raises:
         errors.CheckError: It cannot be read or has another form.
     """
-    path = path or os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH)
+    path = path or settings_path()
+    return parse_settings(read_text(path), path)
+
+
+def settings_path() -> str:
+    """Returns the path that the environment names."""
+    return os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH)
+
+
+def read_text(path: str) -> str:
+    """Returns the content of the settings file.
+
+    Raises:
+        errors.CheckError: It cannot be read.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            return file.read()
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.CheckError(
+            path, [errors.Mistake("", str(error))]
+        ) from error
+
+
+def parse_settings(text: str, path: str) -> relay_settings.RelaySettings:
+    """Parses and decodes the settings file's content.
+
+    Raises:
+        errors.CheckError: It has another form.
+    """
     try:
-        with open(path, "rb") as file:
-            data = tomllib.load(file)
-    except (OSError, tomllib.TOMLDecodeError) as error:
+        return decode_settings(tomllib.loads(text))
+    except tomllib.TOMLDecodeError as error:
         raise errors.CheckError(
             path, [errors.Mistake("", str(error))]
         ) from error
-    return decode_settings(data)
 
 
 def decode_settings(data: dict[str, Any]) -> relay_settings.RelaySettings:
@@ -54,10 +88,7 @@
             datagram_port=int(ports[0]),
             seeds=tuple(data.get("seeds", ())),
             store_address=data["platform"]["address"],
-            memory_mb=int(data["limits"]["memory-mb"]),
-            max_descriptors=int(data["limits"]["max-fds"]),
             drain_seconds=float(bounds["grace-s"]),
-            target_drain_seconds=bounds["drain-ms"] / 1000.0,
             revocation_seconds=(
                 bounds["revoke-ms"] / 1000.0
                 if bounds.get("strict-revoke")
@@ -68,9 +99,7 @@
             # Repeats a service accepts in a window beyond the ratio.
             retry_extra=float(bounds["budget-extra"]),
             retry_window_seconds=float(bounds["budget-window-s"]),
-            reservation_max_seconds=bounds.get("hold-max-ms", 0) / 1000.0,
             memory_free_seconds=bounds.get("free-ms", 4000) / 1000.0,
-            stall_seconds=bounds.get("stall_ms", 1500) / 1000.0,
         )
     except (KeyError, TypeError, ValueError, IndexError) as error:
         raise errors.CheckError(
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -75,6 +75,7 @@
     def __init__(
         self,
         settings: relay_settings.RelaySettings,
+        settings_text: str,
         log_handler: logs.BoundedQueueHandler,
     ) -> None:
         self.settings = settings
@@ -128,7 +129,7 @@
         )
         self.http = urllib3.PoolManager(retries=False)
         self._stop = threading.Event()
-        self._settings_data = b""
+        self._settings_text = settings_text
 
     def start(self) -> None:
         """Opens all ports and starts all threads."""
@@ -173,21 +174,13 @@
 
     def reload(self) -> None:
         """Applies the settings file where it has changed."""
-        path = os.environ.get(boot.SETTINGS_VARIABLE, boot.DEFAULT_PATH)
+        path = boot.settings_path()
         try:
-            with open(path, "rb") as file:
-                data = file.read()
-        except OSError as error:
-            _LOG.error("settings_unreadable", extra={"reason": str(error)})
-            return
-        if data == self._settings_data:
-            return
-        is_first = not self._settings_data
-        self._settings_data = data
-        if is_first:
-            return
-        try:
-            self.settings = boot.read_settings(path)
+            text = boot.read_text(path)
+            if text == self._settings_text:
+                return
+            self._settings_text = text
+            self.settings = boot.parse_settings(text, path)
         except errors.CheckError as error:
             _LOG.error("settings_unreadable", extra={"reason": str(error)})
             return
@@ -349,12 +342,14 @@
         errors.CheckError: The settings have mistakes.
         errors.StartError: A port cannot be used.
     """
-    settings = boot.read_settings()
+    path = boot.settings_path()
+    settings_text = boot.read_text(path)
+    settings = boot.parse_settings(settings_text, path)
     threading.stack_size(THREAD_STACK_BYTES)
     log_handler, listener = logs.configure_queued(
         "info", settings.name, settings.availability_zone
     )
-    instance = RelayInstance(settings, log_handler)
+    instance = RelayInstance(settings, settings_text, log_handler)
     signal.signal(signal.SIGTERM, lambda *_: instance.request_stop())
     signal.signal(signal.SIGHUP, lambda *_: None)
     instance.start()
--- a/catkintrail/relay_settings.py
+++ b/catkintrail/relay_settings.py
@@ -18,20 +18,15 @@
         datagram_port: UDP port between instances.
         seeds: Peer addresses of some instances; may be stale.
         store_address: `IP:port` of the platform's store.
-        memory_mb: Memory at which the process is killed.
-        max_descriptors: Descriptors that the process may have open.
         drain_seconds: From the signal to stop until the process is killed.
-        target_drain_seconds: A target that is leaving gets no request later.
         revocation_seconds: A request with a key that was taken away longer
             ago must not run; 0 where no such bound holds.
         configuration_seconds: A configuration is in force by then.
         retry_ratio: Repeats allowed for each request, over all instances.
         retry_extra: Repeats allowed besides in a window, over all instances.
         retry_window_seconds: Length of that window.
-        reservation_max_seconds: The longest reservation of engine memory.
         memory_free_seconds: Memory that no request uses any more is free again
             by then.
-        stall_seconds: Engines give up on a silent helper after this time.
     """
 
     name: str
@@ -43,15 +38,10 @@
     datagram_port: int
     seeds: tuple[str, ...]
     store_address: str
-    memory_mb: int
-    max_descriptors: int
     drain_seconds: float
-    target_drain_seconds: float
     revocation_seconds: float
     configuration_seconds: float
     retry_ratio: float
     retry_extra: float
     retry_window_seconds: float
-    reservation_max_seconds: float
     memory_free_seconds: float
-    stall_seconds: float
--- a/tests/relaying.py
+++ b/tests/relaying.py
@@ -23,18 +23,13 @@
         datagram_port=7000,
         seeds=("10.0.0.1:8002", "10.0.0.2:8002"),
         store_address="10.9.9.9:8223",
-        memory_mb=300,
-        max_descriptors=4000,
         drain_seconds=8.0,
-        target_drain_seconds=2.0,
         revocation_seconds=5.0,
         configuration_seconds=2.0,
         retry_ratio=0.2,
         retry_extra=100.0,
         retry_window_seconds=10.0,
-        reservation_max_seconds=20.0,
         memory_free_seconds=4.0,
-        stall_seconds=1.5,
     )
     return settings._replace(**changes)
 
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -276,6 +276,20 @@
                 pass
             relay.connect().close()
 
+    def test_settings_that_change_at_once_are_applied(self):
+        # A change within the first second was taken for the first reading.
+        path = pathlib.Path(self.relay.folder.name) / "settings.toml"
+        path.write_text(path.read_text().replace("extra = 100", "extra = 50"))
+        self.assertTrue(
+            wait_until(
+                lambda: any(
+                    line["event"] == "settings_reloaded"
+                    for line in self.relay.read_log()
+                ),
+                4.0,
+            )
+        )
+
     def test_metrics_are_served(self):
         self.relay.ask("/ask/a", "r1")
         url = f"http://127.0.0.1:{self.ports['control']}/metrics"
