--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -47,14 +47,12 @@
         configuration: It; None where the other one has it.
         proof_age_seconds: How long ago it was surely the newest.
         targets: The listed targets.
-        target_revision: Revision of the list.
     """
 
     version: int
     configuration: route_table.Configuration | None
     proof_age_seconds: float
     targets: tuple[target_records.Target, ...]
-    target_revision: int
 
 
 class Status(NamedTuple):
@@ -196,29 +194,26 @@
         return True
 
     def learn_target_list(
-        self, reading: belief_source.TargetReading, source: str
+        self, events: tuple[belief_source.TargetEvent, ...], source: str
     ) -> None:
         """Takes a list of targets."""
-        targets = [event.target for event in reading.events if event.target]
-        changes = self._router.knowledge.learn_targets(
-            targets, reading.revision, self._clock()
-        )
+        targets = [event.target for event in events if event.target]
+        changes = self._router.knowledge.learn_targets(targets, self._clock())
         self._note_changes(changes, source)
         if source == STORE:
             self._tell_news(changes)
 
     def learn_target_events(
-        self, reading: belief_source.TargetReading, source: str
+        self, events: tuple[belief_source.TargetEvent, ...], source: str
     ) -> None:
         """Takes changes of the list of targets."""
         now = self._clock()
         changes = []
-        for event in reading.events:
+        for event in events:
             changes += self._router.knowledge.learn_target(
                 event.target,
                 event.name,
                 event.is_removed,
-                reading.revision,
                 now,
             )
         self._note_changes(changes, source)
@@ -296,7 +291,6 @@
             table.configuration if is_news else None,
             age,
             tuple(router.knowledge.targets.targets.values()),
-            router.knowledge.targets.revision,
         )
 
     def status(self) -> Status:
--- a/catkintrail/belief_loops.py
+++ b/catkintrail/belief_loops.py
@@ -205,7 +205,7 @@
         return _Round(
             reading.revision,
             WATCH_PAUSE_SECONDS if reading.events else 0.0,
-            lambda: learn.defer(reading, router_actor.STORE),
+            lambda: learn.defer(reading.events, router_actor.STORE),
         )
 
     def _may_watch(self) -> bool:
@@ -305,10 +305,7 @@
                 belief_source.TargetEvent(target.name, target, False)
                 for target in state.targets
             )
-            proxy.learn_target_list.defer(
-                belief_source.TargetReading(events, state.target_revision),
-                source,
-            )
+            proxy.learn_target_list.defer(events, source)
         return state.proof_age_seconds < STALE_PROOF_SECONDS
 
     def _note_reset(self, subject: str, error: Exception) -> None:
--- a/catkintrail/core/beliefs.py
+++ b/catkintrail/core/beliefs.py
@@ -78,13 +78,11 @@
     Attributes:
         targets: Listed targets by name, leaving ones too.
         by_service: Names of those that may be used, by service.
-        revision: The store's revision of what is known.
     """
 
     def __init__(self) -> None:
         self.targets: dict[str, target_records.Target] = {}
         self.by_service: dict[str, dict[str, target_records.Target]] = {}
-        self.revision = -1
         self._digest = 0
         self._is_digest_old = True
         self._left: dict[str, int] = {}
@@ -102,7 +100,6 @@
     def replace_all(
         self,
         listed: list[target_records.Target],
-        revision: int,
         kept_until: float,
         now: float,
     ) -> list[TargetChange]:
@@ -110,25 +107,20 @@
 
         Args:
             listed: Entries that can be used.
-            revision: The store's revision.
             kept_until: When entries that are missing are taken as gone.
             now: Time in seconds.
         """
         changes = []
         names = {target.name for target in listed}
         for target in listed:
-            changes += self.put(target, revision)
+            changes += self.put(target)
         for name in list(self.targets):
             if name not in names:
-                changes += self.remove(name, revision, kept_until, now)
-        self.revision = max(self.revision, revision)
+                changes += self.remove(name, kept_until, now)
         return changes
 
-    def put(
-        self, target: target_records.Target, revision: int
-    ) -> list[TargetChange]:
+    def put(self, target: target_records.Target) -> list[TargetChange]:
         """Takes a target's entry; returns what changed."""
-        self.revision = max(self.revision, revision)
         self._lapses.pop(target.name, None)
         # One that announced its leaving stays out until it starts anew.
         if self._left.get(target.name) == target.born and not target.is_leaving:
@@ -151,18 +143,16 @@
         return []
 
     def remove(
-        self, name: str, revision: int, kept_until: float, now: float
+        self, name: str, kept_until: float, now: float
     ) -> list[TargetChange]:
         """Takes the removal of an entry; returns what changed.
 
         Args:
             name: The target.
-            revision: The store's revision.
             kept_until: When the target is taken as gone; later than now where
                 its entry may have lapsed because the store was away.
             now: Time in seconds.
         """
-        self.revision = max(self.revision, revision)
         target = self.targets.get(name)
         if target is None:
             return []
@@ -185,7 +175,7 @@
         target = self.targets.get(name)
         if target is None or target.is_leaving:
             return []
-        return self.put(target._replace(is_leaving=True), self.revision)
+        return self.put(target._replace(is_leaving=True))
 
     def _drop(self, name: str, event: str) -> list[TargetChange]:
         target = self.targets.pop(name, None)
--- a/catkintrail/core/engine_placement.py
+++ b/catkintrail/core/engine_placement.py
@@ -100,14 +100,12 @@
     Attributes:
         engines: The engine that answers, then its helpers.
         memory: Tokens that each of them keeps.
-        part_ms: Prefill time of each engine's part.
         first_token_ms: Predicted time to the first token.
         cost: Cost by which it was chosen.
     """
 
     engines: tuple[target_records.Target, ...]
     memory: tuple[int, ...]
-    part_ms: float
     first_token_ms: float
     cost: float
 
@@ -246,9 +244,7 @@
         )
     memory = [0] * len(chosen)
     memory[: holders.count] = [holders.tokens] * holders.count
-    return Choice(
-        tuple(e.target for e in chosen), tuple(memory), part_ms, delay, cost
-    )
+    return Choice(tuple(e.target for e in chosen), tuple(memory), delay, cost)
 
 
 def _groups(
--- a/catkintrail/core/fleet_knowledge.py
+++ b/catkintrail/core/fleet_knowledge.py
@@ -81,14 +81,11 @@
     def learn_targets(
         self,
         listed: list[target_records.Target],
-        revision: int,
         now: float,
     ) -> list[beliefs.TargetChange]:
         """Takes the whole list of targets."""
         self.has_targets = True
-        changes = self.targets.replace_all(
-            listed, revision, self._lapses_end(), now
-        )
+        changes = self.targets.replace_all(listed, self._lapses_end(), now)
         return self._note_left(changes, now)
 
     def learn_target(
@@ -96,7 +93,6 @@
         target: target_records.Target | None,
         name: str,
         is_removed: bool,
-        revision: int,
         now: float,
     ) -> list[beliefs.TargetChange]:
         """Takes one change of the list of targets.
@@ -105,17 +101,14 @@
             target: The entry; None where it cannot be used.
             name: Its name.
             is_removed: Whether the entry was removed.
-            revision: Of the change.
             now: Time in seconds.
         """
         if is_removed:
-            changes = self.targets.remove(
-                name, revision, self._lapses_end(), now
-            )
+            changes = self.targets.remove(name, self._lapses_end(), now)
         elif target is None:
-            changes = self.targets.remove(name, revision, now, now)
+            changes = self.targets.remove(name, now, now)
         else:
-            changes = self.targets.put(target, revision)
+            changes = self.targets.put(target)
         return self._note_left(changes, now)
 
     def note_store(self, is_up: bool, now: float) -> None:
@@ -237,11 +230,9 @@
         self._note_version(address, news.version)
         changes = []
         for target in news.targets:
-            changes += self.targets.put(target, self.targets.revision)
+            changes += self.targets.put(target)
         for name in news.removed:
-            changes += self.targets.remove(
-                name, self.targets.revision, now, now
-            )
+            changes += self.targets.remove(name, now, now)
         return self._note_left(changes, now)
 
     def receivers(self) -> tuple[list[str], list[str]]:
--- a/catkintrail/core/fleet_load.py
+++ b/catkintrail/core/fleet_load.py
@@ -20,7 +20,6 @@
         targets: The target that answers, then its helpers.
         memory: Tokens that each target keeps for the request; 0 for helpers
             that only prefill, and for plain services.
-        prefill_ms: Prefill time of each target's part.
         gap_goal_ms: The longest useful pause between events; 0 for none.
         weight: What a failure would cost callers, against a mean request.
         prefill_end: When the prefill was predicted to end.
@@ -31,7 +30,6 @@
     key: str
     targets: tuple[str, ...]
     memory: tuple[int, ...]
-    prefill_ms: float
     gap_goal_ms: float
     weight: float
     prefill_end: float
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -383,7 +383,7 @@
             (cost(target), self.rng.random(), target) for target in candidates
         ]
         best_cost, _, target = min(costs, key=lambda item: item[:2])
-        self._count(request, (target,), (0,), 0.0, 0.0, 0.0, now)
+        self._count(request, (target,), (0,), 0.0, 0.0, now)
         return Grant(
             target,
             (),
@@ -434,7 +434,6 @@
             request,
             choice.engines,
             choice.memory,
-            choice.part_ms,
             choice.first_token_ms,
             engine_cost.weight(figures, request.prompt_tokens),
             now,
@@ -457,7 +456,6 @@
         request: PlaceRequest,
         chosen: tuple[target_records.Target, ...],
         memory: tuple[int, ...],
-        part_ms: float,
         first_token_ms: float,
         weight: float,
         now: float,
@@ -466,7 +464,6 @@
             request.key,
             tuple(target.name for target in chosen),
             memory,
-            part_ms,
             request.admission.route.gap_goal_ms,
             weight,
             now + first_token_ms / 1000.0,
--- a/catkintrail/core/route_table.py
+++ b/catkintrail/core/route_table.py
@@ -77,7 +77,6 @@
     """Published figures of a service's engines.
 
     Attributes:
-        slots: Requests processed at a time.
         kv_tokens: Memory, in tokens.
         step_ms: Time of a decoding step.
         step_ms_per_request: Added to a step by each request that decodes.
@@ -91,7 +90,6 @@
         mean_prompt_tokens: Mean length of prompts.
     """
 
-    slots: int
     kv_tokens: int
     step_ms: float
     step_ms_per_request: float
@@ -108,13 +106,11 @@
 
     Attributes:
         name: Its name.
-        health_path: Path of the targets' health check.
         max_connections: Connections that a target accepts of all callers.
         engine: Figures of its engines; None for a plain service.
     """
 
     name: str
-    health_path: str
     max_connections: int
     engine: EngineFigures | None
 
--- a/catkintrail/messages.py
+++ b/catkintrail/messages.py
@@ -383,7 +383,6 @@
     key: str
     targets: tuple[str, ...]
     memory: tuple[int, ...]
-    prefill_ms: float
     gap_goal_ms: float
     weight: float
     prefill_left_ms: float
--- a/catkintrail/platform/wire.py
+++ b/catkintrail/platform/wire.py
@@ -182,7 +182,6 @@
     engine = item.get("engine")
     return route_table.Service(
         item["name"],
-        item.get("health-path") or "/health",
         int(item.get("max-conns") or 0),
         _decode_engine(engine) if engine else None,
     )
@@ -191,7 +190,6 @@
 def _decode_engine(item: dict) -> route_table.EngineFigures:
     usual = item.get("usual") or {}
     return route_table.EngineFigures(
-        int(item["slots"]),
         int(item["kv-capacity-tokens"]),
         float(item["step_ms"]),
         float(item["per_seq_ms"]),
--- a/tests/relaying.py
+++ b/tests/relaying.py
@@ -8,7 +8,7 @@
 from catkintrail.core import targets as target_records
 
 FIGURES = route_table.EngineFigures(
-    8, 450_000, 0.925, 0.00966, 0.00254, 256.0, 0.0917, 2048, 46, 13_229.0
+    450_000, 0.925, 0.00966, 0.00254, 256.0, 0.0917, 2048, 46, 13_229.0
 )
 
 
@@ -76,8 +76,8 @@
         version,
         routes or (make_route(), BOOKING, LOOKUP),
         {
-            "engines": route_table.Service("engines", "/health", 364, figures),
-            "desk": route_table.Service("desk", "/health", 110, None),
+            "engines": route_table.Service("engines", 364, figures),
+            "desk": route_table.Service("desk", 110, None),
         },
         {key: holder for key in keys},
         route_table.CallerLimits(),
@@ -98,5 +98,5 @@
     router.knowledge.learn_configuration(
         configuration or make_configuration(), now
     )
-    router.knowledge.learn_targets(list(targets), 10, now)
+    router.knowledge.learn_targets(list(targets), now)
     return router
--- a/tests/test_belief_loops.py
+++ b/tests/test_belief_loops.py
@@ -161,7 +161,6 @@
             builders.make_configuration(4),
             0.5,
             (builders.make_target("e-9"),),
-            7,
         )
         self.loops.start()
         self.wait_for(lambda status: status.version == 4)
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -41,35 +41,35 @@
         super().setUp()
         self.belief = beliefs.TargetBelief()
         self.target = relaying.make_target("e-1")
-        self.belief.replace_all([self.target], 5, 0.0, 100.0)
+        self.belief.replace_all([self.target], 0.0, 100.0)
 
     def usable(self):
         return set(self.belief.by_service.get("engines", {}))
 
     def test_leaving_target_is_not_used_but_known(self):
-        changes = self.belief.put(self.target._replace(is_leaving=True), 6)
+        changes = self.belief.put(self.target._replace(is_leaving=True))
         self.assertEqual(["target_leaving"], [c.event for c in changes])
         self.assertEqual(set(), self.usable())
         self.assertIn("e-1", self.belief.targets)
 
     def test_leaving_is_not_taken_back_by_an_old_entry(self):
         self.belief.leave("e-1")
-        self.belief.put(self.target, 7)
+        self.belief.put(self.target)
         self.assertEqual(set(), self.usable())
 
     def test_a_new_start_under_the_same_name_is_used(self):
         self.belief.leave("e-1")
-        changes = self.belief.put(self.target._replace(born=2), 7)
+        changes = self.belief.put(self.target._replace(born=2))
         self.assertEqual(["target_joined"], [c.event for c in changes])
         self.assertEqual({"e-1"}, self.usable())
 
     def test_removal_in_calm_takes_effect_at_once(self):
-        changes = self.belief.remove("e-1", 6, 0.0, 100.0)
+        changes = self.belief.remove("e-1", 0.0, 100.0)
         self.assertEqual(["target_gone"], [c.event for c in changes])
         self.assertEqual(set(), self.usable())
 
     def test_entry_that_lapsed_is_kept_until_it_should_be_back(self):
-        self.assertEqual([], self.belief.remove("e-1", 6, 102.0, 100.0))
+        self.assertEqual([], self.belief.remove("e-1", 102.0, 100.0))
         self.assertEqual({"e-1"}, self.usable())
         self.assertEqual([], self.belief.expire(101.9))
         changes = self.belief.expire(102.1)
@@ -77,13 +77,13 @@
         self.assertEqual(set(), self.usable())
 
     def test_entry_that_is_back_in_time_stays(self):
-        self.belief.remove("e-1", 6, 102.0, 100.0)
-        self.belief.put(self.target, 7)
+        self.belief.remove("e-1", 102.0, 100.0)
+        self.belief.put(self.target)
         self.assertEqual([], self.belief.expire(200.0))
         self.assertEqual({"e-1"}, self.usable())
 
     def test_target_that_moved_to_another_service_leaves_the_old_one(self):
-        self.belief.put(self.target._replace(service="desk"), 7)
+        self.belief.put(self.target._replace(service="desk"))
         self.assertEqual(set(), self.usable())
         self.assertIn("e-1", self.belief.by_service["desk"])
 
@@ -96,7 +96,7 @@
         self.router = relaying.make_router([relaying.make_target("e-1")])
 
     def removed(self, now):
-        changes = self.router.knowledge.learn_target(None, "e-1", True, 20, now)
+        changes = self.router.knowledge.learn_target(None, "e-1", True, now)
         return [change.event for change in changes]
 
     def test_removal_long_after_the_store_returned_is_no_lapse(self):
--- a/tests/test_engine_placement.py
+++ b/tests/test_engine_placement.py
@@ -14,7 +14,7 @@
 
 def stream(key, engine, gap=200.0, tokens=5_000):
     return fleet_load.Attempt(
-        key, (engine,), (tokens,), 20.0, gap, 0.5, 0.0, True, 0.0
+        key, (engine,), (tokens,), gap, 0.5, 0.0, True, 0.0
     )
 
 
@@ -23,7 +23,6 @@
         key,
         (engine,),
         (tokens,),
-        left_ms,
         800.0,
         10.0,
         left_ms / 1e3,
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -67,7 +67,9 @@
         self.assertTrue(ask.is_repeatable)
         self.assertFalse(book.is_repeatable)
         self.assertEqual(("desk", 100.0), book.services[0])
-        self.assertEqual(256.0, decoded.services["engines"].engine[5])
+        self.assertEqual(
+            256.0, decoded.services["engines"].engine.prefill_tokens_per_ms
+        )
         self.assertIsNone(decoded.services["desk"].engine)
         self.assertEqual("guild", decoded.organisations["key-1"].name)
         self.assertEqual(16_384, decoded.limits.max_header_bytes)
--- a/tests/test_request_router.py
+++ b/tests/test_request_router.py
@@ -160,7 +160,6 @@
             builders.make_target("e-1", is_leaving=True),
             "e-1",
             False,
-            11,
             101.0,
         )
         heartbeat = self.first.knowledge.heartbeat(101.0)
@@ -174,7 +173,7 @@
 
     def test_news_of_an_earlier_start_are_no_news(self):
         self.second.knowledge.learn_target(
-            builders.make_target("e-1", born=2), "e-1", False, 11, 101.0
+            builders.make_target("e-1", born=2), "e-1", False, 101.0
         )
         self.first.knowledge.learn_leaving("e-1", 1, 101.0)
         heartbeat = self.first.knowledge.heartbeat(101.0)
