--- a/catkintrail/core/memory_lease.py
+++ b/catkintrail/core/memory_lease.py
@@ -57,11 +57,16 @@
     """
 
     def __init__(self, free_seconds: float) -> None:
-        self.hold_seconds = free_seconds * HOLD_SHARE
+        self.hold_seconds = 0.0
+        self.apply_bound(free_seconds)
         self.held: dict[Lease, float] = {}
         self.doubtful: dict[Lease, tuple[float, float]] = {}
         self._unanswered: set[Lease] = set()
 
+    def apply_bound(self, free_seconds: float) -> None:
+        """Takes the time after which unused memory has to be free."""
+        self.hold_seconds = free_seconds * HOLD_SHARE
+
     def hold(self, lease: Lease, now: float) -> None:
         """Notes a reservation that was made, or may have been."""
         self.held[lease] = now + self.hold_seconds * RENEW_SHARE
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -185,6 +185,7 @@
             _LOG.error("settings_unreadable", extra={"reason": str(error)})
             return
         self.router.proxy.apply_settings.defer(self.settings)
+        self.leases.book.apply_bound(self.settings.memory_free_seconds)
         _LOG.info("settings_reloaded", extra={"path": path})
 
     def _drain(self) -> None:
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -115,6 +115,7 @@
         self.starts += 1
         self.may_end = False
         with open(self.log_path, "ab") as log:
+            # pylint: disable-next=consider-using-with
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "catkintrail.relay_daemon"],
                 cwd=ROOT,
--- a/tests/test_memory_lease.py
+++ b/tests/test_memory_lease.py
@@ -17,6 +17,10 @@
     def test_lease_ends_before_memory_must_be_free(self):
         self.assertLess(self.book.hold_seconds, 4.0)
 
+    def test_new_bound_holds_from_then_on(self):
+        self.book.apply_bound(2.0)
+        self.assertLess(self.book.hold_seconds, 2.0)
+
     def test_held_lease_is_renewed_before_it_ends_with_two_to_lose(self):
         self.book.hold(LEASE, 0.0)
         renewals = []
