--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -277,6 +277,12 @@
         """Takes new settings; addresses stay."""
         self.settings = settings
         self.knowledge.settings = settings
+        for budget in self._budgets.values():
+            budget.apply_bounds(
+                settings.retry_ratio,
+                settings.retry_extra,
+                settings.retry_window_seconds,
+            )
 
     def hear_load(
         self, message: messages.LoadUpdate | messages.LoadSnapshot, now: float
@@ -383,7 +389,7 @@
             (cost(target), self.rng.random(), target) for target in candidates
         ]
         best_cost, _, target = min(costs, key=lambda item: item[:2])
-        self._count(request, (target,), (0,), 0.0, 0.0, 0.0, now)
+        self._count(request, (target,), (0,), 0.0, 0.0, now)
         return Grant(
             target,
             (),
@@ -434,7 +440,6 @@
             request,
             choice.engines,
             choice.memory,
-            choice.part_ms,
             choice.first_token_ms,
             engine_cost.weight(figures, request.prompt_tokens),
             now,
@@ -457,7 +462,6 @@
         request: PlaceRequest,
         chosen: tuple[target_records.Target, ...],
         memory: tuple[int, ...],
-        part_ms: float,
         first_token_ms: float,
         weight: float,
         now: float,
@@ -466,7 +470,6 @@
             request.key,
             tuple(target.name for target in chosen),
             memory,
-            part_ms,
             request.admission.route.gap_goal_ms,
             weight,
             now + first_token_ms / 1000.0,
--- a/tests/relaying.py
+++ b/tests/relaying.py
@@ -8,7 +8,7 @@
 from catkintrail.core import targets as target_records
 
 FIGURES = route_table.EngineFigures(
-    8, 450_000, 0.925, 0.00966, 0.00254, 256.0, 0.0917, 2048, 46, 13_229.0
+    450_000, 0.925, 0.00966, 0.00254, 256.0, 0.0917, 2048, 46, 13_229.0
 )
 
 
@@ -23,18 +23,13 @@
         datagram_port=7000,
         seeds=("10.0.0.1:8002", "10.0.0.2:8002"),
         store_address="10.9.9.9:8223",
-        memory_mb=300,
-        max_descriptors=4000,
         drain_seconds=8.0,
-        target_drain_seconds=2.0,
         revocation_seconds=5.0,
         configuration_seconds=2.0,
         retry_ratio=0.2,
         retry_extra=100.0,
         retry_window_seconds=10.0,
-        reservation_max_seconds=20.0,
         memory_free_seconds=4.0,
-        stall_seconds=1.5,
     )
     return settings._replace(**changes)
 
@@ -81,8 +76,8 @@
         version,
         routes or (make_route(), BOOKING, LOOKUP),
         {
-            "engines": route_table.Service("engines", "/health", 364, figures),
-            "desk": route_table.Service("desk", "/health", 110, None),
+            "engines": route_table.Service("engines", 364, figures),
+            "desk": route_table.Service("desk", 110, None),
         },
         {key: holder for key in keys},
         route_table.CallerLimits(),
@@ -103,5 +98,5 @@
     router.knowledge.learn_configuration(
         configuration or make_configuration(), now
     )
-    router.knowledge.learn_targets(list(targets), 10, now)
+    router.knowledge.learn_targets(list(targets), now)
     return router
--- a/tests/test_request_router.py
+++ b/tests/test_request_router.py
@@ -19,6 +19,27 @@
     return router.place(request, now)
 
 
+class SettingsTests(testtools.TestCase):
+
+    def count_repeats(self, router):
+        return sum(
+            isinstance(
+                place(router, f"k{number}", 100.0, repeat=True),
+                request_router.Grant,
+            )
+            for number in range(200)
+        )
+
+    def test_new_bounds_hold_for_repeats_that_were_counted_before(self):
+        router = builders.make_router([builders.make_target("e-1")])
+        # Of 100 by the settings: half for each of two instances, less a margin.
+        self.assertEqual(40, self.count_repeats(router))
+        router.apply_settings(builders.make_settings(retry_extra=200.0))
+        self.assertEqual(40, self.count_repeats(router))
+        router.apply_settings(builders.make_settings(retry_extra=1.0))
+        self.assertEqual(0, self.count_repeats(router))
+
+
 class AdmissionTests(testtools.TestCase):
 
     def admit(self, router, path="/ask/a", key="key-1", now=100.0):
@@ -160,7 +181,6 @@
             builders.make_target("e-1", is_leaving=True),
             "e-1",
             False,
-            11,
             101.0,
         )
         heartbeat = self.first.knowledge.heartbeat(101.0)
@@ -174,7 +194,7 @@
 
     def test_news_of_an_earlier_start_are_no_news(self):
         self.second.knowledge.learn_target(
-            builders.make_target("e-1", born=2), "e-1", False, 11, 101.0
+            builders.make_target("e-1", born=2), "e-1", False, 101.0
         )
         self.first.knowledge.learn_leaving("e-1", 1, 101.0)
         heartbeat = self.first.knowledge.heartbeat(101.0)
