--- a/soak/instances.py
+++ b/soak/instances.py
@@ -19,7 +19,7 @@
 WATCH_SECONDS = 0.1
 READY_TIMEOUT_SECONDS = 1.0
 # Small, so that a run can exceed it.
-RETRY_EXTRA = 20
+RETRY_EXTRA = 5
 SETTINGS = """
 node = "{name}"
 ip = "{ip}"
