Have every instance of a small fleet watch the store

Cause: one instance a zone watched; the others learnt of targets from it. A watcher notices a silent path after up to 3.5 s only.

Large fleets keep two watchers a zone.

--- a/catkintrail/core/fleet_peers.py
+++ b/catkintrail/core/fleet_peers.py
@@ -185,12 +185,13 @@
         )
 
     def watchers(self) -> int:
-        """Returns how many instances of each zone watch the store."""
-        zones = {peer.availability_zone for peer in self.peers.values()}
-        is_alone = not zones - {self.own_zone, ""}
-        if self.is_large or is_alone:
+        """Returns how many instances of each zone watch the store.
+
+        In a small fleet all do, so that none depends on another's path.
+        """
+        if self.is_large:
             return WATCHERS_OF_LARGE_FLEET
-        return 1
+        return 1 + len(self.peers)
 
     def _choose_greeted(self, rng: random.Random) -> set[str]:
         near = [peer.address for peer in self.near()]
--- a/tests/test_fleet_peers.py
+++ b/tests/test_fleet_peers.py
@@ -56,6 +56,24 @@
         self.assertEqual([], peers.alive())
 
 
+class WatcherTests(testtools.TestCase):
+
+    def test_every_instance_of_a_small_fleet_watches(self):
+        # Seed: soak 17: the watchers' own paths to the store were silent
+        # while a target left; an instance that the store answered sent to it
+        # for 2.9 s.
+        for number in range(8):
+            peers = fleet_peers.FleetPeers(address(number), "za", [])
+            for other in range(8):
+                if other != number:
+                    hear(peers, other)
+            self.assertLess(peers.watch_rank(), peers.watchers())
+
+    def test_a_large_fleet_has_two_watchers_a_zone(self):
+        for count in (60, 300):
+            self.assertEqual(2, make_fleet(count).watchers())
+
+
 class LargeFleetTests(testtools.TestCase):
 
     def test_greetings_do_not_grow_with_the_fleet(self):
