Ignore SIGHUP before anything is loaded

The settings file is polled, so the signal itself needs no handler. The test fails where modules are loaded first. The soak: callers leave long prompts more often, all targets of a service may misbehave at once, keys are revoked while the store is away.

--- a/catkintrail/cli.py
+++ b/catkintrail/cli.py
@@ -16,6 +16,7 @@
 from catkintrail import load
 from catkintrail import log_commands
 from catkintrail import objects
+from catkintrail import relay_start
 from catkintrail import settings
 from catkintrail.adapters import wsgi
 from catkintrail.core import publication
@@ -127,10 +128,7 @@
 
 
 def _run_relay(_options: argparse.Namespace) -> int:
-    # Only this program needs the adapter to the users' platform.
-    from catkintrail import relay_daemon  # pylint: disable=import-outside-toplevel
-
-    return relay_daemon.run()
+    return relay_start.main()
 
 
 def _add_check(commands: Any) -> None:
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -4,7 +4,6 @@
 import os
 import random
 import signal
-import sys
 import threading
 import time
 from typing import Any
@@ -352,7 +351,6 @@
     )
     instance = RelayInstance(settings, settings_text, log_handler)
     signal.signal(signal.SIGTERM, lambda *_: instance.request_stop())
-    signal.signal(signal.SIGHUP, lambda *_: None)
     instance.start()
     instance.run()
     listener.stop()
@@ -372,9 +370,3 @@
     threading.Thread(
         target=server.serve, name=f"serve-{port}", daemon=True
     ).start()
-
-
-if __name__ == "__main__":
-    # Instances on the users' platform start this module: the command line
-    # imports programs that they do not need.
-    sys.exit(run())
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,7 +19,6 @@
 CONNECT_SECONDS = 1.0
 # Of the time that a caller waits beyond its deadline to see what comes.
 WATCH_SECONDS = 3.0
-LEAVING_SHARE = 0.05
 LEAVES_WITHIN_SECONDS = 1.0
 KEEP_SHARE = 0.7
 MAX_KEPT = 4
@@ -35,6 +34,7 @@
         share: Of all requests.
         prompt_tokens: Least and most tokens of a prompt.
         patience_seconds: The caller's deadline.
+        leaving: Share of the callers that leave early.
     """
 
     route: str
@@ -42,15 +42,16 @@
     share: float
     prompt_tokens: tuple[int, int]
     patience_seconds: float
+    leaving: float
 
 
 LOADS = (
-    Load("ask", "/ask/a", 0.55, (500, 8_000), 9.0),
-    Load("ask", "/ask/long", 0.05, (60_000, 250_000), 9.0),
+    Load("ask", "/ask/a", 0.55, (500, 8_000), 9.0, 0.05),
+    Load("ask", "/ask/long", 0.05, (60_000, 250_000), 9.0, 0.4),
     # More than the memory of one engine.
-    Load("ask", "/ask/huge", 0.01, (460_000, 550_000), 9.0),
-    Load("book", "/book/a", 0.22, (0, 0), 2.5),
-    Load("look", "/look/a", 0.17, (0, 0), 2.5),
+    Load("ask", "/ask/huge", 0.01, (460_000, 550_000), 9.0, 0.2),
+    Load("book", "/book/a", 0.22, (0, 0), 2.5, 0.05),
+    Load("look", "/look/a", 0.17, (0, 0), 2.5, 0.05),
 )
 
 
@@ -121,7 +122,7 @@
             load.patience_seconds,
         )
         leaves_after = float("inf")
-        if rng.random() < LEAVING_SHARE:
+        if rng.random() < load.leaving:
             leaves_after = rng.random() * LEAVES_WITHIN_SECONDS
         result = await self._exchange(instance, sent, tokens, leaves_after)
         self.history.sent.append(result)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -150,7 +150,10 @@
             ) and not history.is_disturbed(
                 (sent.instance,), sent.sent_at - CONTACT_SECONDS, arrival.at
             ):
-                yield arrival.request_id, f"deadline {arrival.left_ms} ms"
+                yield arrival.request_id, (
+                    f"deadline {arrival.left_ms} ms, {left_ms:.0f} were left,"
+                    f" {arrival.at - sent.sent_at:.3f} s after it was sent"
+                )
 
 
 def check_ends_in_time(history: History) -> Finding:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -23,6 +23,10 @@
 DRAIN_SECONDS = 2.0
 STORE = "store"
 BURST_FACTOR = 3.0
+# Faults of the store last longer: keys are served without it for some seconds.
+STORE_FACTOR = 2.0
+# Share of the bad behaviours that all targets of a service show.
+ACROSS_SHARE = 0.25
 SLOW_STORE_SECONDS = 0.3
 SLOW_LINK_SECONDS = 0.15
 
@@ -162,6 +166,8 @@
             await asyncio.sleep(fault.seconds)
             self._store.status = 200
         else:
+            if rng.random() < 0.5:
+                self._operator.revoke_key()
             mode, delay = {
                 "reset": (proxies.Mode.REFUSE, 0.0),
                 "silent": (proxies.Mode.SILENT, 0.0),
@@ -170,7 +176,7 @@
             }[name]
             for instance in chosen:
                 instance.store.change(mode, delay)
-            await asyncio.sleep(fault.seconds)
+            await asyncio.sleep(fault.seconds * STORE_FACTOR)
             for instance in chosen:
                 instance.store.change(proxies.Mode.PASS)
         for index in indices:
@@ -197,16 +203,28 @@
         target = self._choose_target(rng)
         if target is None:
             return
-        self._busy.add(target.name)
+        chosen = [target]
         if name in ("crash", "drain", "lapse", "reuse"):
+            self._busy.add(target.name)
             await getattr(self, f"_target_{name}")(target)
         else:
-            index = self._begin(target.name, name)
-            target.behaviour = target_fleet.Behaviour(name)
+            if rng.random() < ACROSS_SHARE:
+                chosen = [
+                    found
+                    for found in self._fleet.targets.values()
+                    if found.service == target.service
+                    and found.name not in self._busy
+                ]
+            self._busy |= {found.name for found in chosen}
+            indices = [self._begin(found.name, name) for found in chosen]
+            for found in chosen:
+                found.behaviour = target_fleet.Behaviour(name)
             await asyncio.sleep(fault.seconds)
-            target.behaviour = target_fleet.Behaviour.SOUND
-            self._end(index)
-        self._busy.discard(target.name)
+            for found in chosen:
+                found.behaviour = target_fleet.Behaviour.SOUND
+            for index in indices:
+                self._end(index)
+        self._busy -= {found.name for found in chosen}
 
     async def add_target(
         self, service: str, zone: str, proxy: proxies.Proxy | None = None
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -117,7 +117,7 @@
         with open(self.log_path, "ab") as log:
             # pylint: disable-next=consider-using-with
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "catkintrail.relay_daemon"],
+                [sys.executable, "-m", "catkintrail.relay_start"],
                 cwd=ROOT,
                 stdout=log,
                 stderr=subprocess.STDOUT,
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -66,7 +66,7 @@
         (path / "settings.toml").write_text(SETTINGS.format(**values))
         self.log = open(path / "log", "w+", encoding="utf-8")
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "catkintrail", "relay"],
+            [sys.executable, "-m", "catkintrail.relay_start"],
             cwd=ROOT,
             stdout=self.log,
             stderr=subprocess.STDOUT,
@@ -132,6 +132,27 @@
     return False
 
 
+class StartTests(testtools.TestCase):
+
+    def test_signals_are_set_before_anything_is_loaded(self):
+        # Seed: soak 302: a signal that the settings had changed ended an
+        # instance that was still loading its modules.
+        code = (
+            "import sys, signal\n"
+            "from catkintrail import relay_start\n"
+            "slow = {'urllib3', 'pykka', 'msgspec', 'cheroot', 'h11'}\n"
+            "assert not slow & set(sys.modules), slow & set(sys.modules)\n"
+            "sys.modules['catkintrail.relay_daemon'] = None\n"
+            "try:\n"
+            "    relay_start.main()\n"
+            "except ImportError:\n"
+            "    found = signal.getsignal(signal.SIGHUP)\n"
+            "    sys.exit(found != signal.SIG_IGN)\n"
+        )
+        result = subprocess.run([sys.executable, "-c", code], cwd=ROOT)
+        self.assertEqual(0, result.returncode)
+
+
 class RelayProcessTests(testtools.TestCase):
 
     def setUp(self):
