--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,8 +26,9 @@
 BURST_FACTOR = 3.0
 # Faults of the store last longer: keys are served without it for some seconds.
 STORE_FACTOR = 2.0
-# Share of the bad behaviours that all targets of a service show.
-ACROSS_SHARE = 0.25
+# Share of the bad behaviours that all targets of a service show, for longer.
+ACROSS_SHARE = 0.4
+ACROSS_FACTOR = 2.0
 SLOW_STORE_SECONDS = 0.3
 SLOW_LINK_SECONDS = 0.15
 
@@ -214,7 +215,9 @@
                 "reuse": self._reuse,
             }[name](target)
         else:
+            seconds = fault.seconds
             if rng.random() < ACROSS_SHARE:
+                seconds *= ACROSS_FACTOR
                 chosen = [
                     found
                     for found in self._fleet.targets.values()
@@ -225,7 +228,7 @@
             indices = [self._begin(found.name, name) for found in chosen]
             for found in chosen:
                 found.behaviour = target_fleet.Behaviour(name)
-            await asyncio.sleep(fault.seconds)
+            await asyncio.sleep(seconds)
             for found in chosen:
                 found.behaviour = target_fleet.Behaviour.SOUND
             for index in indices:
