--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,10 +1,12 @@
 """What each kind of fault does, and how it ends."""
 
 import asyncio
+import contextlib
 import functools
 import random
 import signal
 import time
+from typing import Iterator
 
 from soak import callers
 from soak import history as histories
@@ -29,8 +31,14 @@
 # Share of the bad behaviours that all targets of a service show, for longer.
 ACROSS_SHARE = 0.4
 ACROSS_FACTOR = 2.0
-SLOW_STORE_SECONDS = 0.3
-SLOW_LINK_SECONDS = 0.15
+# What a proxy does, and the delay of each piece.
+PATH_FAULTS = {
+    "reset": (proxies.Mode.REFUSE, 0.0),
+    "silent": (proxies.Mode.SILENT, 0.0),
+    "one_way": (proxies.Mode.ONE_WAY, 0.0),
+    "slow": (proxies.Mode.DELAY, 0.3),
+    "delay": (proxies.Mode.DELAY, 0.15),
+}
 
 
 class FaultInjector:
@@ -85,11 +93,16 @@
         )
         return len(self._history.disturbances) - 1
 
-    def _end(self, index: int) -> None:
-        found = self._history.disturbances[index]
-        self._history.disturbances[index] = found._replace(
-            until=time.monotonic()
-        )
+    @contextlib.contextmanager
+    def _disturbance(self, kind: str, *subjects: str) -> Iterator[None]:
+        """Records a fault while it lasts."""
+        indices = [self._begin(subject, kind) for subject in subjects]
+        yield
+        for index in indices:
+            found = self._history.disturbances[index]
+            self._history.disturbances[index] = found._replace(
+                until=time.monotonic()
+            )
 
     # Instances.
 
@@ -115,29 +128,26 @@
             self._busy -= {instance.name for instance in chosen}
 
     async def _kill(self, instance: processes.Instance, seconds: float) -> None:
-        index = self._begin(instance.name, "kill")
-        instance.kill()
-        await asyncio.sleep(min(seconds, RESTART_SECONDS * 4))
-        instance.start()
-        self._end(index)
+        with self._disturbance("kill", instance.name):
+            instance.kill()
+            await asyncio.sleep(min(seconds, RESTART_SECONDS * 4))
+            instance.start()
 
     async def _pause(
         self, instance: processes.Instance, seconds: float
     ) -> None:
-        index = self._begin(instance.name, "pause")
-        instance.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(seconds)
-        instance.send_signal(signal.SIGCONT)
-        self._end(index)
+        with self._disturbance("pause", instance.name):
+            instance.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(seconds)
+            instance.send_signal(signal.SIGCONT)
 
     async def _stop(
         self, instance: processes.Instance, _seconds: float
     ) -> None:
-        index = self._begin(instance.name, "stop")
-        await instance.stop()
-        await asyncio.sleep(RESTART_SECONDS)
-        instance.start()
-        self._end(index)
+        with self._disturbance("stop", instance.name):
+            await instance.stop()
+            await asyncio.sleep(RESTART_SECONDS)
+            instance.start()
 
     def _change_settings(self, rng: random.Random) -> None:
         instance = rng.choice(self._instances)
@@ -156,33 +166,22 @@
         if rng.random() < 0.5:
             chosen = rng.sample(chosen, rng.randint(1, len(chosen)))
         subjects = [instance.name for instance in chosen]
-        if len(chosen) == len(self._instances):
+        if name in ("refuse", "busy") or len(chosen) == len(self._instances):
+            # The store does not tell who calls: it refuses all.
             subjects = [STORE]
-        indices = [
-            self._begin(subject, f"store {name}") for subject in subjects
-        ]
-        if name in ("refuse", "busy"):
-            # For all: the store does not tell who calls.
-            indices.append(self._begin(STORE, name))
-            self._store.status = 503 if name == "refuse" else 429
-            await asyncio.sleep(fault.seconds)
-            self._store.status = 200
-        else:
+        with self._disturbance(f"store {name}", *subjects):
             if rng.random() < 0.5:
                 self._operator.revoke_key()
-            mode, delay = {
-                "reset": (proxies.Mode.REFUSE, 0.0),
-                "silent": (proxies.Mode.SILENT, 0.0),
-                "one_way": (proxies.Mode.ONE_WAY, 0.0),
-                "slow": (proxies.Mode.DELAY, SLOW_STORE_SECONDS),
-            }[name]
-            for instance in chosen:
-                instance.store.change(mode, delay)
-            await asyncio.sleep(fault.seconds * STORE_FACTOR)
-            for instance in chosen:
-                instance.store.change(proxies.Mode.PASS)
-        for index in indices:
-            self._end(index)
+            if name in ("refuse", "busy"):
+                self._store.status = 503 if name == "refuse" else 429
+                await asyncio.sleep(fault.seconds)
+                self._store.status = 200
+            else:
+                for instance in chosen:
+                    instance.store.change(*PATH_FAULTS[name])
+                await asyncio.sleep(fault.seconds * STORE_FACTOR)
+                for instance in chosen:
+                    instance.store.change(proxies.Mode.PASS)
 
     # Targets.
 
@@ -224,15 +223,14 @@
                     if found.service == target.service
                     and found.name not in self._busy
                 ]
-            self._busy |= {found.name for found in chosen}
-            indices = [self._begin(found.name, name) for found in chosen]
-            for found in chosen:
-                found.behaviour = target_fleet.Behaviour(name)
-            await asyncio.sleep(seconds)
-            for found in chosen:
-                found.behaviour = target_fleet.Behaviour.SOUND
-            for index in indices:
-                self._end(index)
+            names = [found.name for found in chosen]
+            self._busy |= set(names)
+            with self._disturbance(name, *names):
+                for found in chosen:
+                    found.behaviour = target_fleet.Behaviour(name)
+                await asyncio.sleep(seconds)
+                for found in chosen:
+                    found.behaviour = target_fleet.Behaviour.SOUND
         self._busy -= {found.name for found in chosen}
 
     async def add_target(
@@ -285,17 +283,10 @@
         target = self._choose_target(rng)
         if target is None or target.proxy is None:
             return
-        index = self._begin(target.name, f"link {name}")
-        proxy = target.proxy
-        if name == "reset":
-            proxy.reset()
-        else:
-            mode, delay = {
-                "delay": (proxies.Mode.DELAY, SLOW_LINK_SECONDS),
-                "silent": (proxies.Mode.SILENT, 0.0),
-                "one_way": (proxies.Mode.ONE_WAY, 0.0),
-            }[name]
-            proxy.change(mode, delay)
+        with self._disturbance(f"link {name}", target.name):
+            if name == "reset":
+                target.proxy.reset()
+                return
+            target.proxy.change(*PATH_FAULTS[name])
             await asyncio.sleep(fault.seconds)
-            proxy.change(proxies.Mode.PASS)
-        self._end(index)
+            target.proxy.change(proxies.Mode.PASS)
