--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -26,9 +26,6 @@
     parser.add_argument(
         "--processes", type=int, default=6, help="relaying instances"
     )
-    parser.add_argument(
-        "--only", default="", help="kinds of faults, separated by commas"
-    )
     parser.add_argument(
         "--folder", default="", help="keep the instances' logs here"
     )
@@ -42,7 +39,6 @@
                 seed,
                 options.minutes * SECONDS_PER_MINUTE,
                 options.processes,
-                tuple(filter(None, options.only.split(","))),
             ),
             options.folder,
         )
--- a/soak/run.py
+++ b/soak/run.py
@@ -45,13 +45,13 @@
         seed: Of the plan and the callers.
         seconds: How long faults may begin.
         instances: Number of relaying instances.
-        kinds: Only these kinds of faults; empty for all.
+        faults: To play instead of those that the seed gives.
     """
 
     seed: int
     seconds: float
     instances: int
-    kinds: tuple[str, ...] = ()
+    faults: tuple[plan.Fault, ...] = ()
 
 
 class Result(NamedTuple):
@@ -185,9 +185,10 @@
     async def _play_plan(self) -> None:
         started = time.monotonic()
         running = []
-        for fault in plan.make_plan(self.options.seed, self.options.seconds):
-            if self.options.kinds and fault.kind not in self.options.kinds:
-                continue
+        options = self.options
+        for fault in options.faults or plan.make_plan(
+            options.seed, options.seconds
+        ):
             wait = started + fault.at - time.monotonic()
             await asyncio.sleep(max(0.0, wait))
             running.append(asyncio.ensure_future(self.faults.play(fault)))
