--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -59,6 +59,7 @@
         f"seed {seed}: {len(history.sent)} requests,"
         f" {len(history.disturbances)} disturbances,"
         f" lag {max(history.lag_seconds, default=0.0):.2f} s,"
+        f" {len(checks.find_long_deadlines(history))} long deadlines,"
         f" {len(result.violations)} violations"
     )
     print("  " + ", ".join(f"{k}: {v}" for k, v in sorted(ends.items())))
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -15,6 +15,7 @@
 __all__ = [
     "CHECKS",
     "Violation",
+    "find_long_deadlines",
     "find_unserved_in_calm",
     "find_violations",
 ]
@@ -43,6 +44,8 @@
 RECOVERY_SECONDS = 12.0
 RECOVERED_SHARE = 0.95
 DEADLINE_SLACK_MS = 500.0
+# The users' rule: more than so many, and more than a fifth of all.
+LONG_DEADLINES = 20
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 DENIALS = frozenset({401, 403, 404})
 STORE = "store"
@@ -136,18 +139,36 @@
             yield arrival.request_id, f"{arrival.path} {arrival.body!r}"
         if arrival.has_run and arrival.service != SERVICES[sent.route]:
             yield arrival.request_id, f"ran at {arrival.service}"
+
+
+def check_deadlines(history: History) -> Finding:
+    """Targets are not handed more time than is left."""
+    late = find_long_deadlines(history)
+    if len(late) > LONG_DEADLINES and len(late) * 5 > len(history.arrivals):
+        yield late[0], f"{len(late)} of {len(history.arrivals)} too long"
+
+
+def find_long_deadlines(history: History) -> list[str]:
+    """Returns requests whose target was handed more time than was left.
+
+    A suspended instance cannot know how long a request waited for it.
+    """
+    by_id = {sent.request_id: sent for sent in history.sent}
+    late = []
+    for arrival in history.arrivals:
+        sent = by_id.get(arrival.request_id)
+        if sent is None:
+            continue
         left_ms = (sent.patience_seconds + sent.sent_at - arrival.at) * 1000.0
-        if arrival.left_ms > left_ms + DEADLINE_SLACK_MS:
-            # A suspended instance cannot know how long a request waited.
-            if not _is_late_arrival(
-                history, arrival
-            ) and not history.is_disturbed(
+        if (
+            arrival.left_ms > left_ms + DEADLINE_SLACK_MS
+            and not _is_late_arrival(history, arrival)
+            and not history.is_disturbed(
                 (sent.instance,), sent.sent_at - CONTACT_SECONDS, arrival.at
-            ):
-                yield arrival.request_id, (
-                    f"deadline {arrival.left_ms} ms, {left_ms:.0f} were left,"
-                    f" {arrival.at - sent.sent_at:.3f} s after it was sent"
-                )
+            )
+        ):
+            late.append(arrival.request_id)
+    return late
 
 
 def check_ends_in_time(history: History) -> Finding:
@@ -381,6 +402,7 @@
     check_order_of_events,
     check_not_run_is_true,
     check_passed_on_unchanged,
+    check_deadlines,
     check_ends_in_time,
     check_revoked_keys,
     check_proper_requests_pass,
