--- a/soak/run.py
+++ b/soak/run.py
@@ -129,6 +129,8 @@
             await asyncio.sleep(CALM_SECONDS)
             background[0].cancel()
             await self.load.finish()
+            for target in self.fleet.targets.values():
+                target.end_reservations(time.monotonic())
         finally:
             for task in background:
                 task.cancel()
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -144,6 +144,11 @@
             "born": self.born,
         }
 
+    def end_reservations(self, now: float) -> None:
+        """Notes those that are left at the end of a run."""
+        for key in list(self._reservations):
+            self._end_reservation(key, now)
+
     def lapse(self, now: float) -> None:
         """Ends reservations that were not renewed."""
         for key, held in list(self._reservations.items()):
