Bytes without end no longer hold a request, an order or a store call

Targets and the store may send bytes that are no answer until the caller closes.

Cause: urllib3's time-outs apply to each read and it reads bodies of any size: an order or a store call never ended while a server sent heads of status 100 or a body, and a stated length of 100 GB was allocated at once. The engine client passed over informational heads, late responses and events without ids without a limit. An order that an engine answered with a 5xx counted as not run, though it may have been carried out.

Change: orders, store calls and peers' state use `adapters/bounded_http`: the time-out is that of the whole response, which has at most 4 MB, a stated length included. Limits on informational heads, skipped bytes and events without ids in a row. Responses to callers are held up to 4 MB instead of 16. A 5xx answer to an order means that it may have run.

--- /dev/null
+++ b/catkintrail/adapters/bounded_http.py
@@ -0,0 +1,107 @@
+"""HTTP connections whose responses are bounded in time and size.
+
+The time-outs of urllib3 apply to each read, and it reads bodies of any size. A
+server that sends heads or a body without end would thus hold its caller for
+ever, and fill its memory.
+"""
+
+import http.client
+import socket
+import time
+
+import urllib3
+from urllib3 import connection
+
+__all__ = ["BoundedPool", "MAX_RESPONSE_BYTES", "make_pool_manager"]
+
+# Head and body of one response. Pages of lists and configurations have about a
+# megabyte.
+MAX_RESPONSE_BYTES = 4 << 20
+
+
+class _BoundedSocket(socket.socket):
+    """A socket whose time-out is the limit of all reads that follow it.
+
+    Attributes:
+        deadline: Monotonic time in seconds at which reads end; infinite if
+            there is no time-out.
+        remaining_bytes: Number of bytes that may still be read.
+    """
+
+    def __init__(self, original: socket.socket) -> None:
+        timeout = original.gettimeout()
+        super().__init__(
+            original.family,
+            original.type,
+            original.proto,
+            fileno=original.detach(),
+        )
+        self.deadline = float("inf")
+        self.remaining_bytes = MAX_RESPONSE_BYTES
+        self.settimeout(timeout)
+
+    def settimeout(self, value: float | None) -> None:
+        """Sets the time in which the next response has to arrive."""
+        super().settimeout(value)
+        self.remaining_bytes = MAX_RESPONSE_BYTES
+        self.deadline = float("inf")
+        if value is not None:
+            self.deadline = time.monotonic() + value
+
+    def recv_into(
+        self, buffer: bytearray, nbytes: int = 0, flags: int = 0
+    ) -> int:
+        """Reads into a buffer, within the limits.
+
+        Raises:
+            TimeoutError: The deadline has passed.
+            OSError: The response is too long.
+        """
+        if self.deadline != float("inf"):
+            remaining_seconds = self.deadline - time.monotonic()
+            if remaining_seconds <= 0:
+                raise TimeoutError("the response did not end in time")
+            super().settimeout(remaining_seconds)
+        count = super().recv_into(buffer, nbytes, flags)
+        self.remaining_bytes -= count
+        if self.remaining_bytes < 0:
+            raise OSError("the response is too long")
+        return count
+
+
+class _BoundedResponse(http.client.HTTPResponse):
+
+    def begin(self) -> None:
+        super().begin()
+        # The body is read into a buffer of the stated length.
+        if self.length is not None and self.length > MAX_RESPONSE_BYTES:
+            raise http.client.HTTPException("the response is too long")
+
+
+class _BoundedConnection(connection.HTTPConnection):
+
+    response_class = _BoundedResponse
+
+    def connect(self) -> None:
+        super().connect()
+        self.sock = _BoundedSocket(self.sock)
+
+
+class BoundedPool(urllib3.HTTPConnectionPool):
+    """A pool of connections to one server.
+
+    The read time-out of a request applies to its whole response.
+    """
+
+    ConnectionCls = _BoundedConnection
+
+
+def make_pool_manager(num_pools: int) -> urllib3.PoolManager:
+    """Returns a manager of bounded pools that does not repeat requests.
+
+    Args:
+        num_pools: Number of servers to which connections are kept.
+    """
+    manager = urllib3.PoolManager(num_pools=num_pools, retries=False)
+    manager.pool_classes_by_scheme = {"http": BoundedPool}
+    return manager
--- a/catkintrail/core/event_stream.py
+++ b/catkintrail/core/event_stream.py
@@ -7,6 +7,9 @@
 __all__ = ["Event", "EventReader", "EventSequence"]
 
 MAX_EVENT_BYTES = 1 << 20
+# Consecutive events without an id. A target in trouble may send bytes without
+# end that look like such events.
+MAX_UNNUMBERED_EVENTS = 64
 
 
 class Event(NamedTuple):
@@ -59,20 +62,26 @@
 
     def __init__(self, last: int = -1) -> None:
         self.last = last
+        self._unnumbered = 0
 
     def accept(self, event: Event) -> bool:
         """Processes the next event.
 
-        Events without an id are always accepted.
+        Events without an id are accepted, but not many in a row.
 
         Returns:
             False if the event repeats an accepted one and must be skipped.
 
         Raises:
-            errors.FrameError: At least one event before this one is missing.
+            errors.FrameError: At least one event before this one is missing, or
+                too many events without an id follow each other.
         """
         if event.number < 0:
+            self._unnumbered += 1
+            if self._unnumbered > MAX_UNNUMBERED_EVENTS:
+                raise errors.FrameError("events without ids do not end")
             return True
+        self._unnumbered = 0
         if self.last >= 0:
             if event.number <= self.last:
                 return False
--- a/catkintrail/platform/engines.py
+++ b/catkintrail/platform/engines.py
@@ -35,6 +35,10 @@
 # Lower bound of socket time-outs; zero would make the socket non-blocking.
 MIN_TIMEOUT_SECONDS = 0.001
 MAX_HEADER_BYTES = 64 << 10
+# Informational heads before a response, and bytes of a late response to an
+# earlier request, after which the connection is given up.
+MAX_INFORMATIONAL_HEADS = 16
+MAX_SKIPPED_BYTES = 1 << 20
 AT_SERVER = "at-server"
 
 
@@ -281,9 +285,13 @@
                 verdicts.Verdict.NOT_RUN,
             )
         self._send(data, until)
+        informational_heads = 0
         while True:
             event = self._next_event(until)
             if isinstance(event, h11.InformationalResponse):
+                informational_heads += 1
+                if informational_heads > MAX_INFORMATIONAL_HEADS:
+                    raise self._make_failure("no final response head")
                 continue
             if not isinstance(event, h11.Response):
                 raise self._make_failure("no response head was received")
@@ -458,8 +466,14 @@
 
     def _skip_response(self, until: float) -> None:
         """Reads the response to another request, and resets the parser."""
-        while not isinstance(self._next_event(until), h11.EndOfMessage):
-            pass
+        skipped_bytes = 0
+        while not isinstance(
+            event := self._next_event(until), h11.EndOfMessage
+        ):
+            if isinstance(event, h11.Data):
+                skipped_bytes += len(event.data)
+            if skipped_bytes > MAX_SKIPPED_BYTES:
+                raise self._make_failure("a late response does not end")
         remaining_bytes, is_closed = self._http.trailing_data
         if is_closed or not self._is_framed:
             raise self._make_failure(
--- a/catkintrail/platform/orders.py
+++ b/catkintrail/platform/orders.py
@@ -5,6 +5,7 @@
 
 from catkintrail import errors
 from catkintrail import verdict as verdicts
+from catkintrail.adapters import bounded_http
 from catkintrail.core import targets as target_records
 
 __all__ = ["ReservationClient"]
@@ -26,7 +27,7 @@
 
     def __init__(self) -> None:
         self.order_count = 0
-        self.http = urllib3.PoolManager(num_pools=MAX_POOLS, retries=False)
+        self.http = bounded_http.make_pool_manager(MAX_POOLS)
 
     def reserve(
         self,
@@ -47,7 +48,7 @@
         Raises:
             errors.TargetError: The engine rejected the order, for example for
                 lack of free memory, or could not be reached (`NOT_RUN`); or it
-                did not respond (`MAY_HAVE_RUN`).
+                failed or did not respond (`MAY_HAVE_RUN`).
         """
         order = {
             "op": "reserve",
@@ -98,8 +99,13 @@
                 is_silent=True,
             ) from error
         if response.status != 200:
+            is_rejection = 400 <= response.status < 500
             raise errors.TargetError(
-                f"{target.address}: order rejected, status {response.status}",
-                verdicts.Verdict.NOT_RUN,
+                f"{target.address}: order failed, status {response.status}",
+                (
+                    verdicts.Verdict.NOT_RUN
+                    if is_rejection
+                    else verdicts.Verdict.MAY_HAVE_RUN
+                ),
                 is_leaving=response.status == 421,
             )
--- a/catkintrail/platform/store.py
+++ b/catkintrail/platform/store.py
@@ -10,6 +10,7 @@
 from urllib3 import connection as connections
 
 from catkintrail import errors
+from catkintrail.adapters import bounded_http
 from catkintrail.core import route_table
 from catkintrail.platform import wire
 from catkintrail.ports import fleet_state_source
@@ -91,7 +92,7 @@
     def __init__(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         self.call_count = 0
-        self.http = urllib3.HTTPConnectionPool(
+        self.http = bounded_http.BoundedPool(
             host,
             int(port),
             maxsize=MAX_CONNECTIONS,
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -17,6 +17,7 @@
 from catkintrail import memory_leases
 from catkintrail import relay as relays
 from catkintrail import relay_settings
+from catkintrail.adapters import bounded_http
 from catkintrail.adapters import caller_watch
 from catkintrail.adapters import clock
 from catkintrail.adapters import datagrams
@@ -49,6 +50,7 @@
 INITIAL_STATE_TIMEOUT_SECONDS = 0.5
 INITIAL_STATE_POLL_SECONDS = 0.01
 PEER_THREADS = 4
+MAX_PEER_POOLS = 10
 TICK_SECONDS = 0.25
 START_TICK_SECONDS = 0.1
 SETTINGS_POLL_SECONDS = 1.0
@@ -130,7 +132,7 @@
             self.watch,
             clock.boot_seconds,
         )
-        self.http = urllib3.PoolManager(retries=False)
+        self.http = bounded_http.make_pool_manager(MAX_PEER_POOLS)
         self._stop = threading.Event()
         self._settings_text = settings_text
 
--- a/catkintrail/response_forwarder.py
+++ b/catkintrail/response_forwarder.py
@@ -30,7 +30,7 @@
 # A plain service that may be sent the request once more has to respond within
 # this fraction of the route's timeout.
 PLAIN_RESPONSE_TIMEOUT_FRACTION = 0.45
-MAX_RESPONSE_BYTES = 16 << 20
+MAX_RESPONSE_BYTES = 4 << 20
 
 Verdict = verdicts.Verdict
 
