Coordinators place the requests of their zone in a large fleet

Cause: every attempt's start, first token and end went to all instances of the zone and in batches to all others, so the work of each instance grew with the requests of the whole fleet; heartbeats went to up to 14 peers twice a second, always to the seeds too, which then got 390 a second; and 195 instances that chose at the same moment from knowledge up to 0.2 s old chose the same engines.

Change: in fleets of 17 and more the two most powerful machines of a zone are its coordinators. Instances ask the first for the targets of a request and report attempts to both; coordinators exchange load in batches. No answer within 80 ms: the second, then the instance itself. Coordinators eject targets from the reports of their zone. Heartbeats go to the coordinators and one random peer; answers carry coordinators, sizes and addresses. Attempts of other zones' instances expire by silence. Engines of other zones are compared, eight a zone, only where those of the own zone would be late.

Conclusion: what bound was late knowledge and its cost, not the engines.

--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -20,6 +20,7 @@
 
 __all__ = [
     "PeerState",
+    "PendingPlacement",
     "RouterActor",
     "RouterClient",
     "RouterStatus",
@@ -42,6 +43,10 @@
 # Load messages of other zones are delayed this long; a prefill takes longer.
 BATCH_DELAY_SECONDS = 0.1
 MAX_BATCH_MESSAGES = 100
+# How long a coordinator may take to answer before another one is asked.
+COORDINATOR_TIMEOUT_SECONDS = 0.08
+# A coordinator that did not answer in time is not asked again for this long.
+COORDINATOR_PAUSE_SECONDS = 1.0
 # The actor does no blocking I/O, so a slower response indicates a fault.
 CALL_TIMEOUT_SECONDS = 5.0
 
@@ -98,6 +103,49 @@
     newer_peer: str
 
 
+class PendingPlacement(NamedTuple):
+    """A placement that a coordinator has been asked for.
+
+    Attributes:
+        request: The request.
+        coordinator: Address of the coordinator.
+        result: Future of the placement, of a refusal or of another
+            `PendingPlacement`.
+    """
+
+    request: request_router.PlacementRequest
+    coordinator: str
+    result: pykka.ThreadingFuture
+
+
+PlacementResult = request_router.Placement | verdicts.Refusal | PendingPlacement
+
+
+class _Batch:
+    """Encoded messages that are sent together after a delay."""
+
+    def __init__(self) -> None:
+        self._contents: list[bytes] = []
+        self._since = float("inf")
+
+    def add(self, content: bytes, now: float) -> None:
+        """Adds a message."""
+        self._contents.append(content)
+        self._since = min(self._since, now)
+
+    def take_due(self, now: float) -> list[messages.Batch]:
+        """Returns the messages to send now, and removes them."""
+        if now - self._since < BATCH_DELAY_SECONDS:
+            return []
+        contents = self._contents
+        self._contents = []
+        self._since = float("inf")
+        return [
+            messages.Batch(tuple(contents[start : start + MAX_BATCH_MESSAGES]))
+            for start in range(0, len(contents), MAX_BATCH_MESSAGES)
+        ]
+
+
 class RouterActor(pykka.ThreadingActor):
     """Runs the router of one instance, one call at a time."""
 
@@ -116,8 +164,13 @@
         self._started_at = clock()
         self._next_heartbeat = 0.0
         self._next_snapshot = 0.0
-        self._batch: list[bytes] = []
-        self._batch_since = float("inf")
+        # Messages of other zones for this one, and load of this zone for
+        # others.
+        self._zone_batch = _Batch()
+        self._load_batch = _Batch()
+        self._load_recipients: list[str] = []
+        self._pending: dict[str, PendingPlacement] = {}
+        self._coordinator_pauses: dict[str, float] = {}
 
     def admit(
         self, host: str, path: str, api_key: str
@@ -127,15 +180,97 @@
 
     def place(
         self, request: request_router.PlacementRequest
-    ) -> request_router.Placement | verdicts.Refusal:
-        """Chooses a target and reports the attempt to peers."""
+    ) -> PlacementResult:
+        """Chooses a target, or asks a coordinator to choose one.
+
+        The attempt is reported to peers.
+        """
+        refusal = self._router.count_send(request, self._clock())
+        if refusal is not None:
+            return refusal
+        return self._place_or_ask(request)
+
+    def give_up_waiting(self, key: str) -> PlacementResult | None:
+        """Places a request whose coordinator has not answered in time.
+
+        Returns:
+            The result; None if the coordinator has answered meanwhile.
+        """
+        pending = self._pending.pop(key, None)
+        if pending is None:
+            return None
+        _LOG.info("coordinator_silent", extra={"peer": pending.coordinator})
+        return self._place_elsewhere(pending)
+
+    def _place_elsewhere(self, pending: PendingPlacement) -> PlacementResult:
+        """Places a request that a coordinator did not place."""
+        self._coordinator_pauses[pending.coordinator] = (
+            self._clock() + COORDINATOR_PAUSE_SECONDS
+        )
+        return self._place_or_ask(pending.request)
+
+    def _place_or_ask(
+        self, request: request_router.PlacementRequest
+    ) -> PlacementResult:
         now = self._clock()
-        placement = self._router.place(request, now)
-        if isinstance(placement, request_router.Placement):
-            self._broadcast_load(
-                self._router.make_placement_update(request.key, now)
-            )
-        return placement
+        coordinator = self._choose_coordinator(now)
+        if not coordinator:
+            placement = self._router.place_locally(request, now)
+            self._report_placement(request.key, now)
+            return placement
+        pending = PendingPlacement(
+            request, coordinator, pykka.ThreadingFuture()
+        )
+        self._pending[request.key] = pending
+        self._send([coordinator], self._router.make_query(request))
+        return pending
+
+    def _choose_coordinator(self, now: float) -> str:
+        """Returns the address of the coordinator to ask; "" for none."""
+        peers = self._router.fleet_state.peers
+        if not peers.is_large_fleet or peers.is_coordinator():
+            return ""
+        for address in peers.coordinators():
+            if self._coordinator_pauses.get(address, 0.0) <= now:
+                return address
+        return ""
+
+    def _report_placement(
+        self, key: str, now: float, excluded: str = ""
+    ) -> None:
+        update = self._router.make_placement_update(key, now)
+        if update is not None:
+            self._broadcast_load(update, excluded)
+
+    def _handle_query(
+        self, address: str, query: messages.PlacementQuery, now: float
+    ) -> None:
+        """Places a request of another instance of this zone."""
+        answer = self._router.answer_query(query, now)
+        self._send([address], answer)
+        update = self._router.make_placement_update(
+            query.key, now, query.sender
+        )
+        if update is not None:
+            self._queue_for_other_zones(update, now)
+
+    def _handle_placement_answer(
+        self, answer: messages.PlacementAnswer, now: float
+    ) -> None:
+        pending = self._pending.pop(answer.key, None)
+        if pending is None:
+            return
+        if answer.reason == verdicts.Reason.NOT_READY.value:
+            pending.result.set(self._place_elsewhere(pending))
+            return
+        if not self._router.names_known_target(answer):
+            placement = self._router.place_locally(pending.request, now)
+            self._report_placement(answer.key, now)
+            pending.result.set(placement)
+            return
+        placement = self._router.finish_placement(pending.request, answer, now)
+        self._report_placement(answer.key, now, pending.coordinator)
+        pending.result.set(placement)
 
     def record_first_token(
         self, key: str, measured_ms: float, predicted_ms: float
@@ -161,10 +296,7 @@
             key, target, is_success, is_target_fault, is_silent, now
         )
         if is_ejected:
-            _LOG.warning(
-                "target_ejected",
-                extra={"target": target, "is_silent": is_silent},
-            )
+            _log_ejection(target, is_silent, self._router.settings.name)
         self._broadcast_load(update)
 
     def mark_target_leaving(self, target: str) -> None:
@@ -255,6 +387,10 @@
         """Applies new settings; addresses do not change."""
         self._router.apply_settings(settings)
 
+    def announce_shutdown(self) -> None:
+        """Makes other instances take over the duties of a coordinator."""
+        self._router.fleet_state.peers.resign()
+
     def handle_message(self, address: str, message: messages.Message) -> None:
         """Handles a message from a peer."""
         now = self._clock()
@@ -268,14 +404,13 @@
             self._send(
                 [address], router.fleet_state.answer_heartbeat(message, now)
             )
-            if news:
-                # A new or restarted peer does not know the running attempts.
-                self._send([address], router.snapshot(now))
+            self._greet_peer(address, news, now)
         elif isinstance(message, messages.FleetHeartbeatAnswer):
             news = router.fleet_state.handle_heartbeat_answer(
                 address, message, now
             )
             _log_peer(address, message.sender, news)
+            self._greet_peer(address, news, now)
         elif isinstance(message, messages.FleetNews):
             changes = router.fleet_state.handle_fleet_news(
                 address, message, now
@@ -284,9 +419,35 @@
         elif isinstance(message, messages.Forwarded):
             self._handle_forwarded(address, message, now)
         elif isinstance(message, messages.Batch):
-            self._handle_batch(address, message)
+            self._handle_batch(address, message, now)
+        elif isinstance(message, messages.PlacementQuery):
+            self._handle_query(address, message, now)
+        elif isinstance(message, messages.PlacementAnswer):
+            self._handle_placement_answer(message, now)
         else:
-            router.apply_load_message(message, now)
+            self._handle_load(message, now)
+
+    def _handle_load(
+        self, message: messages.LoadUpdate | messages.LoadSnapshot, now: float
+    ) -> None:
+        """Handles the load of an instance that sent it to this one directly."""
+        peers = self._router.fleet_state.peers
+        is_coordinator = peers.is_large_fleet and peers.is_coordinator()
+        ejected = self._router.apply_load_message(message, now, is_coordinator)
+        for target in ejected:
+            _log_ejection(target, False, message.sender)
+        self._queue_for_other_zones(message, now)
+
+    def _greet_peer(self, address: str, news: str, now: float) -> None:
+        """Sends the running attempts to a peer that does not know them."""
+        if not news:
+            return
+        peers = self._router.fleet_state.peers
+        if (
+            not peers.is_large_fleet
+            or address in self._router.fleet_state.load_recipients()
+        ):
+            self._send([address], self._router.snapshot(now))
 
     def tick(self) -> None:
         """Runs the periodic work that is due.
@@ -317,7 +478,12 @@
                 interval = LARGE_FLEET_SNAPSHOT_INTERVAL_SECONDS
             self._next_snapshot = now + interval * router.rng.uniform(0.8, 1.2)
             self._broadcast_load(router.snapshot(now))
-        self._send_batch(now)
+        recipients = router.fleet_state.load_recipients()
+        new = [a for a in recipients if a not in self._load_recipients]
+        if new and router.fleet_state.peers.is_large_fleet:
+            self._send(new, router.snapshot(now))
+        self._load_recipients = recipients
+        self._send_batches(now)
 
     def peer_state(self, known_version: int = -1) -> PeerState:
         """Returns the state that another instance fetches from this one.
@@ -367,17 +533,32 @@
     def _broadcast_load(
         self,
         update: messages.LoadUpdate | messages.LoadSnapshot | None,
+        excluded: str = "",
     ) -> None:
-        """Sends a change of this instance's attempts to all instances."""
+        """Sends a change of this instance's attempts to those who need it.
+
+        Args:
+            update: The change; None for none.
+            excluded: Address of a peer that knows the change already.
+        """
         if update is None:
             return
-        direct_addresses, gateways = (
-            self._router.fleet_state.broadcast_recipients()
-        )
-        self._send(direct_addresses, update)
-        if gateways:
-            forwarded = messages.Forwarded(messages.encode(update))
-            self._send(gateways, forwarded)
+        recipients = self._router.fleet_state.load_recipients()
+        self._send([a for a in recipients if a != excluded], update)
+        self._queue_for_other_zones(update, self._clock())
+
+    def _queue_for_other_zones(
+        self,
+        update: messages.LoadUpdate | messages.LoadSnapshot,
+        now: float,
+    ) -> None:
+        """Queues load of this zone for the coordinators of other zones."""
+        peers = self._router.fleet_state.peers
+        if peers.is_large_fleet and (
+            peers.coordinators()[0] == self._router.settings.address
+        ):
+            self._load_batch.add(messages.encode(update), now)
+            self._send_batches(now)
 
     def _broadcast_store_changes(
         self, changes: list[store_views.TargetChange]
@@ -412,30 +593,38 @@
         self, address: str, message: messages.Forwarded, now: float
     ) -> None:
         """Handles a message from another zone; queues it for this zone."""
-        if not self._handle_inner(address, message.content):
-            return
-        self._batch.append(message.content)
-        self._batch_since = min(self._batch_since, now)
-        self._send_batch(now)
-
-    def _send_batch(self, now: float) -> None:
-        """Sends the queued messages of other zones to this zone if due."""
-        if not self._batch or now - self._batch_since < BATCH_DELAY_SECONDS:
-            return
-        zone_addresses = [
-            peer.address for peer in self._router.fleet_state.peers.zone_peers()
-        ]
-        for start in range(0, len(self._batch), MAX_BATCH_MESSAGES):
-            part = self._batch[start : start + MAX_BATCH_MESSAGES]
-            self._send(zone_addresses, messages.Batch(tuple(part)))
-        self._batch.clear()
-        self._batch_since = float("inf")
+        if self._handle_inner(address, message.content, now):
+            self._zone_batch.add(message.content, now)
+            self._send_batches(now)
+
+    def _send_batches(self, now: float) -> None:
+        """Sends the queued messages that are due."""
+        peers = self._router.fleet_state.peers
+        for batch in self._zone_batch.take_due(now):
+            self._send([peer.address for peer in peers.zone_peers()], batch)
+        for batch in self._load_batch.take_due(now):
+            self._send(peers.gateways(), batch)
+
+    def _handle_batch(
+        self, address: str, batch: messages.Batch, now: float
+    ) -> None:
+        """Handles messages that a coordinator or a gateway collected.
 
-    def _handle_batch(self, address: str, batch: messages.Batch) -> None:
+        Load from another zone is passed on to the other coordinators of this
+        one.
+        """
         for content in batch.contents:
-            self._handle_inner(address, content)
+            self._handle_inner(address, content, now)
+        state = self._router.fleet_state
+        sender = state.peers.peers.get(address)
+        if (
+            sender is not None
+            and sender.availability_zone != state.peers.own_zone
+            and state.peers.is_coordinator()
+        ):
+            self._send(state.load_recipients(), batch)
 
-    def _handle_inner(self, address: str, content: bytes) -> bool:
+    def _handle_inner(self, address: str, content: bytes, now: float) -> bool:
         """Handles a message inside another; returns whether it is valid."""
         try:
             inner = messages.decode(content)
@@ -444,7 +633,10 @@
             return False
         if isinstance(inner, (messages.Forwarded, messages.Batch)):
             return False
-        self.handle_message(address, inner)
+        if isinstance(inner, (messages.LoadUpdate, messages.LoadSnapshot)):
+            self._router.apply_load_message(inner, now)
+        else:
+            self.handle_message(address, inner)
         return True
 
 
@@ -471,8 +663,22 @@
     def place(
         self, request: request_router.PlacementRequest
     ) -> request_router.Placement | verdicts.Refusal:
-        """Chooses a target and reports the attempt to peers."""
-        return self.proxy.place(request).get(timeout=CALL_TIMEOUT_SECONDS)
+        """Chooses a target and reports the attempt to peers.
+
+        Coordinators that do not answer in time are passed over.
+        """
+        result = self.proxy.place(request).get(timeout=CALL_TIMEOUT_SECONDS)
+        while isinstance(result, PendingPlacement):
+            result = self._await_coordinator(result)
+        return result
+
+    def _await_coordinator(self, pending: PendingPlacement) -> PlacementResult:
+        try:
+            return pending.result.get(timeout=COORDINATOR_TIMEOUT_SECONDS)
+        except pykka.Timeout:
+            future = self.proxy.give_up_waiting(pending.request.key)
+            result = future.get(timeout=CALL_TIMEOUT_SECONDS)
+            return result or pending.result.get(timeout=0)
 
     def record_first_token(
         self, key: str, measured_ms: float, predicted_ms: float
@@ -524,6 +730,17 @@
         )
 
 
+def _log_ejection(target: str, is_silent: bool, reporter: str) -> None:
+    _LOG.warning(
+        "target_ejected",
+        extra={
+            "target": target,
+            "is_silent": is_silent,
+            "reporter": reporter,
+        },
+    )
+
+
 def _log_peer(address: str, name: str, news: str) -> None:
     if news:
         event = f"peer_{news}"
--- a/catkintrail/core/engine_placement.py
+++ b/catkintrail/core/engine_placement.py
@@ -21,6 +21,7 @@
     "RequestDemand",
     "choose",
     "describe_engine",
+    "is_untroubled",
 ]
 
 # Numbers of engines among which a prompt may be divided. The protocol allows 16
@@ -226,6 +227,23 @@
     return best
 
 
+def is_untroubled(
+    choice: Choice,
+    demand: RequestDemand,
+    figures: route_table.EngineFigures,
+) -> bool:
+    """Returns whether a choice meets the goal and delays no other request.
+
+    Other engines could then only be slightly better.
+    """
+    weight = engine_cost.request_weight(figures, demand.prompt_tokens)
+    engine_cost_limit = FIRST_STREAM_COST + HELPER_COST + OTHER_ZONE_COST
+    return (
+        choice.cost
+        <= weight * WITHIN_GOAL_COST + len(choice.engines) * engine_cost_limit
+    )
+
+
 def _choose_parts(
     demand: RequestDemand,
     holders: "_MemoryHolders",
--- a/catkintrail/core/fleet_load.py
+++ b/catkintrail/core/fleet_load.py
@@ -47,11 +47,13 @@
         by_target: Attempts on each target, by key. Helpers that keep no memory
             are listed only until the prefill ends.
         by_owner: Attempts of each instance, by key.
+        reported_at: Time of the last message of each other instance.
     """
 
     def __init__(self) -> None:
         self.by_target: dict[str, dict[str, Attempt]] = {}
         self.by_owner: dict[str, dict[str, Attempt]] = {}
+        self.reported_at: dict[str, float] = {}
 
     def at(self, target: str) -> dict[str, Attempt]:
         """Returns the attempts on a target, by key."""
@@ -92,6 +94,7 @@
         for key in list(self.by_owner.get(owner, {})):
             self.drop(owner, key)
         self.by_owner.pop(owner, None)
+        self.reported_at.pop(owner, None)
 
     def expire(self, now: float) -> None:
         """Removes attempts that are too old to be still in progress."""
--- a/catkintrail/core/fleet_state.py
+++ b/catkintrail/core/fleet_state.py
@@ -61,6 +61,7 @@
             settings.address,
             settings.availability_zone,
             [seed.rpartition(":")[0] for seed in settings.seeds],
+            settings.cores,
         )
         self.is_store_up = True
         self.store_recovered_at = float("-inf")
@@ -195,6 +196,7 @@
             self.is_store_up,
             tuple((name, born) for name, (born, _) in self._leaving.items()),
             self.peers.sample_addresses(self._rng),
+            self.peers.standing(),
         )
 
     def answer_heartbeat(
@@ -202,6 +204,8 @@
     ) -> messages.FleetHeartbeatAnswer:
         """Returns the answer to a peer's heartbeat."""
         age = (now - self.configuration.proven_at) * 1000.0
+        addresses = self.peers.known_coordinators(heartbeat.availability_zone)
+        addresses += self.peers.sample_addresses(self._rng)
         return messages.FleetHeartbeatAnswer(
             self.settings.name,
             self.settings.availability_zone,
@@ -209,6 +213,8 @@
             heartbeat.nonce,
             self.configuration.version,
             age if self.configuration.table is not None else -1.0,
+            tuple(addresses),
+            self.peers.standing(),
         )
 
     def handle_heartbeat(
@@ -232,6 +238,7 @@
             heartbeat.incarnation,
             now,
             heartbeat.has_store,
+            heartbeat.standing,
         )
         self._check_target_digest(address, heartbeat, now)
         self._record_peer_version(address, heartbeat.version)
@@ -262,8 +269,11 @@
             answer.availability_zone,
             answer.incarnation,
             now,
+            standing=answer.standing,
         )
         self._record_peer_version(address, answer.version)
+        for other in answer.addresses:
+            self.peers.add_address(other, now)
         sent_at = self._heartbeats_sent.get(answer.nonce)
         # The proof's age counts back from the time at which the heartbeat was
         # sent, so that transit cannot make the proof look newer than it is.
@@ -307,6 +317,17 @@
         zone_addresses = [peer.address for peer in self.peers.zone_peers()]
         return zone_addresses, self.peers.gateways()
 
+    def load_recipients(self) -> list[str]:
+        """Returns the peers to which changes of the load are sent.
+
+        In a large fleet, only the coordinators of the zone place requests and
+        need to know the load.
+        """
+        if not self.peers.is_large_fleet:
+            return [peer.address for peer in self.peers.alive()]
+        own_address = self.settings.address
+        return [a for a in self.peers.coordinators() if a != own_address]
+
     def is_watcher(self) -> bool:
         """Returns whether this instance watches the store for its zone."""
         return self.peers.watch_rank() < self.peers.watchers_per_zone()
--- a/catkintrail/core/load_reports.py
+++ b/catkintrail/core/load_reports.py
@@ -14,7 +14,7 @@
     puts: tuple[fleet_load.Attempt, ...],
     drops: tuple[str, ...],
     now: float,
-    faults: tuple[str, ...] = (),
+    outcomes: tuple[messages.AttemptOutcome, ...] = (),
 ) -> messages.LoadUpdate:
     """Returns a message with attempts that changed or ended.
 
@@ -23,13 +23,13 @@
         puts: New or changed attempts.
         drops: Keys of attempts that ended.
         now: Time in seconds.
-        faults: Names of targets that failed.
+        outcomes: Results of the attempts that ended.
     """
     return messages.LoadUpdate(
         sender,
         tuple(_to_report(attempt, now) for attempt in puts),
         drops,
-        faults,
+        outcomes,
     )
 
 
@@ -49,6 +49,7 @@
     now: float,
 ) -> None:
     """Applies a peer's load message."""
+    load.reported_at[message.sender] = now
     if isinstance(message, messages.LoadSnapshot):
         load.replace_all(
             message.sender,
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from typing import NamedTuple
+from typing import Iterator, NamedTuple
 
 from catkintrail import messages
 from catkintrail import relay_settings
@@ -42,6 +42,13 @@
 # Cost of a queue as long as the number of slots, and in proportion.
 QUEUED_COST = 1.0
 OTHER_ZONE_COST = 0.12
+# Largest number of engines that are all compared for each request. With more,
+# those of the own zone come first, then this many of each other zone.
+MAX_ENGINES_COMPARED = 48
+OTHER_ZONE_ENGINES = 8
+# In a large fleet, the attempts of an instance that has sent no load message
+# for this long are dropped.
+MAX_REPORT_AGE_SECONDS = 12.0
 # The platform specifies that callers abandon a stream after a pause of this
 # minimum, this many first-event goals, or this many event gap goals, whichever
 # is longest.
@@ -219,11 +226,75 @@
         Returns:
             The placement, or the reason for refusing the request.
         """
-        service = request.admission.service
+        refusal = self.count_send(request, now)
+        if refusal is not None:
+            return refusal
+        return self.place_locally(request, now)
+
+    def count_send(
+        self, request: PlacementRequest, now: float
+    ) -> verdicts.Refusal | None:
+        """Counts a send; refuses a retry that exceeds the retry budget."""
+        budget = self._retry_budget(request.admission.service)
+        if not request.is_retry:
+            budget.record_first_send(now)
+        elif not budget.try_acquire(self.fleet_state.peers.max_alive, now):
+            return _refuse(
+                verdicts.Reason.OVERLOADED,
+                "the retry budget is exhausted",
+                NO_TARGET_RETRY_SECONDS,
+            )
+        return None
+
+    def place_locally(
+        self, request: PlacementRequest, now: float
+    ) -> Placement | verdicts.Refusal:
+        """Places a request from the load that this instance knows."""
+        query = self.make_query(request)
+        return self.finish_placement(
+            request, self.answer_query(query, now), now
+        )
+
+    def make_query(self, request: PlacementRequest) -> messages.PlacementQuery:
+        """Returns the question that a request puts to a coordinator."""
+        route = request.admission.route
+        return messages.PlacementQuery(
+            self.settings.name,
+            request.key,
+            request.admission.service,
+            request.prompt_tokens,
+            request.output_tokens,
+            route.goal_ms,
+            route.gap_goal_ms,
+            request.elapsed_ms,
+            tuple(sorted(request.tried)),
+        )
+
+    def answer_query(
+        self, query: messages.PlacementQuery, now: float
+    ) -> messages.PlacementAnswer:
+        """Chooses targets for a request of any instance of this zone.
+
+        The attempt is recorded, so that the next choice takes it into account.
+
+        Args:
+            query: The request.
+            now: Time in seconds.
+        """
+        if (
+            self.fleet_state.configuration.table is None
+            or not self.fleet_state.has_target_list
+        ):
+            return self._decline(
+                query,
+                verdicts.Reason.NOT_READY,
+                "the targets are not known yet",
+                NOT_READY_RETRY_SECONDS,
+            )
         listed = list(
-            self.fleet_state.targets.by_service.get(service, {}).values()
+            self.fleet_state.targets.by_service.get(query.service, {}).values()
         )
-        usable = [t for t in listed if t.name not in request.tried]
+        usable = [t for t in listed if t.name not in query.tried]
         healthy = [t for t in usable if not self.health.is_ejected(t.name, now)]
         unreachable_zones = self.fleet_state.peers.unreachable_zones()
         reachable = [
@@ -231,25 +302,60 @@
         ]
         candidates = reachable or healthy or usable
         if not candidates:
-            return _refuse(
+            return self._decline(
+                query,
                 verdicts.Reason.NO_TARGET,
                 f"none of {len(listed)} targets is available",
                 NO_TARGET_RETRY_SECONDS,
             )
-        if request.is_retry and not self._retry_budget(service).try_acquire(
-            self.fleet_state.peers.max_alive, now
-        ):
+        figures = self._engine_figures(query.service)
+        if figures is None or not query.prompt_tokens:
+            return self._choose_plain(query, candidates, now)
+        return self._choose_engines(query, candidates, figures, now)
+
+    def finish_placement(
+        self,
+        request: PlacementRequest,
+        answer: messages.PlacementAnswer,
+        now: float,
+    ) -> Placement | verdicts.Refusal:
+        """Turns an answer to a request's query into its placement.
+
+        Args:
+            request: The request.
+            answer: The answer, of this instance or a coordinator.
+            now: Time in seconds.
+        """
+        if not answer.targets:
             return _refuse(
-                verdicts.Reason.OVERLOADED,
-                "the retry budget is exhausted",
-                NO_TARGET_RETRY_SECONDS,
+                verdicts.Reason(answer.reason),
+                answer.detail,
+                answer.retry_after_seconds,
             )
-        if not request.is_retry:
-            self._retry_budget(service).record_first_send(now)
-        figures = self._engine_figures(service)
-        if figures is None or not request.prompt_tokens:
-            return self._place_plain(request, candidates, now)
-        return self._place_prompt(request, candidates, figures, now)
+        if answer.sender != self.settings.name:
+            self._record_attempt(self.make_query(request), answer, now)
+        budget = self._retry_budget(request.admission.service)
+        return Placement(
+            answer.targets[0],
+            answer.targets[1:],
+            answer.memory,
+            answer.first_token_ms,
+            self._key_valid_until(request.admission),
+            answer.candidates,
+            answer.cost,
+            bool(answer.first_token_ms)
+            and budget.allows_early_retry(
+                self.fleet_state.peers.max_alive, now
+            ),
+        )
+
+    def names_known_target(self, answer: messages.PlacementAnswer) -> bool:
+        """Returns whether no target of an answer is known to be leaving."""
+        known = self.fleet_state.targets.targets
+        return not any(
+            target.name in known and known[target.name].is_leaving
+            for target in answer.targets
+        )
 
     def record_first_token(
         self, key: str, measured_ms: float, predicted_ms: float, now: float
@@ -297,8 +403,7 @@
             now: Time in seconds.
 
         Returns:
-            The update for peers, which names the target if it is at fault, and
-            whether the target was ejected.
+            The update for peers, and whether the target was ejected.
         """
         self.load.drop(self.settings.name, key)
         is_ejected = False
@@ -306,8 +411,11 @@
             self.health.record_success(target)
         elif is_target_fault:
             is_ejected = self.health.record_failure(target, now, is_silent)
-        faults = (target,) if is_target_fault else ()
-        return self._make_update((), (key,), now, faults), is_ejected
+        outcomes = ()
+        if is_success or is_target_fault:
+            outcome = messages.AttemptOutcome(target, is_success, is_silent)
+            outcomes = (outcome,)
+        return self._make_update((), (key,), now, outcomes), is_ejected
 
     def apply_settings(self, settings: relay_settings.RelaySettings) -> None:
         """Applies reloaded settings; changes of addresses have no effect."""
@@ -321,13 +429,37 @@
             )
 
     def apply_load_message(
-        self, message: messages.LoadUpdate | messages.LoadSnapshot, now: float
-    ) -> None:
-        """Applies a peer's attempts and its reports of failed targets."""
+        self,
+        message: messages.LoadUpdate | messages.LoadSnapshot,
+        now: float,
+        is_near: bool = False,
+    ) -> list[str]:
+        """Applies a peer's attempts and the results of those that ended.
+
+        Args:
+            message: The message.
+            now: Time in seconds.
+            is_near: Whether this instance places the requests of the sender. It
+                then ejects targets that fail the sender's requests. Otherwise
+                the cause may be the network between the sender and the target,
+                and the target is only penalised for a while.
+
+        Returns:
+            Names of the targets that were ejected.
+        """
         load_reports.apply_message(self.load, message, now)
+        ejected = []
         if isinstance(message, messages.LoadUpdate):
-            for target in message.faults:
-                self.health.record_peer_report(target, now)
+            for outcome in message.outcomes:
+                if outcome.is_success:
+                    if is_near:
+                        self.health.record_success(outcome.target)
+                elif not is_near:
+                    self.health.record_peer_report(outcome.target, now)
+                # A single silence may be the sender's own loss of contact.
+                elif self.health.record_failure(outcome.target, now, False):
+                    ejected.append(outcome.target)
+        return ejected
 
     def snapshot(self, now: float) -> messages.LoadSnapshot:
         """Returns a message with all attempts of this instance."""
@@ -343,11 +475,8 @@
             The targets that were removed.
         """
         self.load.expire(now)
-        alive = {peer.name for peer in self.fleet_state.peers.alive()}
-        alive.add(self.settings.name)
-        for owner in list(self.load.by_owner):
-            if owner not in alive:
-                self.load.drop_owner(owner)
+        for owner in self._find_gone_owners(now):
+            self.load.drop_owner(owner)
         return self.fleet_state.expire(now)
 
     def drop_removed_targets(
@@ -358,15 +487,33 @@
             if change.event in store_views.REMOVAL_EVENTS:
                 self.health.forget(change.target.name)
 
+    def _find_gone_owners(self, now: float) -> list[str]:
+        """Returns the instances that are down and have attempts recorded."""
+        peers = self.fleet_state.peers
+        alive = {peer.name for peer in peers.alive()} | {self.settings.name}
+        missing = [name for name in self.load.by_owner if name not in alive]
+        if not peers.is_large_fleet:
+            return missing
+        # Coordinators do not exchange heartbeats with all instances of other
+        # zones.
+        known = {peer.name for peer in peers.peers.values()}
+        oldest_report_at = now - MAX_REPORT_AGE_SECONDS
+        return [
+            name
+            for name in missing
+            if name in known
+            or self.load.reported_at.get(name, now) < oldest_report_at
+        ]
+
     def _make_update(
         self,
         puts: tuple[fleet_load.Attempt, ...],
         drops: tuple[str, ...],
         now: float,
-        faults: tuple[str, ...] = (),
+        outcomes: tuple[messages.AttemptOutcome, ...] = (),
     ) -> messages.LoadUpdate:
         return load_reports.make_update(
-            self.settings.name, puts, drops, now, faults
+            self.settings.name, puts, drops, now, outcomes
         )
 
     def _key_valid_until(self, admission: Admission) -> float:
@@ -419,12 +566,12 @@
             )
         return self._retry_budgets[service]
 
-    def _place_plain(
+    def _choose_plain(
         self,
-        request: PlacementRequest,
+        query: messages.PlacementQuery,
         candidates: list[target_records.Target],
         now: float,
-    ) -> Placement:
+    ) -> messages.PlacementAnswer:
         zone = self.settings.availability_zone
 
         def cost(target: target_records.Target) -> float:
@@ -442,27 +589,86 @@
             (cost(target), self.rng.random(), target) for target in candidates
         ]
         best_cost, _, target = min(costs, key=lambda item: item[:2])
-        self._record_attempt(request, (target,), (0,), 0.0, 0.0, now)
-        return Placement(
-            target,
-            (),
-            (0,),
-            0.0,
-            self._key_valid_until(request.admission),
-            len(candidates),
-            best_cost,
-            False,
+        answer = self._accept(
+            query, (target,), (0,), 0.0, best_cost, len(candidates)
         )
+        self._record_attempt(query, answer, now)
+        return answer
 
-    def _place_prompt(
+    def _choose_engines(
         self,
-        request: PlacementRequest,
+        query: messages.PlacementQuery,
         candidates: list[target_records.Target],
         figures: route_table.EngineFigures,
         now: float,
-    ) -> Placement | verdicts.Refusal:
+    ) -> messages.PlacementAnswer:
+        demand = engine_placement.RequestDemand(
+            query.prompt_tokens,
+            query.output_tokens,
+            query.goal_ms,
+            query.elapsed_ms,
+        )
+        choice = None
+        compared: list[target_records.Target] = []
+        for compared in self._candidate_sets(candidates):
+            engines = self._describe_engines(compared, figures, now)
+            choice = engine_placement.choose(demand, engines, figures)
+            if choice is not None and engine_placement.is_untroubled(
+                choice, demand, figures
+            ):
+                break
+        if choice is None:
+            return self._decline(
+                query,
+                verdicts.Reason.OVERLOADED,
+                "no engine has enough free memory",
+                NO_TARGET_RETRY_SECONDS,
+            )
+        answer = self._accept(
+            query,
+            choice.engines,
+            choice.memory,
+            choice.first_token_ms,
+            choice.cost,
+            len(compared),
+        )
+        self._record_attempt(query, answer, now)
+        return answer
+
+    def _candidate_sets(
+        self, candidates: list[target_records.Target]
+    ) -> Iterator[list[target_records.Target]]:
+        """Yields sets of engines to compare, until one suits the request.
+
+        Describing all engines of a large fleet takes longer than placing a
+        short prompt may take, and a few engines of each other zone are enough
+        to find one with room.
+        """
+        if len(candidates) <= MAX_ENGINES_COMPARED:
+            yield candidates
+            return
+        zones: dict[str, list[target_records.Target]] = {}
+        for target in candidates:
+            zones.setdefault(target.availability_zone, []).append(target)
+        near = zones.pop(self.settings.availability_zone, [])
+        if near:
+            yield near
+        yield near + [
+            target
+            for _, others in sorted(zones.items())
+            for target in self.rng.sample(
+                others, min(OTHER_ZONE_ENGINES, len(others))
+            )
+        ]
+
+    def _describe_engines(
+        self,
+        targets: list[target_records.Target],
+        figures: route_table.EngineFigures,
+        now: float,
+    ) -> list[engine_placement.EngineState]:
+        """Returns the states of engines, in random order."""
         zone = self.settings.availability_zone
-        route = request.admission.route
         engines = [
             engine_placement.describe_engine(
                 target,
@@ -473,78 +679,93 @@
                 self.health.penalty(target.name, now),
                 target.availability_zone == zone,
             )
-            for target in candidates
+            for target in targets
         ]
         self.rng.shuffle(engines)
-        demand = engine_placement.RequestDemand(
-            request.prompt_tokens,
-            request.output_tokens,
-            route.goal_ms,
-            request.elapsed_ms,
-        )
-        choice = engine_placement.choose(demand, engines, figures)
-        if choice is None:
-            return _refuse(
-                verdicts.Reason.OVERLOADED,
-                "no engine has enough free memory",
-                NO_TARGET_RETRY_SECONDS,
-            )
-        self._record_attempt(
-            request,
-            choice.engines,
-            choice.memory,
-            choice.first_token_ms,
-            engine_cost.request_weight(figures, request.prompt_tokens),
-            now,
+        return engines
+
+    def _accept(
+        self,
+        query: messages.PlacementQuery,
+        targets: tuple[target_records.Target, ...],
+        memory: tuple[int, ...],
+        first_token_ms: float,
+        cost: float,
+        candidates: int,
+    ) -> messages.PlacementAnswer:
+        return messages.PlacementAnswer(
+            self.settings.name,
+            query.key,
+            targets,
+            memory,
+            first_token_ms,
+            cost,
+            candidates,
+            "",
+            "",
+            0.0,
         )
-        return Placement(
-            choice.engines[0],
-            choice.engines[1:],
-            choice.memory,
-            choice.first_token_ms,
-            self._key_valid_until(request.admission),
-            len(candidates),
-            choice.cost,
-            self._retry_budget(request.admission.service).allows_early_retry(
-                self.fleet_state.peers.max_alive, now
-            ),
+
+    def _decline(
+        self,
+        query: messages.PlacementQuery,
+        reason: verdicts.Reason,
+        detail: str,
+        retry_after_seconds: float,
+    ) -> messages.PlacementAnswer:
+        return messages.PlacementAnswer(
+            self.settings.name,
+            query.key,
+            (),
+            (),
+            0.0,
+            0.0,
+            0,
+            reason.value,
+            detail,
+            retry_after_seconds,
         )
 
     def _record_attempt(
         self,
-        request: PlacementRequest,
-        chosen: tuple[target_records.Target, ...],
-        memory: tuple[int, ...],
-        first_token_ms: float,
-        weight: float,
+        query: messages.PlacementQuery,
+        answer: messages.PlacementAnswer,
         now: float,
     ) -> None:
+        figures = self._engine_figures(query.service)
+        weight = 0.0
+        if figures is not None and query.prompt_tokens:
+            weight = engine_cost.request_weight(figures, query.prompt_tokens)
         attempt = fleet_load.Attempt(
-            request.key,
-            tuple(target.name for target in chosen),
-            memory,
-            request.admission.route.gap_goal_ms,
+            query.key,
+            tuple(target.name for target in answer.targets),
+            answer.memory,
+            query.gap_goal_ms,
             weight,
-            now + first_token_ms / 1000.0,
+            now + answer.first_token_ms / 1000.0,
             False,
             now,
         )
-        self.load.put(self.settings.name, attempt)
+        self.load.put(query.sender, attempt)
 
     def make_placement_update(
-        self, key: str, now: float
+        self, key: str, now: float, owner: str = ""
     ) -> messages.LoadUpdate | None:
         """Returns the update that reports a placed request to peers.
 
         Args:
             key: Key of the attempt.
             now: Time in seconds.
+            owner: Name of the instance that sends the request; "" for this one.
 
         Returns:
             The update; None if the attempt is unknown.
         """
-        attempt = self.load.by_owner.get(self.settings.name, {}).get(key)
-        return self._make_update((attempt,), (), now) if attempt else None
+        owner = owner or self.settings.name
+        attempt = self.load.by_owner.get(owner, {}).get(key)
+        if attempt is None:
+            return None
+        return load_reports.make_update(owner, (attempt,), (), now)
 
 
 def _refuse(
--- a/catkintrail/messages.py
+++ b/catkintrail/messages.py
@@ -15,6 +15,7 @@
     "Batch",
     "Ack",
     "Acquire",
+    "AttemptOutcome",
     "AttemptReport",
     "Claim",
     "ConfigHead",
@@ -40,10 +41,13 @@
     "Part",
     "PartRequest",
     "Ping",
+    "PlacementAnswer",
+    "PlacementQuery",
     "PoolSummary",
     "Queued",
     "Redirected",
     "Released",
+    "Standing",
     "Started",
     "TargetGone",
     "TargetList",
@@ -432,6 +436,20 @@
     age_ms: float
 
 
+class AttemptOutcome(NamedTuple):
+    """How a target did in an attempt that ended.
+
+    Attributes:
+        target: Name of the target that succeeded or failed.
+        is_success: Whether the target completed the request.
+        is_silent: Whether the target sent no response at all.
+    """
+
+    target: str
+    is_success: bool
+    is_silent: bool
+
+
 class LoadUpdate(NamedTuple):
     """Changes of the attempts of an instance.
 
@@ -439,13 +457,13 @@
         sender: Name of the instance.
         puts: Attempts that are new or changed.
         drops: Keys of attempts that ended.
-        faults: Names of targets that failed requests of the instance.
+        outcomes: Results of the attempts that ended.
     """
 
     sender: str
     puts: tuple[AttemptReport, ...]
     drops: tuple[str, ...]
-    faults: tuple[str, ...]
+    outcomes: tuple[AttemptOutcome, ...]
 
 
 class LoadSnapshot(NamedTuple):
@@ -455,6 +473,23 @@
     attempts: tuple[AttemptReport, ...]
 
 
+class Standing(NamedTuple):
+    """An instance's processing power and its knowledge of the fleet.
+
+    Attributes:
+        cores: Processing power of the machine, in cores; negative while the
+            instance shuts down.
+        zone_size: Largest number of live instances known in its zone.
+        fleet_size: Largest number of live instances known in the fleet.
+        coordinators: Addresses of the coordinators of its zone.
+    """
+
+    cores: float
+    zone_size: int
+    fleet_size: int
+    coordinators: tuple[str, ...]
+
+
 class FleetHeartbeat(NamedTuple):
     """A heartbeat of an instance, which the receiver answers.
 
@@ -470,6 +505,7 @@
         left: Name and start time, in Unix milliseconds, of each target that
             left recently.
         addresses: Addresses of some live peers, for peer discovery.
+        standing: The sender's processing power and knowledge of the fleet.
     """
 
     sender: str
@@ -482,6 +518,7 @@
     has_store: bool
     left: tuple[tuple[str, int], ...]
     addresses: tuple[str, ...]
+    standing: Standing
 
 
 class FleetHeartbeatAnswer(NamedTuple):
@@ -495,6 +532,9 @@
         version: Version of the configuration known to the instance.
         proof_age_ms: Time since that version was proven to be the newest; -1
             where unknown.
+        addresses: Addresses of some live peers; first, the coordinators of the
+            receiver's zone as far as the sender knows them.
+        standing: The sender's processing power and knowledge of the fleet.
     """
 
     sender: str
@@ -503,6 +543,8 @@
     nonce: int
     version: int
     proof_age_ms: float
+    addresses: tuple[str, ...]
+    standing: Standing
 
 
 class FleetNews(NamedTuple):
@@ -533,6 +575,62 @@
     contents: tuple[bytes, ...]
 
 
+class PlacementQuery(NamedTuple):
+    """Asks a coordinator to choose targets for a request.
+
+    Attributes:
+        sender: Name of the instance that will send the request.
+        key: Id of the attempt, unique in the deployment.
+        service: Name of the service.
+        prompt_tokens: Length of the prompt; 0 if unknown.
+        output_tokens: Maximum number of output tokens.
+        goal_ms: Goal for the time from arrival to the first event.
+        gap_goal_ms: Goal for the longest gap between events; 0 for none.
+        elapsed_ms: Time since the request arrived.
+        tried: Names of the targets of earlier attempts.
+    """
+
+    sender: str
+    key: str
+    service: str
+    prompt_tokens: int
+    output_tokens: int
+    goal_ms: float
+    gap_goal_ms: float
+    elapsed_ms: float
+    tried: tuple[str, ...]
+
+
+class PlacementAnswer(NamedTuple):
+    """The answer to a PlacementQuery.
+
+    Attributes:
+        sender: Name of the coordinator.
+        key: Id of the attempt.
+        targets: The target that answers the request, and its helpers; empty if
+            the request was not placed.
+        memory: KV cache tokens kept by each of the targets.
+        first_token_ms: Predicted time to the first token; 0 if unknown.
+        cost: Cost of the choice.
+        candidates: Number of targets that were considered.
+        reason: Why the request was not placed, a value of `verdict.Reason`; ""
+            if it was placed.
+        detail: Why the request was not placed, in words.
+        retry_after_seconds: When the request may be placed.
+    """
+
+    sender: str
+    key: str
+    targets: tuple[targets.Target, ...]
+    memory: tuple[int, ...]
+    first_token_ms: float
+    cost: float
+    candidates: int
+    reason: str
+    detail: str
+    retry_after_seconds: float
+
+
 _MESSAGE_TYPES: tuple[type, ...] = (
     Ping,
     Ack,
@@ -566,6 +664,8 @@
     FleetNews,
     Forwarded,
     Batch,
+    PlacementQuery,
+    PlacementAnswer,
 )
 _TAG_OF_TYPE = {kind: tag for tag, kind in enumerate(_MESSAGE_TYPES)}
 
--- a/catkintrail/platform/boot.py
+++ b/catkintrail/platform/boot.py
@@ -83,6 +83,7 @@
         bounds = data["bounds"]
         listen = data["listen"]
         ports = data["internal-ports"]
+        limits = data.get("limits", {})
         return relay_settings.RelaySettings(
             name=data["node"],
             availability_zone=data["zone"],
@@ -106,6 +107,7 @@
             retry_extra=float(bounds["budget-extra"]),
             retry_window_seconds=float(bounds["budget-window-s"]),
             memory_free_seconds=bounds.get("free-ms", 4000) / 1000.0,
+            cores=float(limits.get("cpu-share", 1) * limits.get("cores", 1)),
         )
     except (KeyError, TypeError, ValueError, IndexError) as error:
         raise errors.CheckError(
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -207,6 +207,7 @@
         started = clock.boot_seconds()
         self.is_draining = True
         self.callers.is_draining = True
+        self.router.proxy.announce_shutdown.defer()
         _LOG.info(
             "instance_draining", extra={"in_flight": self.callers.in_flight}
         )
--- a/catkintrail/relay_settings.py
+++ b/catkintrail/relay_settings.py
@@ -30,6 +30,7 @@
         retry_window_seconds: Length of that window.
         memory_free_seconds: Time within which memory that no request uses any
             more has to be free again.
+        cores: Processing power of the machine, in cores.
     """
 
     name: str
@@ -48,3 +49,4 @@
     retry_extra: float
     retry_window_seconds: float
     memory_free_seconds: float
+    cores: float = 1.0
