Slow engines are known from overdue and late first tokens

Cause: an engine's slowness was measured only by the instance that sent to it, compared with a prediction that already included it (and so was forgotten), and only raised the predicted time to first token. A stream on an engine six times slower meets that goal and misses the goal of its event gaps. A first token that did not arrive told nothing until the request failed.

Change: first tokens that peers report are compared with their predictions, too; prefills placed later on the same engine extend the prediction; engines of a divided prompt are suspected only if their speed was not confirmed lately. An engine whose first token is overdue counts as slow and busy for as long as it is overdue. The event gap of the request itself has a cost. A suspect engine gets one request at a time and takes no part in divided prompts while others can.

--- a/catkintrail/core/engine_placement.py
+++ b/catkintrail/core/engine_placement.py
@@ -60,6 +60,14 @@
 QUEUED_COST = 1.0
 # Share of an engine's KV cache that prompts and predicted outputs may fill.
 USABLE_KV_SHARE = 0.95
+# A first token counts as overdue this long after its predicted time. Reports
+# from other availability zones arrive later, because they are batched.
+OVERDUE_TOLERANCE_MS = 60.0
+OTHER_ZONE_OVERDUE_TOLERANCE_MS = 300.0
+# An engine slower than this is suspect: its next first token has to arrive
+# before it gets another request, at the cost below.
+SUSPECT_SLOWNESS = 1.5
+SUSPECT_COST = 0.5
 # Mean wait for the end of the running pass, as a share of a pass.
 MEAN_PASS_WAIT_SHARE = 0.5
 
@@ -73,12 +81,14 @@
         goal_ms: Goal for the time from the request's arrival to its first
             event.
         elapsed_ms: Time since the request arrived.
+        gap_goal_ms: Goal for the longest gap between events; 0 for none.
     """
 
     prompt_tokens: int
     output_tokens: int
     goal_ms: float
     elapsed_ms: float
+    gap_goal_ms: float = 0.0
 
 
 class EngineState(NamedTuple):
@@ -134,6 +144,10 @@
 ) -> EngineState:
     """Returns the state of an engine from the attempts in progress on it.
 
+    A first token that is overdue shows that the engine is slow or dead, long
+    before the request on it fails: the longer it is overdue, the longer the
+    engine is expected to need.
+
     Args:
         target: The engine.
         attempts: Attempts in progress on the engine.
@@ -157,6 +171,9 @@
             prefill_backlog_ms = max(
                 prefill_backlog_ms, (attempt.prefill_end - now) * 1000.0
             )
+    overdue_ms, overdue_ratio = _overdue(attempts, now, is_local)
+    prefill_backlog_ms = max(prefill_backlog_ms, overdue_ms)
+    slowness = max(slowness, overdue_ratio)
     pass_ms = 0.0
     if decoding_requests:
         pass_ms = engine_cost.decode_pass_ms(
@@ -174,6 +191,38 @@
     )
 
 
+def _overdue(
+    attempts: Sequence[fleet_load.Attempt], now: float, is_local: bool
+) -> tuple[float, float]:
+    """Returns how long first tokens of an engine are overdue.
+
+    Prompts that were placed later may be prefilled first, so nothing is overdue
+    before the last predicted end. A divided prompt does not show which of its
+    engines is late.
+
+    Args:
+        attempts: Attempts in progress on the engine.
+        now: Time in seconds.
+        is_local: Whether reports of the engine's attempts arrive at once.
+
+    Returns:
+        Milliseconds, and the least ratio of actual to predicted time.
+    """
+    waiting = [attempt for attempt in attempts if not attempt.is_decoding]
+    if not any(len(attempt.targets) == 1 for attempt in waiting):
+        return 0.0, 1.0
+    tolerance_ms = OVERDUE_TOLERANCE_MS
+    if not is_local:
+        tolerance_ms = OTHER_ZONE_OVERDUE_TOLERANCE_MS
+    due_at = max(attempt.prefill_end for attempt in waiting)
+    overdue_ms = (now - due_at) * 1000.0 - tolerance_ms
+    if overdue_ms <= 0.0:
+        return 0.0, 1.0
+    placed_at = min(attempt.placed_at for attempt in waiting)
+    predicted_ms = (due_at - placed_at) * 1000.0 + OVERDUE_TOLERANCE_MS
+    return overdue_ms, (now - placed_at) * 1000.0 / predicted_ms
+
+
 def choose(
     demand: RequestDemand,
     engines: Sequence[EngineState],
@@ -196,6 +245,9 @@
     pass_prefill_ms = engine_cost.max_prefill_per_pass_ms(
         figures, demand.prompt_tokens
     )
+    stream_pass_ms = engine_cost.decode_pass_ms(
+        figures, 1, demand.prompt_tokens
+    )
     required_tokens = demand.prompt_tokens + demand.output_tokens
     usable_tokens = int(figures.kv_tokens * USABLE_KV_SHARE)
     best: Choice | None = None
@@ -216,6 +268,7 @@
                 parts,
                 part_ms,
                 min(part_ms, pass_prefill_ms),
+                stream_pass_ms,
                 own_weight,
             )
             if best is None or choice.cost < best.cost:
@@ -251,6 +304,7 @@
     parts: int,
     part_ms: float,
     pass_prefill_ms: float,
+    stream_pass_ms: float,
     own_weight: float,
 ) -> Choice:
     interference = _interference_cost(part_ms, pass_prefill_ms)
@@ -258,8 +312,11 @@
     def primary_cost(engine: EngineState) -> float:
         delay_ms = _first_token_ms(engine, part_ms)
         opening_cost = 0.0 if engine.pass_ms else FIRST_STREAM_COST
+        if parts > 1:
+            opening_cost += own_weight * _suspicion_cost(engine)
         return (
             own_weight * _delay_cost(delay_ms, demand)
+            + own_weight * _own_gap_cost(engine, stream_pass_ms, demand)
             + interference(engine)
             + opening_cost
             + _usage_cost(engine)
@@ -276,6 +333,7 @@
             ready_ms = _part_ready_ms(engine, part_ms)
             return (
                 own_weight * _delay_cost(ready_ms, demand) / parts
+                + own_weight * _suspicion_cost(engine)
                 + interference(engine)
                 + _usage_cost(engine)
             )
@@ -395,8 +453,30 @@
     return WITHIN_GOAL_COST + LATE_COST * lateness + overdue_cost
 
 
+def _own_gap_cost(
+    engine: EngineState, stream_pass_ms: float, demand: RequestDemand
+) -> float:
+    """Returns the cost of too long event gaps, as a share of the weight."""
+    gap_ms = max(engine.pass_ms, stream_pass_ms * engine.slowness)
+    is_late = gap_ms > demand.gap_goal_ms * GAP_GOAL_SHARE
+    return LATE_COST if demand.gap_goal_ms and is_late else 0.0
+
+
+def _suspicion_cost(engine: EngineState) -> float:
+    """Returns the cost of a suspect engine, as a share of the weight.
+
+    All engines of a divided prompt wait for the slowest. Short prompts show
+    sooner and at less cost whether a suspect engine is fast again.
+    """
+    return LATE_COST if engine.slowness > SUSPECT_SLOWNESS else 0.0
+
+
 def _usage_cost(engine: EngineState) -> float:
     cost = engine.penalty + QUEUED_COST * _queued_requests(engine)
+    if engine.slowness > SUSPECT_SLOWNESS and any(
+        not attempt.is_decoding for attempt in engine.attempts
+    ):
+        cost += SUSPECT_COST
     if not engine.is_local:
         cost += OTHER_ZONE_COST
     return cost
--- a/catkintrail/core/fleet_peers.py
+++ b/catkintrail/core/fleet_peers.py
@@ -99,7 +99,10 @@
         self.seeds = [seed for seed in seeds if seed != own_address]
         self.peers: dict[str, Peer] = {}
         self.max_alive = 1 + len(self.seeds)
+        # Derived from `peers`, until their liveness or rank changes.
         self._alive: list[Peer] | None = None
+        self._rankings: dict[str, list[Peer]] = {}
+        self._coordinators: list[str] = []
         self._zone_sizes: dict[str, int] = {}
         self._reported_coordinators: dict[str, tuple[str, ...]] = {}
         self._zone_missed: dict[str, int] = {}
@@ -152,7 +155,7 @@
         self._zone_missed[availability_zone] = 0
         news = _describe_change(old, peer)
         if news or old is None or _differs_in_rank(old, peer):
-            self._alive = None
+            self._forget_rankings()
         if news:
             self._update_size(self.own_zone, len(self.zone_peers()) + 1)
             self.max_alive = max(self.max_alive, len(self.alive()) + 1)
@@ -201,9 +204,14 @@
         Returns:
             Addresses, by rank; may include that of this instance.
         """
-        ranks = [_rank(peer.cores, peer.address) for peer in self.zone_peers()]
-        ranks.append(_rank(self.own_cores, self.own_address))
-        return [address for _, address in sorted(ranks)][:COORDINATORS_PER_ZONE]
+        if not self._coordinators:
+            ranks = [_rank(p.cores, p.address) for p in self.zone_peers()]
+            ranks.append(_rank(self.own_cores, self.own_address))
+            ranks.sort()
+            self._coordinators = [
+                address for _, address in ranks[:COORDINATORS_PER_ZONE]
+            ]
+        return list(self._coordinators)
 
     def known_coordinators(self, zone: str) -> list[str]:
         """Returns the addresses of the likely coordinators of a zone."""
@@ -219,6 +227,7 @@
     def resign(self) -> None:
         """Ranks this instance last, because it shuts down."""
         self.own_cores = -1.0
+        self._forget_rankings()
 
     def unreachable_zones(self) -> set[str]:
         """Returns the other zones whose instances do not answer."""
@@ -278,7 +287,7 @@
         for address, peer in list(self.peers.items()):
             if now - peer.last_message_at > forget_seconds:
                 del self.peers[address]
-                self._alive = None
+                self._forget_rankings()
         if self.is_large_fleet:
             chosen = self._choose_recipients(now, rng)
         else:
@@ -290,7 +299,7 @@
                 asked_zones.add(peer.availability_zone)
                 self.peers[address] = peer._replace(missed=peer.missed + 1)
                 if _is_down(self.peers[address]):
-                    self._alive = None
+                    self._forget_rankings()
         for zone in asked_zones:
             self._zone_missed[zone] = self._zone_missed.get(zone, 0) + 1
         return sorted(chosen)
@@ -388,9 +397,17 @@
         if fleet_size >= LARGE_FLEET_SIZE:
             self.max_alive = max(self.max_alive, fleet_size)
 
+    def _forget_rankings(self) -> None:
+        self._alive = None
+        self._rankings.clear()
+        self._coordinators = []
+
     def _zone_ranking(self, zone: str) -> list[Peer]:
-        zone_peers = [p for p in self.alive() if p.availability_zone == zone]
-        return sorted(zone_peers, key=lambda p: _rank(p.cores, p.address))
+        if zone not in self._rankings:
+            ranking = [p for p in self.alive() if p.availability_zone == zone]
+            ranking.sort(key=lambda p: _rank(p.cores, p.address))
+            self._rankings[zone] = ranking
+        return self._rankings[zone]
 
     def _is_near(self, peer: Peer) -> bool:
         return peer.availability_zone == self.own_zone
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -376,8 +376,8 @@
         if attempt is None:
             return None
         if predicted_ms:
-            self.health.record_first_token_time(
-                attempt.targets[0], measured_ms, predicted_ms, now
+            self._record_first_token_time(
+                attempt, measured_ms, predicted_ms, now
             )
         attempt = attempt._replace(is_decoding=True, prefill_end=now)
         self.load.put(owner, attempt)
@@ -447,9 +447,9 @@
         Returns:
             Names of the targets that were ejected.
         """
-        load_reports.apply_message(self.load, message, now)
         ejected = []
         if isinstance(message, messages.LoadUpdate):
+            self._record_reported_first_tokens(message, now)
             for outcome in message.outcomes:
                 if outcome.is_success:
                     if is_near:
@@ -459,8 +459,57 @@
                 # A single silence may be the sender's own loss of contact.
                 elif self.health.record_failure(outcome.target, now, False):
                     ejected.append(outcome.target)
+        load_reports.apply_message(self.load, message, now)
         return ejected
 
+    def _record_reported_first_tokens(
+        self, message: messages.LoadUpdate, now: float
+    ) -> None:
+        """Compares first tokens that a peer reports with their predictions."""
+        known = self.load.by_owner.get(message.sender, {})
+        for report in message.puts:
+            attempt = known.get(report.key)
+            if attempt is None or attempt.is_decoding or not report.is_decoding:
+                continue
+            predicted = attempt.prefill_end - attempt.placed_at
+            self._record_first_token_time(
+                attempt,
+                report.age_ms + report.prefill_left_ms,
+                predicted * 1000.0,
+                now,
+            )
+
+    def _record_first_token_time(
+        self,
+        attempt: fleet_load.Attempt,
+        measured_ms: float,
+        predicted_ms: float,
+        now: float,
+    ) -> None:
+        """Records a time to first token of the targets of an attempt.
+
+        The prediction is extended by the prefills that were placed on the same
+        targets later: parts of divided prompts are prefilled first.
+        """
+        later_ms = max(
+            sum(
+                (other.prefill_end - other.placed_at) * 1000.0
+                for other in self.load.at(target).values()
+                if other.placed_at > attempt.placed_at
+            )
+            for target in attempt.targets
+        )
+        if measured_ms > predicted_ms:
+            predicted_ms = min(measured_ms, predicted_ms + later_ms)
+        if len(attempt.targets) > 1:
+            self.health.record_group_time(
+                attempt.targets, measured_ms, predicted_ms, now
+            )
+        else:
+            self.health.record_first_token_time(
+                attempt.targets[0], measured_ms, predicted_ms, now
+            )
+
     def snapshot(self, now: float) -> messages.LoadSnapshot:
         """Returns a message with all attempts of this instance."""
         return load_reports.make_snapshot(self.settings.name, self.load, now)
@@ -489,18 +538,20 @@
 
     def _find_gone_owners(self, now: float) -> list[str]:
         """Returns the instances that are down and have attempts recorded."""
+        owners = self.load.by_owner.keys() - {self.settings.name}
+        if not owners:
+            return []
         peers = self.fleet_state.peers
-        alive = {peer.name for peer in peers.alive()} | {self.settings.name}
-        missing = [name for name in self.load.by_owner if name not in alive]
+        missing = owners - {peer.name for peer in peers.alive()}
         if not peers.is_large_fleet:
-            return missing
+            return sorted(missing)
         # Coordinators do not exchange heartbeats with all instances of other
         # zones.
         known = {peer.name for peer in peers.peers.values()}
         oldest_report_at = now - MAX_REPORT_AGE_SECONDS
         return [
             name
-            for name in missing
+            for name in sorted(missing)
             if name in known
             or self.load.reported_at.get(name, now) < oldest_report_at
         ]
@@ -607,6 +658,7 @@
             query.output_tokens,
             query.goal_ms,
             query.elapsed_ms,
+            query.gap_goal_ms,
         )
         choice = None
         compared: list[target_records.Target] = []
--- a/catkintrail/core/target_health.py
+++ b/catkintrail/core/target_health.py
@@ -1,6 +1,6 @@
 """Tracks failures and response times of targets from callers' requests."""
 
-from typing import NamedTuple
+from typing import NamedTuple, Sequence
 
 __all__ = ["TargetHealth"]
 
@@ -14,9 +14,15 @@
 # falls linearly to zero over the time below.
 FAILURE_PENALTY = 0.6
 FAILURE_PENALTY_SECONDS = 4.0
-# Weight of a new measurement in the moving average of the slowness.
-SLOWNESS_GAIN = 0.25
+# Weight of a new measurement in the moving average of the slowness. A target
+# that has turned slow has to be detected sooner than one that has recovered.
+SLOWER_GAIN = 0.5
+FASTER_GAIN = 0.25
+# Predictions do not include transit time and the work of this process.
+MEASUREMENT_TOLERANCE_MS = 30.0
 MAX_SLOWNESS = 20.0
+# How long a measurement of a target confirms its speed.
+CONFIRMATION_SECONDS = 2.0
 # Without new measurements the average slowness falls back to 1 over this time.
 SLOWNESS_DECAY_SECONDS = 10.0
 
@@ -87,15 +93,54 @@
     def record_first_token_time(
         self, target: str, measured_ms: float, predicted_ms: float, now: float
     ) -> None:
-        """Updates the slowness from a measured time to the first token."""
+        """Updates the slowness from a measured time to the first token.
+
+        Args:
+            target: Name of the target.
+            measured_ms: Measured time.
+            predicted_ms: Predicted time, for the slowness known at that time.
+            now: Time in seconds.
+        """
         record = self._records.get(target, _NO_HISTORY)
         ratio = measured_ms / max(1.0, predicted_ms)
-        ratio = min(MAX_SLOWNESS, max(1.0, ratio))
+        if ratio > 1.0:
+            excess_ms = measured_ms - MEASUREMENT_TOLERANCE_MS
+            ratio = max(1.0, excess_ms / max(1.0, predicted_ms))
         old = self.slowness(target, now)
+        # The prediction took the known slowness into account.
+        new = min(MAX_SLOWNESS, max(1.0, old * ratio))
+        gain = SLOWER_GAIN if new > old else FASTER_GAIN
         self._records[target] = record._replace(
-            slowness=old + SLOWNESS_GAIN * (ratio - old), measured_at=now
+            slowness=old + gain * (new - old), measured_at=now
         )
 
+    def record_group_time(
+        self,
+        targets: Sequence[str],
+        measured_ms: float,
+        predicted_ms: float,
+        now: float,
+    ) -> None:
+        """Updates the slowness of targets that prefilled a prompt together.
+
+        All of them were fast if the whole was. Otherwise those whose speed was
+        confirmed lately are not suspected.
+
+        Args:
+            targets: Names of the targets.
+            measured_ms: Measured time to the first token.
+            predicted_ms: Predicted time, for the slowness known at that time.
+            now: Time in seconds.
+        """
+        is_late = measured_ms > predicted_ms + MEASUREMENT_TOLERANCE_MS
+        for target in targets:
+            record = self._records.get(target, _NO_HISTORY)
+            is_confirmed = now - record.measured_at < CONFIRMATION_SECONDS
+            if not is_late or not is_confirmed:
+                self.record_first_token_time(
+                    target, measured_ms, predicted_ms, now
+                )
+
     def is_ejected(self, target: str, now: float) -> bool:
         """Returns whether a target is ejected."""
         record = self._records.get(target)
--- a/tests/engine_fleet.py
+++ b/tests/engine_fleet.py
@@ -104,14 +104,41 @@
         self.events = 0
 
 
+class Slowdown(NamedTuple):
+    """A time during which some engines are slow.
+
+    Attributes:
+        names: Names of the engines.
+        factor: How many times longer their passes take.
+        start: When they turn slow, in seconds.
+        end: When they recover, in seconds.
+    """
+
+    names: frozenset
+    factor: float
+    start: float
+    end: float
+
+
+NO_SLOWDOWN = Slowdown(frozenset(), 1.0, 0.0, 0.0)
+
+
 class _SimulatedEngine:
     """Queued parts and running streams of one engine."""
 
-    def __init__(self):
+    def __init__(self, name, slowdown):
+        self.name = name
+        self.slowdown = slowdown
         self.parts = []
         self.streams = []
         self.is_busy = False
 
+    def factor(self, now):
+        """Returns how many times longer a pass takes than published."""
+        slowdown = self.slowdown
+        is_slow = slowdown.start <= now < slowdown.end
+        return slowdown.factor if is_slow and self.name in slowdown.names else 1
+
 
 class SimulatedFleet:
     """Runs requests on simulated engines.
@@ -125,8 +152,10 @@
         outcomes: Results of the requests that have ended.
     """
 
-    def __init__(self, names, place, on_first, on_end):
-        self.engines = {name: _SimulatedEngine() for name in names}
+    def __init__(self, names, place, on_first, on_end, slowdown=NO_SLOWDOWN):
+        self.engines = {
+            name: _SimulatedEngine(name, slowdown) for name in names
+        }
         self.place = place
         self.on_first = on_first
         self.on_end = on_end
@@ -180,7 +209,7 @@
             engine.parts.remove(part)
             finished_parts.append(part)
         self._schedule(
-            now + length / 1000.0,
+            now + length * engine.factor(now) / 1000.0,
             self._finish_pass,
             engine,
             finished_parts,
@@ -215,11 +244,30 @@
             )
 
 
-def simulate_router(load, engines):
-    """Runs a load with the router's placement; returns the outcomes."""
+class Placed(NamedTuple):
+    """A placement of the router.
+
+    Attributes:
+        at: Time of the placement, in seconds.
+        names: Names of the engine that answers and of its helpers.
+    """
+
+    at: float
+    names: tuple
+
+
+def simulate_router(load, engines, slowdown=NO_SLOWDOWN, placed=None):
+    """Runs a load with the router's placement; returns the outcomes.
+
+    Args:
+        load: The requests.
+        engines: Number of engines.
+        slowdown: When which engines are slow.
+        placed: List to which all placements are added.
+    """
     targets = [builders.make_target(f"e-{n}") for n in range(engines)]
     router = builders.make_router(targets, now=0.0, revocation_seconds=0.0)
-    names = {}
+    placements = {}
 
     def place(key, arrival, now):
         router.fleet_state.configuration.proven_at = now
@@ -239,16 +287,23 @@
             ),
             now,
         )
-        names[key] = placement.target.name
-        return [placement.target.name] + [h.name for h in placement.helpers]
+        placements[key] = (placement, now)
+        names = [placement.target.name] + [h.name for h in placement.helpers]
+        if placed is not None:
+            placed.append(Placed(now, tuple(names)))
+        return names
 
     def on_first(key, now):
-        router.record_first_token(key, 0.0, 0.0, now)
+        placement, placed_at = placements[key]
+        measured_ms = (now - placed_at) * 1000.0
+        router.record_first_token(key, measured_ms, placement.predicted_ms, now)
 
     def on_end(key, now):
-        router.record_attempt_end(key, names[key], True, False, False, now)
+        name = placements[key][0].target.name
+        router.record_attempt_end(key, name, True, False, False, now)
 
-    fleet = SimulatedFleet([t.name for t in targets], place, on_first, on_end)
+    names = [t.name for t in targets]
+    fleet = SimulatedFleet(names, place, on_first, on_end, slowdown)
     return fleet.simulate(load)
 
 
