Removals of many targets are told in several messages

Cause: a message with changed targets had at most 100 of them, but all removals; 1,000 removed names exceeded a datagram, and the zone kept the targets until the digests were compared.

Change: removals are divided like changes. The test failed before: the members kept 1,000 removed targets.

--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -36,7 +36,8 @@
 STARTUP_HEARTBEAT_INTERVAL_SECONDS = 0.1
 # Name of the platform's store as a source of updates.
 STORE_SOURCE = "store"
-# Limit of targets in one FleetNews message, which is sent as one datagram.
+# Limit of changed and of removed targets in one FleetNews message, which is
+# sent as one datagram.
 MAX_TARGETS_PER_MESSAGE = 100
 SNAPSHOT_INTERVAL_SECONDS = 1.0
 LARGE_FLEET_SNAPSHOT_INTERVAL_SECONDS = 4.0
@@ -576,12 +577,14 @@
             if c.event in store_views.REMOVAL_EVENTS
         ]
         direct_addresses, gateways = router.fleet_state.broadcast_recipients()
-        for start in range(0, max(1, len(known)), MAX_TARGETS_PER_MESSAGE):
+        count = max(1, len(known), len(removed))
+        for start in range(0, count, MAX_TARGETS_PER_MESSAGE):
+            end = start + MAX_TARGETS_PER_MESSAGE
             news = messages.FleetNews(
                 router.settings.name,
                 router.fleet_state.configuration.version,
-                tuple(known[start : start + MAX_TARGETS_PER_MESSAGE]),
-                tuple(removed) if start == 0 else (),
+                tuple(known[start:end]),
+                tuple(removed[start:end]),
             )
             self._send(direct_addresses, news)
         if gateways and not changes:
--- a/tests/test_coordinators.py
+++ b/tests/test_coordinators.py
@@ -4,8 +4,11 @@
 
 import testtools
 
+from catkintrail.adapters import datagrams
+from catkintrail.adapters import router_actor
 from catkintrail.core import fleet_peers
 from catkintrail.core import request_router
+from catkintrail.ports import fleet_state_source
 from tests import relaying as builders
 from tests import virtual_fleet
 
@@ -162,6 +165,26 @@
         self.assertGreater(other_zone.health.penalty("za-3", fleet.now), 0.0)
 
 
+class TargetNewsTests(testtools.TestCase):
+
+    def test_removal_of_many_targets_reaches_the_zone(self):
+        # A message is one datagram, which has to be short enough.
+        fleet = make_fleet(4)
+        targets = [
+            builders.make_target(f"{'long' * 20}-{n}") for n in range(1_000)
+        ]
+        watcher = fleet.actors["10.0.0.1"]
+        for listed in (targets, []):
+            events = tuple(
+                fleet_state_source.TargetEvent(t.name, t, False) for t in listed
+            )
+            watcher.replace_targets(events, router_actor.STORE_SOURCE)
+            fleet.run(0.5)
+            known = fleet.router("10.0.0.3").fleet_state.targets.targets
+            self.assertEqual({t.name for t in listed}, set(known))
+        self.assertLess(fleet.longest_message, datagrams.MAX_DATAGRAM_BYTES)
+
+
 class IdleMessageTests(testtools.TestCase):
     """What an idle instance sends must not grow with the fleet."""
 
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -28,6 +28,7 @@
         now: Virtual time in seconds.
         actors: The router actors by address.
         sent: Number of messages sent, by sender's address and message type.
+        longest_message: Bytes of the longest message sent.
         stopped: Addresses of instances that do not run.
         cut_zones: Zones whose instances cannot reach other zones.
     """
@@ -36,6 +37,7 @@
         self.now = 0.0
         self.actors = {}
         self.sent = collections.Counter()
+        self.longest_message = 0
         self.stopped = set()
         self.cut_zones = set()
         self._rng = random.Random(seed)
@@ -153,6 +155,7 @@
 
         def send(recipients, message):
             data = messages.encode(message)
+            self.longest_message = max(self.longest_message, len(data))
             for recipient in recipients:
                 self.sent[address, type(message).__name__] += 1
                 self.at(DELAY_SECONDS, self._deliver, address, recipient, data)
