Logs and metrics name slow engines; explain and report read logs of any length

Cause: nothing told an operator which engine had turned slow, and both commands kept every line of all logs, which is more than a machine's memory at 195 instances.

Change: log events `target_slow` and `target_fast`, metric `catkintrail_slow_targets`; `report` lists slow targets (how slow, by whom, since when, recovered or not) and the versions in force by zone; `explain` reads the logs twice and `report` once without keeping them, with progress on a terminal. docs/OPERATIONS.md: "An engine turned slow".

--- a/catkintrail/adapters/metrics.py
+++ b/catkintrail/adapters/metrics.py
@@ -91,6 +91,10 @@
         aioprometheus.Gauge,
         "Attempts known at targets, own ones and peers'.",
     ),
+    "catkintrail_slow_targets": (
+        aioprometheus.Gauge,
+        "Targets suspected of being slow.",
+    ),
     "catkintrail_store_calls": (
         aioprometheus.Gauge,
         "Calls to the platform's store since the start.",
--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -90,6 +90,7 @@
         newest_peer_version: Newest configuration version that a peer reported.
         is_watcher: Whether the instance watches the store for its zone.
         newer_peer: Address of a peer with newer state; "" for none.
+        slow_targets: Number of targets that are suspected of being slow.
     """
 
     is_ready: bool
@@ -102,6 +103,7 @@
     newest_peer_version: int
     is_watcher: bool
     newer_peer: str
+    slow_targets: int
 
 
 class PendingPlacement(NamedTuple):
@@ -171,6 +173,7 @@
         self._load_batch = _Batch()
         self._load_recipients: list[str] = []
         self._pending: dict[str, PendingPlacement] = {}
+        self._suspects: dict[str, float] = {}
         self._coordinator_pauses: dict[str, float] = {}
 
     def admit(
@@ -485,6 +488,19 @@
             self._send(new, router.snapshot(now))
         self._load_recipients = recipients
         self._send_batches(now)
+        self._log_suspects(now)
+
+    def _log_suspects(self, now: float) -> None:
+        """Logs which targets have turned slow or fast since the last call."""
+        suspects = self._router.health.suspects(now)
+        for target in sorted(suspects.keys() - self._suspects.keys()):
+            ratio = round(suspects[target], 1)
+            _LOG.warning(
+                "target_slow", extra={"target": target, "slowness": ratio}
+            )
+        for target in sorted(self._suspects.keys() - suspects.keys()):
+            _LOG.info("target_fast", extra={"target": target})
+        self._suspects = suspects
 
     def peer_state(self, known_version: int = -1) -> PeerState:
         """Returns the state that another instance fetches from this one.
@@ -518,6 +534,7 @@
             router.fleet_state.newest_peer_version,
             router.fleet_state.is_watcher(),
             router.fleet_state.newer_peer,
+            len(self._suspects),
         )
 
     def clear_newer_peer(self, address: str) -> None:
--- a/catkintrail/core/engine_placement.py
+++ b/catkintrail/core/engine_placement.py
@@ -13,6 +13,7 @@
 from catkintrail.core import engine_cost
 from catkintrail.core import fleet_load
 from catkintrail.core import route_table
+from catkintrail.core import target_health
 from catkintrail.core import targets as target_records
 
 __all__ = [
@@ -64,9 +65,8 @@
 # from other availability zones arrive later, because they are batched.
 OVERDUE_TOLERANCE_MS = 60.0
 OTHER_ZONE_OVERDUE_TOLERANCE_MS = 300.0
-# An engine slower than this is suspect: its next first token has to arrive
-# before it gets another request, at the cost below.
-SUSPECT_SLOWNESS = 1.5
+# Cost of another request on a suspect engine before its next first token has
+# arrived.
 SUSPECT_COST = 0.5
 # Mean wait for the end of the running pass, as a share of a pass.
 MEAN_PASS_WAIT_SHARE = 0.5
@@ -468,12 +468,16 @@
     All engines of a divided prompt wait for the slowest. Short prompts show
     sooner and at less cost whether a suspect engine is fast again.
     """
-    return LATE_COST if engine.slowness > SUSPECT_SLOWNESS else 0.0
+    return LATE_COST if _is_suspect(engine) else 0.0
+
+
+def _is_suspect(engine: EngineState) -> bool:
+    return engine.slowness > target_health.SUSPECT_SLOWNESS
 
 
 def _usage_cost(engine: EngineState) -> float:
     cost = engine.penalty + QUEUED_COST * _queued_requests(engine)
-    if engine.slowness > SUSPECT_SLOWNESS and any(
+    if _is_suspect(engine) and any(
         not attempt.is_decoding for attempt in engine.attempts
     ):
         cost += SUSPECT_COST
--- a/catkintrail/core/target_health.py
+++ b/catkintrail/core/target_health.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple, Sequence
 
-__all__ = ["TargetHealth"]
+__all__ = ["SUSPECT_SLOWNESS", "TargetHealth"]
 
 # Single failures are common on the fleets served; two in a row are not.
 EJECT_AFTER_FAILURES = 2
@@ -21,6 +21,8 @@
 # Predictions do not include transit time and the work of this process.
 MEASUREMENT_TOLERANCE_MS = 30.0
 MAX_SLOWNESS = 20.0
+# A target slower than this is suspect.
+SUSPECT_SLOWNESS = 1.5
 # How long a measurement of a target confirms its speed.
 CONFIRMATION_SECONDS = 2.0
 # Without new measurements the average slowness falls back to 1 over this time.
@@ -163,6 +165,17 @@
         share = max(0.0, 1 - age / SLOWNESS_DECAY_SECONDS)
         return 1.0 + (record.slowness - 1.0) * share
 
+    def suspects(self, now: float) -> dict[str, float]:
+        """Returns the slowness of the targets that are suspected of it."""
+        slowness = {
+            target: self.slowness(target, now) for target in self._records
+        }
+        return {
+            target: ratio
+            for target, ratio in slowness.items()
+            if ratio > SUSPECT_SLOWNESS
+        }
+
     def forget(self, target: str) -> None:
         """Removes the record of a target."""
         self._records.pop(target, None)
--- a/catkintrail/log_commands.py
+++ b/catkintrail/log_commands.py
@@ -1,7 +1,8 @@
 """Commands that analyse logs: `explain` for one request, `report` for all."""
 
 import argparse
-import contextlib
+import os
+import sys
 from typing import Any, Callable
 
 from catkintrail import errors
@@ -40,16 +41,13 @@
 
 
 def _run_explain(options: argparse.Namespace) -> int:
-    lines = _read_logs(options.logs)
-    print("\n".join(request_trace.explain(options.request_id, lines)))
-    is_known = any(
-        line.get("request_id") == options.request_id for line in lines
-    )
-    return OK if is_known else FAILED
+    output = request_trace.explain(options.request_id, _open_logs(options.logs))
+    print("\n".join(output))
+    return OK if len(output) > 1 else FAILED
 
 
 def _run_report(options: argparse.Namespace) -> int:
-    summary = request_trace.report(_read_logs(options.logs))
+    summary = request_trace.report(_open_logs(options.logs))
     for outcome, count in sorted(summary.outcomes.items()):
         print(f"{outcome}: {count}")
     for (outcome, cause, status), count in sorted(summary.causes.items()):
@@ -62,21 +60,35 @@
             for percentile, value in zip(request_trace.PERCENTILES, values)
         )
         print(f"  {name}: {count} requests, {percentiles if count else '-'}")
+    print("slow targets:" if summary.slow_targets else "slow targets: none")
+    for slow in summary.slow_targets:
+        state = "fast again" if slow.is_recovered else "still slow"
+        print(
+            f"  {slow.target}: {slow.max_slowness:.1f} times as slow, from"
+            f" {slow.first} to {slow.last}, {state},"
+            f" by {', '.join(slow.instances)}"
+        )
+    print("configuration in force:")
+    for (zone, version), count in sorted(summary.versions.items()):
+        print(f"  {zone or '-'}: version {version} on {count} instances")
     return OK
 
 
-def _read_logs(paths: list[str]) -> list[request_trace.Line]:
-    with contextlib.ExitStack() as stack:
-        try:
-            files = [
-                stack.enter_context(
-                    open(path, encoding="utf-8", errors="replace")
-                )
-                for path in paths
-            ]
-        except OSError as error:
+def _open_logs(paths: list[str]) -> request_trace.LogFiles:
+    """Returns the lines of log files.
+
+    Raises:
+        errors.CheckError: A file cannot be read.
+    """
+    for path in paths:
+        if not os.access(path, os.R_OK) or os.path.isdir(path):
             raise errors.CheckError(
-                str(error.filename),
-                [errors.Mistake("", error.strerror or str(error))],
-            ) from error
-        return request_trace.read_lines(files)
+                path, [errors.Mistake("", "the log cannot be read")]
+            )
+    return request_trace.LogFiles(paths, _show_progress)
+
+
+def _show_progress(number: int, count: int) -> None:
+    if sys.stderr.isatty():
+        end = "\n" if number == count else ""
+        print(f"\rlog {number} of {count}", end=end, file=sys.stderr)
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -317,6 +317,7 @@
             "catkintrail_proof_age_seconds": status.proof_age_seconds,
             "catkintrail_peers": len(status.peers),
             "catkintrail_known_attempts": status.attempts,
+            "catkintrail_slow_targets": status.slow_targets,
             "catkintrail_store_calls": self.store.call_count,
             "catkintrail_connections_opened": self.client.opened_connections,
             "catkintrail_connections_reused": self.client.reused_connections,
--- a/catkintrail/request_trace.py
+++ b/catkintrail/request_trace.py
@@ -2,11 +2,18 @@
 
 import collections
 import json
-from typing import Any, Iterable, Iterator, NamedTuple
+from typing import Any, Callable, Iterable, Iterator, NamedTuple
 
 from hdrh import histogram
 
-__all__ = ["Report", "explain", "read_lines", "report"]
+__all__ = [
+    "LogFiles",
+    "Report",
+    "SlowTarget",
+    "explain",
+    "parse_lines",
+    "report",
+]
 
 # Events that an instance logged up to this long before the first line of a
 # request may have influenced where the request was placed.
@@ -33,6 +40,8 @@
         "target_joined",
         "target_lapsed",
         "target_leaving",
+        "target_fast",
+        "target_slow",
     }
 )
 INSTANCE_EVENTS = frozenset(
@@ -56,6 +65,26 @@
 Line = dict[str, Any]
 
 
+class SlowTarget(NamedTuple):
+    """A target that instances suspected of being slow.
+
+    Attributes:
+        target: Name of the target.
+        first: Time of the first suspicion, as in the logs.
+        last: Time of the last line about it.
+        max_slowness: Largest ratio of measured to predicted time.
+        instances: Names of the instances that suspected it.
+        is_recovered: Whether all of them took it for fast again.
+    """
+
+    target: str
+    first: str
+    last: str
+    max_slowness: float
+    instances: tuple[str, ...]
+    is_recovered: bool
+
+
 class Report(NamedTuple):
     """Outcomes and latencies of the requests in some logs.
 
@@ -64,31 +93,54 @@
         causes: Number of refusals and failures by outcome, cause and status.
         first_token_ms: For each bucket of prompt lengths its name, the number
             of requests, and the PERCENTILES of the time to the first token.
+        slow_targets: Targets that were suspected of being slow, in the order
+            of their names.
+        versions: Number of instances by availability zone and version of the
+            configuration that was last in force on them.
     """
 
     outcomes: dict[str, int]
     causes: dict[tuple[str, str, int], int]
     first_token_ms: list[tuple[str, int, list[float]]]
+    slow_targets: list[SlowTarget]
+    versions: dict[tuple[str, int], int]
 
 
-def read_lines(sources: Iterable[Iterable[str]]) -> list[Line]:
-    """Returns the JSON lines of several logs, sorted by time.
+class LogFiles:
+    """The lines of log files, read anew at each iteration.
 
-    Lines that are not log records are skipped.
+    Attributes:
+        paths: Paths of the files.
+        on_file: Called with the number of the file that is read next and the
+            number of all files.
     """
-    lines = []
-    for source in sources:
-        for text in source:
-            try:
-                line = json.loads(text)
-            except ValueError:
-                continue
-            if isinstance(line, dict) and "event" in line and "time" in line:
-                lines.append(line)
-    return sorted(lines, key=lambda line: line["time"])
+
+    def __init__(
+        self, paths: list[str], on_file: Callable[[int, int], None]
+    ) -> None:
+        self.paths = paths
+        self.on_file = on_file
+
+    def __iter__(self) -> Iterator[Line]:
+        """Yields the lines of one file after the other."""
+        for number, path in enumerate(self.paths, 1):
+            self.on_file(number, len(self.paths))
+            with open(path, encoding="utf-8", errors="replace") as file:
+                yield from parse_lines(file)
+
+
+def parse_lines(source: Iterable[str]) -> Iterator[Line]:
+    """Yields the JSON lines of a log; skips lines that are not log records."""
+    for text in source:
+        try:
+            line = json.loads(text)
+        except ValueError:
+            continue
+        if isinstance(line, dict) and "event" in line and "time" in line:
+            yield line
 
 
-def explain(request_id: str, lines: list[Line]) -> list[str]:
+def explain(request_id: str, lines: Iterable[Line]) -> list[str]:
     """Returns text lines that show what happened to a request.
 
     The request's own log lines come first, then related events of its instances
@@ -96,17 +148,21 @@
 
     Args:
         request_id: Id of the request.
-        lines: Log lines of all instances, sorted by time.
+        lines: Log lines of all instances, in any order. They are read twice
+            and not kept.
+
+    Returns:
+        The text lines; a single one if no line has the id.
     """
-    request_lines = [
+    request_lines = _sort_by_time(
         line for line in lines if line.get("request_id") == request_id
-    ]
+    )
     if not request_lines:
         return [
             f"{request_id}: no lines; they may be in another instance's log"
         ]
     output = [_format_line(line) for line in request_lines]
-    related = list(_related_lines(request_lines, lines))
+    related = _sort_by_time(_related_lines(request_lines, lines))
     if related:
         output += [
             "",
@@ -116,29 +172,38 @@
     return output + ["", _describe_end(request_lines)]
 
 
-def report(lines: list[Line]) -> Report:
-    """Counts outcomes and collects the times to the first token."""
+def report(lines: Iterable[Line]) -> Report:
+    """Counts outcomes and collects the times to the first token.
+
+    Args:
+        lines: Log lines of all instances; those of one instance in order.
+            They are read once and not kept.
+    """
     outcomes: collections.Counter[str] = collections.Counter()
     causes: collections.Counter[tuple[str, str, int]] = collections.Counter()
     prompt_tokens_by_request: dict[str, int] = {}
     first_token_times = {name: _new_histogram() for name in _bucket_names()}
+    slow_targets = _SlowTargets()
+    version_by_instance: dict[str, tuple[str, int]] = {}
     for line in lines:
-        if line["event"] == "request_placed":
+        slow_targets.add(line)
+        if line["event"] == "configuration_in_force":
+            version_by_instance[line["instance"]] = (
+                line.get("availability_zone", ""),
+                line["version"],
+            )
+        elif line["event"] == "request_placed":
             prompt_tokens_by_request[line["request_id"]] = line["prompt_tokens"]
         elif line["event"] == "request_ended":
             outcomes[line["outcome"]] += 1
+            prompt_tokens = prompt_tokens_by_request.pop(line["request_id"], 0)
             if "cause" in line:
                 key = line["outcome"], line["cause"], line.get("status", 0)
                 causes[key] += 1
             if "first_event_ms" in line:
-                prompt_tokens = prompt_tokens_by_request.get(
-                    line["request_id"], 0
-                )
-                value = min(
-                    MAX_RECORDED_MS, max(1, round(line["first_event_ms"]))
-                )
+                milliseconds = max(1, round(line["first_event_ms"]))
                 first_token_times[_bucket_name(prompt_tokens)].record_value(
-                    value
+                    min(MAX_RECORDED_MS, milliseconds)
                 )
     return Report(
         dict(outcomes),
@@ -151,11 +216,47 @@
             )
             for name, recorded in first_token_times.items()
         ],
+        slow_targets.summarise(),
+        dict(collections.Counter(version_by_instance.values())),
     )
 
 
+class _SlowTargets:
+    """Collects the lines about slow targets."""
+
+    def __init__(self) -> None:
+        self._lines: dict[str, list[Line]] = {}
+
+    def add(self, line: Line) -> None:
+        """Adds a line, if it is about a slow target."""
+        if line["event"] in ("target_slow", "target_fast"):
+            self._lines.setdefault(line["target"], []).append(line)
+
+    def summarise(self) -> list[SlowTarget]:
+        """Returns what the lines say of each target."""
+        summaries = []
+        for target, unsorted_lines in sorted(self._lines.items()):
+            lines = _sort_by_time(unsorted_lines)
+            last_events = {line["instance"]: line["event"] for line in lines}
+            summaries.append(
+                SlowTarget(
+                    target,
+                    lines[0]["time"],
+                    lines[-1]["time"],
+                    max(line.get("slowness", 1.0) for line in lines),
+                    tuple(sorted(last_events)),
+                    set(last_events.values()) == {"target_fast"},
+                )
+            )
+        return summaries
+
+
+def _sort_by_time(lines: Iterable[Line]) -> list[Line]:
+    return sorted(lines, key=lambda line: line["time"])
+
+
 def _related_lines(
-    request_lines: list[Line], lines: list[Line]
+    request_lines: list[Line], lines: Iterable[Line]
 ) -> Iterator[Line]:
     """Yields events of the request's instances that may have affected it."""
     instances = {line["instance"] for line in request_lines}
--- a/tests/test_request_trace.py
+++ b/tests/test_request_trace.py
@@ -4,6 +4,7 @@
 import io
 import json
 import tempfile
+import tracemalloc
 
 import testtools
 
@@ -83,8 +84,13 @@
     def test_other_lines_are_skipped(self):
         texts = [json.dumps(record) for record in LINES]
         unreadable = ["", "Traceback", '{"event": "x"}', "[1]", texts[0][:20]]
+        parsed = request_trace.parse_lines(texts[:5] + unreadable + texts[5:])
+        self.assertEqual(LINES, list(parsed))
+
+    def test_lines_of_several_logs_are_explained_in_order_of_time(self):
         self.assertEqual(
-            LINES, request_trace.read_lines([texts[5:] + unreadable, texts[:5]])
+            request_trace.explain("r1", LINES),
+            request_trace.explain("r1", LINES[5:] + LINES[:5]),
         )
 
 
@@ -100,6 +106,50 @@
         self.assertEqual(0, summary.first_token_ms[2][1])
 
 
+class FleetSummaryTests(testtools.TestCase):
+
+    def test_slow_targets_with_who_suspected_them_and_since_when(self):
+        lines = [
+            line(3.0, "target_slow", "", "b-1", target="e-1", slowness=2.5),
+            line(2.0, "target_slow", "", "a-1", target="e-1", slowness=4.0),
+            line(9.0, "target_fast", "", "a-1", target="e-1"),
+            line(4.0, "target_slow", "", "a-1", target="e-2", slowness=1.6),
+            line(8.0, "target_fast", "", "a-1", target="e-2"),
+        ]
+        first, second = request_trace.report(lines).slow_targets
+        self.assertEqual(("e-1", 4.0, False), (first[0], first[3], first[5]))
+        self.assertEqual(("a-1", "b-1"), first.instances)
+        self.assertEqual(lines[1]["time"], first.first)
+        self.assertTrue(second.is_recovered)
+
+    def test_versions_in_force_by_zone(self):
+        lines = [
+            line(1.0, "configuration_in_force", "", "a-1", version=3),
+            line(2.0, "configuration_in_force", "", "a-1", version=5),
+            line(2.0, "configuration_in_force", "", "a-2", version=3),
+        ]
+        self.assertEqual(
+            {("za", 5): 1, ("za", 3): 1}, request_trace.report(lines).versions
+        )
+
+    def test_lines_are_not_kept(self):
+        # The logs of a large fleet are longer than the memory.
+        def generate():
+            for number in range(200_000):
+                key = f"r{number}"
+                yield line(1.0, "request_placed", key, prompt_tokens=10)
+                yield line(
+                    1.1, "request_ended", key, outcome="answered", status=200
+                )
+
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        summary = request_trace.report(generate())
+        _, peak = tracemalloc.get_traced_memory()
+        self.assertEqual({"answered": 200_000}, summary.outcomes)
+        self.assertLess(peak, 8 << 20)
+
+
 class CommandTests(testtools.TestCase):
 
     def setUp(self):
