--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -22,7 +22,6 @@
     "PeerState",
     "PendingPlacement",
     "RouterActor",
-    "RouterClient",
     "RouterStatus",
     "STORE_SOURCE",
 ]
@@ -44,12 +43,8 @@
 # Load messages of other zones are delayed this long; a prefill takes longer.
 BATCH_DELAY_SECONDS = 0.1
 MAX_BATCH_MESSAGES = 100
-# How long a coordinator may take to answer before another one is asked.
-COORDINATOR_TIMEOUT_SECONDS = 0.08
 # A coordinator that did not answer in time is not asked again for this long.
 COORDINATOR_PAUSE_SECONDS = 1.0
-# The actor does no blocking I/O, so a slower response indicates a fault.
-CALL_TIMEOUT_SECONDS = 5.0
 
 Send = Callable[[list[str], messages.Message], None]
 Clock = Callable[[], float]
@@ -250,7 +245,7 @@
         self, address: str, query: messages.PlacementQuery, now: float
     ) -> None:
         """Places a request of another instance of this zone."""
-        answer = self._router.answer_query(query, now)
+        answer = self._router.chooser.answer_query(query, now)
         self._send([address], answer)
         update = self._router.make_placement_update(
             query.key, now, query.sender
@@ -660,83 +655,6 @@
         return True
 
 
-class RouterClient:
-    """Calls the actor from other threads.
-
-    The `record_...` and `mark_...` methods do not wait for the actor to handle
-    the call.
-
-    Attributes:
-        proxy: The actor's proxy.
-    """
-
-    def __init__(self, actor_ref: pykka.ActorRef) -> None:
-        self.proxy = actor_ref.proxy()
-
-    def admit(
-        self, host: str, path: str, api_key: str
-    ) -> request_router.Admission | verdicts.Refusal:
-        """Decides whether a request may be served."""
-        future = self.proxy.admit(host, path, api_key)
-        return future.get(timeout=CALL_TIMEOUT_SECONDS)
-
-    def place(
-        self, request: request_router.PlacementRequest
-    ) -> request_router.Placement | verdicts.Refusal:
-        """Chooses a target and reports the attempt to peers.
-
-        Coordinators that do not answer in time are passed over.
-        """
-        result = self.proxy.place(request).get(timeout=CALL_TIMEOUT_SECONDS)
-        while isinstance(result, PendingPlacement):
-            result = self._await_coordinator(result)
-        return result
-
-    def _await_coordinator(self, pending: PendingPlacement) -> PlacementResult:
-        try:
-            return pending.result.get(timeout=COORDINATOR_TIMEOUT_SECONDS)
-        except pykka.Timeout:
-            future = self.proxy.give_up_waiting(pending.request.key)
-            result = future.get(timeout=CALL_TIMEOUT_SECONDS)
-            return result or pending.result.get(timeout=0)
-
-    def record_first_token(
-        self, key: str, measured_ms: float, predicted_ms: float
-    ) -> None:
-        """Records that the first event of a stream arrived."""
-        self.proxy.record_first_token.defer(key, measured_ms, predicted_ms)
-
-    def record_attempt_end(
-        self,
-        key: str,
-        target: str,
-        is_success: bool,
-        is_target_fault: bool,
-        is_silent: bool,
-    ) -> None:
-        """Records the end of an attempt."""
-        self.proxy.record_attempt_end.defer(
-            key, target, is_success, is_target_fault, is_silent
-        )
-
-    def mark_target_leaving(self, target: str) -> None:
-        """Records that a target is no longer at its address."""
-        self.proxy.mark_target_leaving.defer(target)
-
-    def status(self) -> RouterStatus:
-        """Returns the actor's status."""
-        return self.proxy.status().get(timeout=CALL_TIMEOUT_SECONDS)
-
-    def peer_state(self, known_version: int = -1) -> PeerState:
-        """Returns the state that another instance fetches from this one.
-
-        Args:
-            known_version: Configuration version that the peer has; -1 for none.
-        """
-        future = self.proxy.peer_state(known_version)
-        return future.get(timeout=CALL_TIMEOUT_SECONDS)
-
-
 def _log_changes(changes: list[store_views.TargetChange], source: str) -> None:
     for change in changes:
         _LOG.info(
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -5,19 +5,18 @@
 """
 
 import random
-from typing import Iterator, NamedTuple
+from typing import NamedTuple
 
 from catkintrail import messages
 from catkintrail import relay_settings
 from catkintrail import verdict as verdicts
-from catkintrail.core import engine_cost
-from catkintrail.core import engine_placement
 from catkintrail.core import fleet_load
 from catkintrail.core import fleet_state
 from catkintrail.core import load_reports
 from catkintrail.core import route_table
 from catkintrail.core import service_retry_budget
 from catkintrail.core import store_views
+from catkintrail.core import target_choice
 from catkintrail.core import target_health
 from catkintrail.core import targets as target_records
 
@@ -33,19 +32,6 @@
 # proof that no newer version exists is younger than this share of
 # `configuration_seconds`.
 MAX_PROOF_AGE_SHARE = 0.75
-# Retry-After of requests that the configuration known so far cannot decide.
-NOT_READY_RETRY_SECONDS = 0.5
-# Retry-After of requests for which no target is available.
-NO_TARGET_RETRY_SECONDS = 0.4
-# Cost of a plain target with all of its slots in use, and in proportion below.
-RUNNING_COST = 0.1
-# Cost of a queue as long as the number of slots, and in proportion.
-QUEUED_COST = 1.0
-OTHER_ZONE_COST = 0.12
-# Largest number of engines that are all compared for each request. With more,
-# those of the own zone come first, then this many of each other zone.
-MAX_ENGINES_COMPARED = 48
-OTHER_ZONE_ENGINES = 8
 # In a large fleet, the attempts of an instance that has sent no load message
 # for this long are dropped.
 MAX_REPORT_AGE_SECONDS = 12.0
@@ -144,6 +130,7 @@
         fleet_state: Known state of the configuration, targets and peers.
         load: Attempts in progress of this instance and its peers.
         health: Failures and response times of targets, from past attempts.
+        chooser: Chooses targets from this state.
     """
 
     def __init__(
@@ -157,6 +144,9 @@
         self.fleet_state = fleet_state.FleetState(settings, incarnation, rng)
         self.load = fleet_load.FleetLoad()
         self.health = target_health.TargetHealth()
+        self.chooser = target_choice.TargetChooser(
+            settings, rng, self.fleet_state, self.load, self.health
+        )
         self._retry_budgets: dict[
             str, service_retry_budget.ServiceRetryBudget
         ] = {}
@@ -180,7 +170,7 @@
             return _refuse(
                 verdicts.Reason.NOT_READY,
                 "no configuration has been received yet",
-                NOT_READY_RETRY_SECONDS,
+                target_choice.NOT_READY_RETRY_SECONDS,
             )
         age = now - self.fleet_state.configuration.proven_at
         route = table.find(host, path)
@@ -200,7 +190,7 @@
                 return _refuse(
                     verdicts.Reason.STORE_UNAVAILABLE,
                     f"no proof of the key for {age:.1f} s",
-                    NOT_READY_RETRY_SECONDS,
+                    target_choice.NOT_READY_RETRY_SECONDS,
                 )
         priority = route.priority
         if organisation is not None and organisation.priority is not None:
@@ -242,7 +232,7 @@
             return _refuse(
                 verdicts.Reason.OVERLOADED,
                 "the retry budget is exhausted",
-                NO_TARGET_RETRY_SECONDS,
+                target_choice.NO_TARGET_RETRY_SECONDS,
             )
         return None
 
@@ -252,7 +242,7 @@
         """Places a request from the load that this instance knows."""
         query = self.make_query(request)
         return self.finish_placement(
-            request, self.answer_query(query, now), now
+            request, self.chooser.answer_query(query, now), now
         )
 
     def make_query(self, request: PlacementRequest) -> messages.PlacementQuery:
@@ -270,49 +260,6 @@
             tuple(sorted(request.tried)),
         )
 
-    def answer_query(
-        self, query: messages.PlacementQuery, now: float
-    ) -> messages.PlacementAnswer:
-        """Chooses targets for a request of any instance of this zone.
-
-        The attempt is recorded, so that the next choice takes it into account.
-
-        Args:
-            query: The request.
-            now: Time in seconds.
-        """
-        if (
-            self.fleet_state.configuration.table is None
-            or not self.fleet_state.has_target_list
-        ):
-            return self._decline(
-                query,
-                verdicts.Reason.NOT_READY,
-                "the targets are not known yet",
-                NOT_READY_RETRY_SECONDS,
-            )
-        listed = list(
-            self.fleet_state.targets.by_service.get(query.service, {}).values()
-        )
-        usable = [t for t in listed if t.name not in query.tried]
-        healthy = [t for t in usable if not self.health.is_ejected(t.name, now)]
-        unreachable_zones = self.fleet_state.peers.unreachable_zones()
-        reachable = [
-            t for t in healthy if t.availability_zone not in unreachable_zones
-        ]
-        candidates = reachable or healthy or usable
-        if not candidates:
-            return self._decline(
-                query,
-                verdicts.Reason.NO_TARGET,
-                f"none of {len(listed)} targets is available",
-                NO_TARGET_RETRY_SECONDS,
-            )
-        figures = self._engine_figures(query.service)
-        if figures is None or not query.prompt_tokens:
-            return self._choose_plain(query, candidates, now)
-        return self._choose_engines(query, candidates, figures, now)
-
     def finish_placement(
         self,
         request: PlacementRequest,
@@ -333,7 +280,7 @@
                 answer.retry_after_seconds,
             )
         if answer.sender != self.settings.name:
-            self._record_attempt(self.make_query(request), answer, now)
+            self.chooser.record_attempt(self.make_query(request), answer, now)
         budget = self._retry_budget(request.admission.service)
         return Placement(
             answer.targets[0],
@@ -588,7 +535,7 @@
         return _refuse(
             verdicts.Reason.STORE_UNAVAILABLE,
             f"{message} in a configuration last confirmed {age:.1f} s ago",
-            NOT_READY_RETRY_SECONDS,
+            target_choice.NOT_READY_RETRY_SECONDS,
         )
 
     def _pick_service(self, route: route_table.Route) -> str:
@@ -599,11 +546,6 @@
             return route.services[0].service
         return self.rng.choices(route.services, weights)[0].service
 
-    def _engine_figures(self, service: str) -> route_table.EngineFigures | None:
-        table = self.fleet_state.configuration.table
-        known = table.configuration.services.get(service) if table else None
-        return known.engine if known else None
-
     def _retry_budget(
         self, service: str
     ) -> service_retry_budget.ServiceRetryBudget:
@@ -617,189 +559,6 @@
             )
         return self._retry_budgets[service]
 
-    def _choose_plain(
-        self,
-        query: messages.PlacementQuery,
-        candidates: list[target_records.Target],
-        now: float,
-    ) -> messages.PlacementAnswer:
-        zone = self.settings.availability_zone
-
-        def cost(target: target_records.Target) -> float:
-            running = len(self.load.at(target.name))
-            slots = max(1, target.slots)
-            total = RUNNING_COST * running / slots
-            total += QUEUED_COST * max(0, running + 1 - slots) / slots
-            total += self.health.penalty(target.name, now)
-            total += self.health.slowness(target.name, now) - 1.0
-            if target.availability_zone != zone:
-                total += OTHER_ZONE_COST
-            return total
-
-        costs = [
-            (cost(target), self.rng.random(), target) for target in candidates
-        ]
-        best_cost, _, target = min(costs, key=lambda item: item[:2])
-        answer = self._accept(
-            query, (target,), (0,), 0.0, best_cost, len(candidates)
-        )
-        self._record_attempt(query, answer, now)
-        return answer
-
-    def _choose_engines(
-        self,
-        query: messages.PlacementQuery,
-        candidates: list[target_records.Target],
-        figures: route_table.EngineFigures,
-        now: float,
-    ) -> messages.PlacementAnswer:
-        demand = engine_placement.RequestDemand(
-            query.prompt_tokens,
-            query.output_tokens,
-            query.goal_ms,
-            query.elapsed_ms,
-            query.gap_goal_ms,
-        )
-        choice = None
-        compared: list[target_records.Target] = []
-        for compared in self._candidate_sets(candidates):
-            engines = self._describe_engines(compared, figures, now)
-            choice = engine_placement.choose(demand, engines, figures)
-            if choice is not None and engine_placement.is_untroubled(
-                choice, demand, figures
-            ):
-                break
-        if choice is None:
-            return self._decline(
-                query,
-                verdicts.Reason.OVERLOADED,
-                "no engine has enough free memory",
-                NO_TARGET_RETRY_SECONDS,
-            )
-        answer = self._accept(
-            query,
-            choice.engines,
-            choice.memory,
-            choice.first_token_ms,
-            choice.cost,
-            len(compared),
-        )
-        self._record_attempt(query, answer, now)
-        return answer
-
-    def _candidate_sets(
-        self, candidates: list[target_records.Target]
-    ) -> Iterator[list[target_records.Target]]:
-        """Yields sets of engines to compare, until one suits the request.
-
-        Describing all engines of a large fleet takes longer than placing a
-        short prompt may take, and a few engines of each other zone are enough
-        to find one with room.
-        """
-        if len(candidates) <= MAX_ENGINES_COMPARED:
-            yield candidates
-            return
-        zones: dict[str, list[target_records.Target]] = {}
-        for target in candidates:
-            zones.setdefault(target.availability_zone, []).append(target)
-        near = zones.pop(self.settings.availability_zone, [])
-        if near:
-            yield near
-        yield near + [
-            target
-            for _, others in sorted(zones.items())
-            for target in self.rng.sample(
-                others, min(OTHER_ZONE_ENGINES, len(others))
-            )
-        ]
-
-    def _describe_engines(
-        self,
-        targets: list[target_records.Target],
-        figures: route_table.EngineFigures,
-        now: float,
-    ) -> list[engine_placement.EngineState]:
-        """Returns the states of engines, in random order."""
-        zone = self.settings.availability_zone
-        engines = [
-            engine_placement.describe_engine(
-                target,
-                tuple(self.load.at(target.name).values()),
-                figures,
-                now,
-                self.health.slowness(target.name, now),
-                self.health.penalty(target.name, now),
-                target.availability_zone == zone,
-            )
-            for target in targets
-        ]
-        self.rng.shuffle(engines)
-        return engines
-
-    def _accept(
-        self,
-        query: messages.PlacementQuery,
-        targets: tuple[target_records.Target, ...],
-        memory: tuple[int, ...],
-        first_token_ms: float,
-        cost: float,
-        candidates: int,
-    ) -> messages.PlacementAnswer:
-        return messages.PlacementAnswer(
-            self.settings.name,
-            query.key,
-            targets,
-            memory,
-            first_token_ms,
-            cost,
-            candidates,
-            "",
-            "",
-            0.0,
-        )
-
-    def _decline(
-        self,
-        query: messages.PlacementQuery,
-        reason: verdicts.Reason,
-        detail: str,
-        retry_after_seconds: float,
-    ) -> messages.PlacementAnswer:
-        return messages.PlacementAnswer(
-            self.settings.name,
-            query.key,
-            (),
-            (),
-            0.0,
-            0.0,
-            0,
-            reason.value,
-            detail,
-            retry_after_seconds,
-        )
-
-    def _record_attempt(
-        self,
-        query: messages.PlacementQuery,
-        answer: messages.PlacementAnswer,
-        now: float,
-    ) -> None:
-        figures = self._engine_figures(query.service)
-        weight = 0.0
-        if figures is not None and query.prompt_tokens:
-            weight = engine_cost.request_weight(figures, query.prompt_tokens)
-        attempt = fleet_load.Attempt(
-            query.key,
-            tuple(target.name for target in answer.targets),
-            answer.memory,
-            query.gap_goal_ms,
-            weight,
-            now + answer.first_token_ms / 1000.0,
-            False,
-            now,
-        )
-        self.load.put(query.sender, attempt)
-
     def make_placement_update(
         self, key: str, now: float, owner: str = ""
     ) -> messages.LoadUpdate | None:
--- /dev/null
+++ b/catkintrail/core/target_choice.py
@@ -0,0 +1,302 @@
+"""Chooses targets for the requests of one instance, or of a whole zone.
+
+Answers the load of a large fleet: bursts of short prompts that take most places
+of hundreds of engines, beside a few prompts so long that they fill several
+engines. One coordinator of each zone chooses for all of its instances, so that
+they do not choose the same engine at once. It compares the engines of its own
+zone, and some of other zones only if a request would be late or harm others.
+"""
+
+import random
+from typing import Iterator
+
+from catkintrail import messages
+from catkintrail import relay_settings
+from catkintrail import verdict as verdicts
+from catkintrail.core import engine_cost
+from catkintrail.core import engine_placement
+from catkintrail.core import fleet_load
+from catkintrail.core import fleet_state as fleet_states
+from catkintrail.core import route_table
+from catkintrail.core import target_health
+from catkintrail.core import targets as target_records
+
+__all__ = [
+    "NOT_READY_RETRY_SECONDS",
+    "NO_TARGET_RETRY_SECONDS",
+    "TargetChooser",
+]
+
+# Retry-After of requests that the configuration known so far cannot decide.
+NOT_READY_RETRY_SECONDS = 0.5
+# Cost of a plain target with all of its slots in use, and in proportion below.
+RUNNING_COST = 0.1
+# Cost of a queue as long as the number of slots, and in proportion.
+QUEUED_COST = 1.0
+OTHER_ZONE_COST = 0.12
+# Largest number of engines that are all compared for each request. With more,
+# those of the own zone come first, then this many of each other zone.
+MAX_ENGINES_COMPARED = 48
+OTHER_ZONE_ENGINES = 8
+# Retry-After of requests for which no target is available.
+NO_TARGET_RETRY_SECONDS = 0.4
+
+
+class TargetChooser:
+    """Chooses targets, and records the attempts there.
+
+    Attributes:
+        name: Name of this instance.
+        availability_zone: Availability zone of this instance.
+        rng: Source of random numbers.
+        fleet_state: Known state of the configuration, targets and peers.
+        load: Attempts in progress.
+        health: Failures and response times of targets.
+    """
+
+    def __init__(
+        self,
+        settings: relay_settings.RelaySettings,
+        rng: random.Random,
+        fleet_state: fleet_states.FleetState,
+        load: fleet_load.FleetLoad,
+        health: target_health.TargetHealth,
+    ) -> None:
+        self.name = settings.name
+        self.availability_zone = settings.availability_zone
+        self.rng = rng
+        self.fleet_state = fleet_state
+        self.load = load
+        self.health = health
+
+    def answer_query(
+        self, query: messages.PlacementQuery, now: float
+    ) -> messages.PlacementAnswer:
+        """Chooses targets for a request of any instance of this zone.
+
+        The attempt is recorded, so that the next choice takes it into account.
+
+        Args:
+            query: The request.
+            now: Time in seconds.
+        """
+        if (
+            self.fleet_state.configuration.table is None
+            or not self.fleet_state.has_target_list
+        ):
+            return self._decline(
+                query,
+                verdicts.Reason.NOT_READY,
+                "the targets are not known yet",
+                NOT_READY_RETRY_SECONDS,
+            )
+        listed = list(
+            self.fleet_state.targets.by_service.get(query.service, {}).values()
+        )
+        usable = [t for t in listed if t.name not in query.tried]
+        healthy = [t for t in usable if not self.health.is_ejected(t.name, now)]
+        unreachable_zones = self.fleet_state.peers.unreachable_zones()
+        reachable = [
+            t for t in healthy if t.availability_zone not in unreachable_zones
+        ]
+        candidates = reachable or healthy or usable
+        if not candidates:
+            return self._decline(
+                query,
+                verdicts.Reason.NO_TARGET,
+                f"none of {len(listed)} targets is available",
+                NO_TARGET_RETRY_SECONDS,
+            )
+        figures = self._engine_figures(query.service)
+        if figures is None or not query.prompt_tokens:
+            return self._choose_plain(query, candidates, now)
+        return self._choose_engines(query, candidates, figures, now)
+
+    def _choose_plain(
+        self,
+        query: messages.PlacementQuery,
+        candidates: list[target_records.Target],
+        now: float,
+    ) -> messages.PlacementAnswer:
+        zone = self.availability_zone
+
+        def cost(target: target_records.Target) -> float:
+            running = len(self.load.at(target.name))
+            slots = max(1, target.slots)
+            total = RUNNING_COST * running / slots
+            total += QUEUED_COST * max(0, running + 1 - slots) / slots
+            total += self.health.penalty(target.name, now)
+            total += self.health.slowness(target.name, now) - 1.0
+            if target.availability_zone != zone:
+                total += OTHER_ZONE_COST
+            return total
+
+        costs = [
+            (cost(target), self.rng.random(), target) for target in candidates
+        ]
+        best_cost, _, target = min(costs, key=lambda item: item[:2])
+        answer = self._accept(
+            query, (target,), (0,), 0.0, best_cost, len(candidates)
+        )
+        self.record_attempt(query, answer, now)
+        return answer
+
+    def _choose_engines(
+        self,
+        query: messages.PlacementQuery,
+        candidates: list[target_records.Target],
+        figures: route_table.EngineFigures,
+        now: float,
+    ) -> messages.PlacementAnswer:
+        demand = engine_placement.RequestDemand(
+            query.prompt_tokens,
+            query.output_tokens,
+            query.goal_ms,
+            query.elapsed_ms,
+            query.gap_goal_ms,
+        )
+        choice = None
+        compared: list[target_records.Target] = []
+        for compared in self._candidate_sets(candidates):
+            engines = self._describe_engines(compared, figures, now)
+            choice = engine_placement.choose(demand, engines, figures)
+            if choice is not None and engine_placement.is_untroubled(
+                choice, demand, figures
+            ):
+                break
+        if choice is None:
+            return self._decline(
+                query,
+                verdicts.Reason.OVERLOADED,
+                "no engine has enough free memory",
+                NO_TARGET_RETRY_SECONDS,
+            )
+        answer = self._accept(
+            query,
+            choice.engines,
+            choice.memory,
+            choice.first_token_ms,
+            choice.cost,
+            len(compared),
+        )
+        self.record_attempt(query, answer, now)
+        return answer
+
+    def _candidate_sets(
+        self, candidates: list[target_records.Target]
+    ) -> Iterator[list[target_records.Target]]:
+        """Yields sets of engines to compare, until one suits the request.
+
+        Describing all engines of a large fleet takes longer than placing a
+        short prompt may take, and a few engines of each other zone are enough
+        to find one with room.
+        """
+        if len(candidates) <= MAX_ENGINES_COMPARED:
+            yield candidates
+            return
+        zones: dict[str, list[target_records.Target]] = {}
+        for target in candidates:
+            zones.setdefault(target.availability_zone, []).append(target)
+        near = zones.pop(self.availability_zone, [])
+        if near:
+            yield near
+        yield near + [
+            target
+            for _, others in sorted(zones.items())
+            for target in self.rng.sample(
+                others, min(OTHER_ZONE_ENGINES, len(others))
+            )
+        ]
+
+    def _describe_engines(
+        self,
+        targets: list[target_records.Target],
+        figures: route_table.EngineFigures,
+        now: float,
+    ) -> list[engine_placement.EngineState]:
+        """Returns the states of engines, in random order."""
+        zone = self.availability_zone
+        engines = [
+            engine_placement.describe_engine(
+                target,
+                tuple(self.load.at(target.name).values()),
+                figures,
+                now,
+                self.health.slowness(target.name, now),
+                self.health.penalty(target.name, now),
+                target.availability_zone == zone,
+            )
+            for target in targets
+        ]
+        self.rng.shuffle(engines)
+        return engines
+
+    def _accept(
+        self,
+        query: messages.PlacementQuery,
+        targets: tuple[target_records.Target, ...],
+        memory: tuple[int, ...],
+        first_token_ms: float,
+        cost: float,
+        candidates: int,
+    ) -> messages.PlacementAnswer:
+        return messages.PlacementAnswer(
+            self.name,
+            query.key,
+            targets,
+            memory,
+            first_token_ms,
+            cost,
+            candidates,
+            "",
+            "",
+            0.0,
+        )
+
+    def _decline(
+        self,
+        query: messages.PlacementQuery,
+        reason: verdicts.Reason,
+        detail: str,
+        retry_after_seconds: float,
+    ) -> messages.PlacementAnswer:
+        return messages.PlacementAnswer(
+            self.name,
+            query.key,
+            (),
+            (),
+            0.0,
+            0.0,
+            0,
+            reason.value,
+            detail,
+            retry_after_seconds,
+        )
+
+    def record_attempt(
+        self,
+        query: messages.PlacementQuery,
+        answer: messages.PlacementAnswer,
+        now: float,
+    ) -> None:
+        """Records the attempt of a request that was placed."""
+        figures = self._engine_figures(query.service)
+        weight = 0.0
+        if figures is not None and query.prompt_tokens:
+            weight = engine_cost.request_weight(figures, query.prompt_tokens)
+        attempt = fleet_load.Attempt(
+            query.key,
+            tuple(target.name for target in answer.targets),
+            answer.memory,
+            query.gap_goal_ms,
+            weight,
+            now + answer.first_token_ms / 1000.0,
+            False,
+            now,
+        )
+        self.load.put(query.sender, attempt)
+
+    def _engine_figures(self, service: str) -> route_table.EngineFigures | None:
+        table = self.fleet_state.configuration.table
+        known = table.configuration.services.get(service) if table else None
+        return known.engine if known else None
--- a/catkintrail/fleet_state_updater.py
+++ b/catkintrail/fleet_state_updater.py
@@ -14,6 +14,7 @@
 
 from catkintrail import errors
 from catkintrail.adapters import router_actor
+from catkintrail.adapters import router_client
 from catkintrail.ports import fleet_state_source
 
 __all__ = ["FleetStateUpdater"]
@@ -117,7 +118,7 @@
     def __init__(
         self,
         source: fleet_state_source.FleetStateSource,
-        router: router_actor.RouterClient,
+        router: router_client.RouterClient,
         read_peer: PeerReader,
         clock: Callable[[], float],
         rng: random.Random,
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -24,6 +24,7 @@
 from catkintrail.adapters import logs
 from catkintrail.adapters import metrics as metrics_module
 from catkintrail.adapters import router_actor
+from catkintrail.adapters import router_client
 from catkintrail.adapters import wsgi
 from catkintrail.core import request_router
 from catkintrail.core import route_table
@@ -97,7 +98,7 @@
         self.actor = router_actor.RouterActor.start(
             router, self.datagrams.send, clock.boot_seconds
         )
-        self.router = router_actor.RouterClient(self.actor)
+        self.router = router_client.RouterClient(self.actor)
         self.store = store.StoreClient(settings.store_address)
         self.state_updater = fleet_state_updater.FleetStateUpdater(
             store.StoreSource(self.store),
--- a/catkintrail/request_finisher.py
+++ b/catkintrail/request_finisher.py
@@ -7,8 +7,8 @@
 from catkintrail import errors
 from catkintrail import request_progress
 from catkintrail import verdict as verdicts
-from catkintrail.core import request_router
 from catkintrail.core import route_table
+from catkintrail.core import target_choice
 from catkintrail.ports import relaying
 
 __all__ = ["RequestFinisher", "retry_after"]
@@ -156,7 +156,7 @@
     None means that the request may have run, and that no time is stated.
     """
     if verdict is Verdict.NOT_RUN:
-        return request_router.NO_TARGET_RETRY_SECONDS
+        return target_choice.NO_TARGET_RETRY_SECONDS
     return None
 
 
--- a/tests/test_fleet_state_updater.py
+++ b/tests/test_fleet_state_updater.py
@@ -9,6 +9,7 @@
 from catkintrail import errors
 from catkintrail import fleet_state_updater
 from catkintrail.adapters import router_actor
+from catkintrail.adapters import router_client
 from catkintrail.core import request_router
 from catkintrail.ports import fleet_state_source
 from tests import relaying as builders
@@ -104,7 +105,7 @@
             self.router, lambda addresses, message: None, time.monotonic
         )
         self.addCleanup(actor.stop)
-        self.client = router_actor.RouterClient(actor)
+        self.client = router_client.RouterClient(actor)
         self.peer_state = None
         self.updater = fleet_state_updater.FleetStateUpdater(
             self.source,
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -13,6 +13,7 @@
 
 from catkintrail import messages
 from catkintrail.adapters import router_actor
+from catkintrail.adapters import router_client
 from catkintrail.core import request_router
 from tests import relaying as builders
 
@@ -117,7 +118,7 @@
         if not isinstance(result, router_actor.PendingPlacement):
             then(result)
             return
-        deadline = self.now + router_actor.COORDINATOR_TIMEOUT_SECONDS
+        deadline = self.now + router_client.COORDINATOR_TIMEOUT_SECONDS
 
         def poll():
             try:
