A placement answer with an unknown reason is a refusal

Cause: an answer of a coordinator with a reason that this version does not know raised in the actor, and the request that waited for it failed with it.

Change: such an answer refuses the request as having no target. A test of both kinds of refusal from a coordinator.

--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -42,6 +42,8 @@
 CALLER_TIMEOUT_GOALS = 4.0
 CALLER_TIMEOUT_GAPS = 8.0
 
+_REASONS = {reason.value: reason for reason in verdicts.Reason}
+
 
 class Admission(NamedTuple):
     """The decision to serve a request.
@@ -275,7 +277,7 @@
         """
         if not answer.targets:
             return _refuse(
-                verdicts.Reason(answer.reason),
+                _REASONS.get(answer.reason, verdicts.Reason.NO_TARGET),
                 answer.detail,
                 answer.retry_after_seconds,
             )
--- a/tests/test_request_router.py
+++ b/tests/test_request_router.py
@@ -297,6 +297,33 @@
         self.assertEqual({"d-1": 6, "d-2": 6}, counts)
 
 
+class CoordinatorAnswerTests(testtools.TestCase):
+
+    def finish(self, answer):
+        router = builders.make_router([builders.make_target("e-1")])
+        admission = router.admit("wells.example", "/ask/a", "key-1", 100.0)
+        request = request_router.PlacementRequest(
+            "k", admission, 5_000, 500, 0.0, frozenset(), False
+        )
+        return router.finish_placement(request, answer, 100.0)
+
+    def test_refusal_is_passed_on(self):
+        answer = messages.PlacementAnswer(
+            "b-1", "k", (), (), 0.0, 0.0, 0, "overloaded", "full", 0.7
+        )
+        refusal = self.finish(answer)
+        self.assertEqual(verdicts.Verdict.NOT_RUN, refusal.verdict)
+        self.assertEqual(verdicts.Reason.OVERLOADED, refusal.reason)
+        self.assertEqual(0.7, refusal.retry_after_seconds)
+
+    def test_refusal_for_an_unknown_reason(self):
+        # A newer version of the software may know more reasons.
+        answer = messages.PlacementAnswer(
+            "b-1", "k", (), (), 0.0, 0.0, 0, "too_new", "", 0.7
+        )
+        self.assertEqual(verdicts.Reason.NO_TARGET, self.finish(answer).reason)
+
+
 class UnreachableZoneTests(testtools.TestCase):
 
     def test_targets_of_unreachable_zone_are_used_last(self):
