An overdue first token is judged by its prediction

A first token counted as overdue 60 ms after its predicted time, also where the prediction was seconds; the first suspicions of such engines are in the logs from 14 s on.

Change: the tolerance grows by half of the predicted time.

--- a/catkintrail/core/engine_placement.py
+++ b/catkintrail/core/engine_placement.py
@@ -65,6 +65,7 @@
 # from other availability zones arrive later, because they are batched.
 OVERDUE_TOLERANCE_MS = 60.0
 OTHER_ZONE_OVERDUE_TOLERANCE_MS = 300.0
+OVERDUE_TOLERANCE_SHARE = 0.5
 # Cost of another request on a suspect engine before its next first token has
 # arrived.
 SUSPECT_COST = 0.5
@@ -215,11 +216,13 @@
     if not is_local:
         tolerance_ms = OTHER_ZONE_OVERDUE_TOLERANCE_MS
     due_at = max(attempt.prefill_end for attempt in waiting)
+    placed_at = min(attempt.placed_at for attempt in waiting)
+    predicted_ms = (due_at - placed_at) * 1000.0
+    tolerance_ms += OVERDUE_TOLERANCE_SHARE * predicted_ms
     overdue_ms = (now - due_at) * 1000.0 - tolerance_ms
     if overdue_ms <= 0.0:
         return 0.0, 1.0
-    placed_at = min(attempt.placed_at for attempt in waiting)
-    predicted_ms = (due_at - placed_at) * 1000.0 + OVERDUE_TOLERANCE_MS
+    predicted_ms += OVERDUE_TOLERANCE_MS
     return overdue_ms, (now - placed_at) * 1000.0 / predicted_ms
 
 
