--- a/soak/run.py
+++ b/soak/run.py
@@ -292,8 +292,9 @@
         await asyncio.to_thread(self.store.close)
 
     def _read_log_lines(self) -> list[request_trace.Line]:
-        sources = [
-            instance.log_path.read_text(errors="replace").splitlines()
-            for instance in self.instances
-        ]
-        return request_trace.read_lines(sources)
+        """Returns the lines of all instances' logs, sorted by time."""
+        lines = []
+        for instance in self.instances:
+            text = instance.log_path.read_text(errors="replace")
+            lines += request_trace.parse_lines(text.splitlines())
+        return sorted(lines, key=lambda line: line["time"])
