--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -262,7 +262,7 @@
         if answer.reason == verdicts.Reason.NOT_READY.value:
             pending.result.set(self._place_elsewhere(pending))
             return
-        if not self._router.names_known_target(answer):
+        if not self._router.avoids_leaving_targets(answer):
             placement = self._router.place_locally(pending.request, now)
             self._report_placement(answer.key, now)
             pending.result.set(placement)
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -298,8 +298,8 @@
             ),
         )
 
-    def names_known_target(self, answer: messages.PlacementAnswer) -> bool:
-        """Returns whether no target of an answer is known to be leaving."""
+    def avoids_leaving_targets(self, answer: messages.PlacementAnswer) -> bool:
+        """Returns whether an answer names no target that is known to leave."""
         known = self.fleet_state.targets.targets
         return not any(
             target.name in known and known[target.name].is_leaving
