--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -663,6 +663,7 @@
                 "target": change.target.name,
                 "service": change.target.service,
                 "address": change.target.address,
+                "born": change.target.born,
                 "source": source,
             },
         )
--- a/catkintrail/fleet_state_updater.py
+++ b/catkintrail/fleet_state_updater.py
@@ -190,6 +190,11 @@
                 continue
             self._record_store_state(True)
             backoff.reset()
+            if revision < 0:
+                _LOG.info(
+                    "store_read",
+                    extra={"subject": subject, "revision": result.revision},
+                )
             result.apply()
             revision = result.revision
             self._stop.wait(result.pause_seconds)
--- a/catkintrail/platform/store.py
+++ b/catkintrail/platform/store.py
@@ -86,12 +86,15 @@
 
     Attributes:
         call_count: Number of calls made.
+        era: Number of times that the store's history has been replaced by an
+            older copy; -1 if the store has not stated it.
         http: Pool of connections to the store.
     """
 
     def __init__(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         self.call_count = 0
+        self.era = -1
         self.http = bounded_http.BoundedPool(
             host,
             int(port),
@@ -189,6 +192,7 @@
             raise errors.PlatformUnavailableError(
                 f"cannot reach the store: {error}"
             ) from error
+        self._record_era(response.headers.get(wire.STORE_ERA, ""))
         if response.status in (429, 500, 503):
             raise errors.PlatformUnavailableError(
                 f"the store responded with status {response.status}"
@@ -202,6 +206,15 @@
                 f"cannot decode a response of the store: {error}"
             ) from error
 
+    def _record_era(self, text: str) -> None:
+        era = wire.decode_era(text)
+        if era == self.era:
+            return
+        _LOG.warning(
+            "store_era_changed", extra={"era": era, "replaced_era": self.era}
+        )
+        self.era = era
+
 
 class StoreSource:
     """Reads the configuration and the targets from the store.
--- a/catkintrail/platform/wire.py
+++ b/catkintrail/platform/wire.py
@@ -20,10 +20,12 @@
     "READY_PATH",
     "REQUEST_PRIORITY",
     "NOT_FORWARDED",
+    "STORE_ERA",
     "TENANT",
     "TOKEN_COUNTS",
     "decode_api_key",
     "decode_configuration",
+    "decode_era",
     "decode_target",
     "decode_token_counts",
 ]
@@ -41,6 +43,8 @@
 NOT_EXECUTED = "not-executed"
 READY_PATH = "/api/ready"
 REQUEST_PRIORITY = "request-priority"
+# Rises each time the store comes back from an older copy.
+STORE_ERA = "store-era"
 # Name of the organisation.
 TENANT = "tenant"
 # Number of prompt tokens and limit of output tokens, separated by a comma.
@@ -75,6 +79,7 @@
 )
 
 API_KEY_SCHEME = "token"
+MAX_ERA_DIGITS = 18
 
 _ROUTE_KINDS = {
     "idempotent": route_table.RouteKind.IDEMPOTENT,
@@ -90,6 +95,14 @@
     return key.strip() if scheme.lower() == API_KEY_SCHEME else ""
 
 
+def decode_era(text: str) -> int:
+    """Decodes a `Store-Era` header; returns -1 if it is malformed."""
+    text = text.strip()
+    if text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS:
+        return int(text)
+    return -1
+
+
 def decode_token_counts(text: str) -> tuple[int, int]:
     """Decodes a `Token-Counts` header.
 
