--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -156,6 +156,7 @@
         calls: Paths of the requests received.
         oldest_revision: Watches from older revisions fail with status 410.
         page_size: Maximum number of objects in a page of a list.
+        era: Value of the `Store-Era` header; rises when a copy is restored.
         address: `IP:port` of the store.
     """
 
@@ -164,10 +165,11 @@
         self.calls = []
         self.oldest_revision = 0
         self.page_size = 500
+        self.era = 1
         self._revision = 1
         self._objects = {}
         self._changes = []
-        self._changed = threading.Condition()
+        self._changed = threading.Condition(threading.RLock())
         store = self
 
         class Handler(_Handler):
@@ -202,10 +204,32 @@
             self._revision += 1
             self._changed.notify_all()
 
+    def copy(self):
+        """Returns a copy of the content, for `restore`."""
+        with self._changed:
+            return self._revision, dict(self._objects), list(self._changes)
+
+    def restore(self, copy, writes=()):
+        """Replaces the content by an older copy, and ends all watches.
+
+        Args:
+            copy: The copy.
+            writes: Arguments of `put` for writes that no watch can precede.
+        """
+        with self._changed:
+            self.era += 1
+            self._revision, objects, changes = copy
+            self._objects = dict(objects)
+            self._changes = list(changes)
+            for arguments in writes:
+                self.put(*arguments)
+            self._changed.notify_all()
+
     def handle_request(self, handler):
         self.calls.append(handler.path)
+        headers = [("Store-Era", str(self.era))]
         if self.status != 200:
-            handler.reply(self.status)
+            handler.reply(self.status, headers=headers)
             return
         path, _, query = handler.path.partition("?")
         arguments = dict(urllib.parse.parse_qsl(query))
@@ -218,7 +242,10 @@
             )
         else:
             status, body = self._list(parts[0], arguments.get("after-rev", ""))
-        handler.reply(status, json.dumps(body).encode())
+        if status == 0:
+            handler.close_connection = True
+            return
+        handler.reply(status, json.dumps(body).encode(), headers)
 
     def _list(self, kind, after):
         with self._changed:
@@ -234,10 +261,14 @@
             }
 
     def _watch(self, kind, revision, seconds):
+        """Returns the status and the body; status 0 for a broken connection."""
         deadline = time.monotonic() + seconds
         with self._changed:
+            era = self.era
             while True:
-                if revision < self.oldest_revision:
+                if self.era != era:
+                    return 0, {}
+                if not self.oldest_revision <= revision <= self._revision:
                     return 410, {}
                 events = [
                     {"object": item, "removed": is_removed}
@@ -266,6 +297,7 @@
         truncate_after_events: Streams are truncated after this many events; -1
             for never.
         rejects_requests: Whether requests are rejected without being run.
+        states_leaving: Whether responses have the header `Server-Leaving`.
         runs: Request id and organisation of each request that was run, in
             order.
         orders: Orders received.
@@ -281,6 +313,7 @@
         self.delay = 0.0
         self.truncate_after_events = -1
         self.rejects_requests = False
+        self.states_leaving = False
         self.runs = []
         self.orders = []
         self.active = 0
@@ -318,6 +351,8 @@
             return
         request_id = handler.headers["Attempt-Id"]
         headers = [("Attempt-Id", request_id), ("Engine-Stamp", self.name)]
+        if self.states_leaving:
+            headers.append(("Server-Leaving", "1"))
         if handler.headers["Expect-Instance"] != self.name:
             handler.reply(421, b"", [("Instance-Id", self.name)])
             return
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -257,6 +257,32 @@
         self.assertEqual((500, b"2"), (self.reply.status, self.reply.body))
 
 
+class LeavingTests(RelayTestCase):
+
+    def test_target_that_leaves_while_memory_is_reserved_is_not_sent_to(self):
+        leaving = []
+
+        def reserve(target, tokens):
+            placed = self.router.load.by_owner["a-1"]
+            first = next(iter(placed.values())).targets[0]
+            if not leaving:
+                leaving.append(first)
+                self.router.fleet_state.mark_target_leaving(first, 1, self.now)
+            return memory_lease.Lease(f"r-{target.name}", target.name, tokens)
+
+        self.leases.reserve = reserve
+        self.leases.release = lambda lease: None
+        self.serve(
+            FakeTargetResponse(200, [event(0), event(1)]),
+            FakeTargetResponse(200, [event(0), event(1)]),
+            prompt_tokens=900_000,
+        )
+        self.assertNotEqual([], leaving)
+        self.assertNotIn(
+            leaving[0], [send[0].name for send in self.targets.sends]
+        )
+
+
 class AtMostOnceTests(RelayTestCase):
 
     def test_request_that_may_have_run_is_not_retried(self):
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -256,6 +256,35 @@
             self.assertEqual(200, self.relay.request("/ask/a", f"r{number}")[0])
         self.assertEqual(before, len(leaving.runs))
 
+    def test_leaving_is_seen_after_the_store_returns_from_an_older_copy(self):
+        leaving = self.engines[0]
+        copy = self.store.copy()
+        for number in range(3):
+            self.add_engine(f"x-{number}")
+        time.sleep(1.0)
+        draining = leaving.entry(state="draining")
+        added = [
+            ("servers", f"y-{number}", self.engines[1].entry())
+            for number in range(4)
+        ]
+        self.store.restore(copy, [("servers", "e-0", draining), *added])
+        time.sleep(2.0)
+        before = len(leaving.runs)
+        for number in range(12):
+            self.relay.request("/ask/a", f"r{number}")
+        self.assertEqual(before, len(leaving.runs))
+
+    def test_target_that_states_its_leaving_in_a_response_is_left(self):
+        for engine in self.engines:
+            engine.states_leaving = True
+        for number in range(2):
+            self.assertEqual(200, self.relay.request("/ask/a", f"r{number}")[0])
+        time.sleep(0.5)
+        before = sum(len(engine.runs) for engine in self.engines)
+        self.assertEqual(503, self.relay.request("/ask/a", "r2")[0])
+        after = sum(len(engine.runs) for engine in self.engines)
+        self.assertEqual((2, 2), (before, after))
+
     def test_stop_finishes_streams_and_refuses_new_connections(self):
         for engine in self.engines:
             engine.events = 40
--- a/tests/test_store_views.py
+++ b/tests/test_store_views.py
@@ -59,6 +59,12 @@
         self.view.put(self.target)
         self.assertEqual(set(), self.usable())
 
+    def test_older_entry_does_not_return_a_target_that_left_and_is_gone(self):
+        self.view.leave("e-1")
+        self.view.remove("e-1", 0.0, 100.0)
+        self.view.put(self.target)
+        self.assertEqual(set(), self.usable())
+
     def test_target_restarted_under_the_same_name_is_used(self):
         self.view.leave("e-1")
         changes = self.view.put(self.target._replace(born=2))
