A target that has left stays left after its entry is gone

Cause: the view of the targets forgot the announcement with the entry. An older list, of a store that came back from a copy or of a peer that had been cut off, then made the same start of the target usable again. Class: newer knowledge replaced by older.

--- a/catkintrail/core/fleet_state.py
+++ b/catkintrail/core/fleet_state.py
@@ -123,7 +123,7 @@
         elif target is None:
             changes = self.targets.remove(name, now, now)
         else:
-            changes = self.targets.put(target)
+            changes = self.targets.put(target, now)
         return self._record_leaving(changes, now)
 
     def record_store_state(self, is_up: bool, now: float) -> None:
@@ -147,10 +147,7 @@
         Returns:
             The changes of the known targets.
         """
-        target = self.targets.targets.get(name)
-        if target is None or (born and target.born != born):
-            return []
-        return self._record_leaving(self.targets.leave(name), now)
+        return self._record_leaving(self.targets.leave(name, born, now), now)
 
     def expire(self, now: float) -> list[store_views.TargetChange]:
         """Drops expired state; returns the changes of the known targets."""
@@ -299,7 +296,7 @@
         self._record_peer_version(address, news.version)
         changes = []
         for target in news.targets:
-            changes += self.targets.put(target)
+            changes += self.targets.put(target, now)
         for name in news.removed:
             changes += self.targets.remove(name, now, now)
         return self._record_leaving(changes, now)
--- a/catkintrail/core/store_views.py
+++ b/catkintrail/core/store_views.py
@@ -7,6 +7,7 @@
 
 import xxhash
 
+from catkintrail.core import departures as departure_records
 from catkintrail.core import route_table
 from catkintrail.core import targets as target_records
 
@@ -92,14 +93,17 @@
     Attributes:
         targets: Listed targets by name, including those that are leaving.
         by_service: Targets that may be used, by service and name.
+        departures: Targets that have announced their shutdown.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, departures: departure_records.DepartureRecord | None = None
+    ) -> None:
+        self.departures = departures or departure_records.DepartureRecord()
         self.targets: dict[str, target_records.Target] = {}
         self.by_service: dict[str, dict[str, target_records.Target]] = {}
         self._digest = 0
         self._is_digest_stale = True
-        self._leaving_starts: dict[str, int] = {}
         self._lapse_deadlines: dict[str, float] = {}
 
     @property
@@ -131,36 +135,38 @@
         changes = []
         names = {target.name for target in listed}
         for target in listed:
-            changes += self.put(target)
+            changes += self.put(target, now)
         for name in list(self.targets):
             if name not in names:
                 changes += self.remove(name, keep_until, now)
         return changes
 
-    def put(self, target: target_records.Target) -> list[TargetChange]:
+    def put(
+        self, target: target_records.Target, now: float
+    ) -> list[TargetChange]:
         """Adds or updates a target.
 
+        Args:
+            target: The entry.
+            now: Time in seconds.
+
         Returns:
             The resulting changes.
         """
         self._lapse_deadlines.pop(target.name, None)
         # A target that has announced its shutdown is not used again until it
         # restarts, even if an older entry that lacks the announcement arrives.
-        if (
-            self._leaving_starts.get(target.name) == target.born
-            and not target.is_leaving
-        ):
+        if self.departures.contains(target) and not target.is_leaving:
             return []
         old = self.targets.get(target.name)
         self.targets[target.name] = target
         self._is_digest_stale = True
         if target.is_leaving:
-            self._leaving_starts[target.name] = target.born
+            self.departures.add(target.name, target.born, now)
             self._remove_from_services(target.name)
             if old is None or not old.is_leaving:
                 return [TargetChange(target, "target_leaving")]
             return []
-        self._leaving_starts.pop(target.name, None)
         if old is not None and old.service != target.service:
             self._remove_from_services(target.name)
         self.by_service.setdefault(target.service, {})[target.name] = target
@@ -197,6 +203,7 @@
         Returns:
             The resulting changes.
         """
+        self.departures.expire(now)
         changes = []
         for name, keep_until in list(self._lapse_deadlines.items()):
             if now > keep_until:
@@ -204,23 +211,35 @@
                 changes += self._drop(name, "target_lapsed")
         return changes
 
-    def leave(self, name: str) -> list[TargetChange]:
+    def leave(self, name: str, born: int, now: float) -> list[TargetChange]:
         """Marks a target as leaving.
 
+        Args:
+            name: Name of the target.
+            born: Start time of the target that is leaving, in Unix
+                milliseconds; 0 if unknown.
+            now: Time in seconds.
+
         Returns:
             The resulting changes.
         """
+        if born:
+            self.departures.add(name, born, now)
         target = self.targets.get(name)
-        if target is None or target.is_leaving:
+        if target is None or target.is_leaving or born not in (0, target.born):
             return []
-        return self.put(target._replace(is_leaving=True))
+        return self.put(target._replace(is_leaving=True), now)
 
     def _drop(self, name: str, event: str) -> list[TargetChange]:
         target = self.targets.pop(name, None)
         self._is_digest_stale = True
-        self._leaving_starts.pop(name, None)
         self._remove_from_services(name)
-        return [TargetChange(target, event)] if target else []
+        if target is None:
+            return []
+        if not target.born:
+            # A later start of the target could not be told from this one.
+            self.departures.discard(name, 0)
+        return [TargetChange(target, event)]
 
     def _remove_from_services(self, name: str) -> None:
         for members in self.by_service.values():
--- a/tests/test_store_views.py
+++ b/tests/test_store_views.py
@@ -49,25 +49,25 @@
         return set(self.view.by_service.get("engines", {}))
 
     def test_leaving_target_is_listed_but_not_used(self):
-        changes = self.view.put(self.target._replace(is_leaving=True))
+        changes = self.view.put(self.target._replace(is_leaving=True), 100.0)
         self.assertEqual(["target_leaving"], [c.event for c in changes])
         self.assertEqual(set(), self.usable())
         self.assertIn("e-1", self.view.targets)
 
     def test_old_entry_does_not_revert_leaving(self):
-        self.view.leave("e-1")
-        self.view.put(self.target)
+        self.view.leave("e-1", 1, 100.0)
+        self.view.put(self.target, 100.0)
         self.assertEqual(set(), self.usable())
 
     def test_older_entry_does_not_return_a_target_that_left_and_is_gone(self):
-        self.view.leave("e-1")
+        self.view.leave("e-1", 1, 100.0)
         self.view.remove("e-1", 0.0, 100.0)
-        self.view.put(self.target)
+        self.view.put(self.target, 100.0)
         self.assertEqual(set(), self.usable())
 
     def test_target_restarted_under_the_same_name_is_used(self):
-        self.view.leave("e-1")
-        changes = self.view.put(self.target._replace(born=2))
+        self.view.leave("e-1", 1, 100.0)
+        changes = self.view.put(self.target._replace(born=2), 100.0)
         self.assertEqual(["target_joined"], [c.event for c in changes])
         self.assertEqual({"e-1"}, self.usable())
 
@@ -86,12 +86,12 @@
 
     def test_entry_that_returns_in_time_stays(self):
         self.view.remove("e-1", 102.0, 100.0)
-        self.view.put(self.target)
+        self.view.put(self.target, 100.0)
         self.assertEqual([], self.view.expire(200.0))
         self.assertEqual({"e-1"}, self.usable())
 
     def test_target_that_changes_service_is_removed_from_the_old_one(self):
-        self.view.put(self.target._replace(service="desk"))
+        self.view.put(self.target._replace(service="desk"), 100.0)
         self.assertEqual(set(), self.usable())
         self.assertIn("e-1", self.view.by_service["desk"])
 
