A target's own word that it leaves is heard in every response

Cause: only the store's entry, or a refusal with 421, told an instance that a target leaves.

The header Server-Leaving is read in every response head of a target: successes, refusals, late responses to earlier requests and orders. The target is marked with the start time of the entry that the request was sent for, so that a later start is not marked by an earlier one's response.

--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -298,11 +298,13 @@
             _log_ejection(target, is_silent, self._router.settings.name)
         self._broadcast_load(update)
 
-    def mark_target_leaving(self, target: str) -> None:
-        """Records that a target is no longer at its address."""
+    def mark_target_leaving(self, target: target_records.Target) -> None:
+        """Records that a target is leaving, or gone from its address."""
         now = self._clock()
         self._apply_changes(
-            self._router.fleet_state.mark_target_leaving(target, 0, now),
+            self._router.fleet_state.mark_target_leaving(
+                target.name, target.born, now
+            ),
             "its answer",
         )
 
--- a/catkintrail/adapters/router_client.py
+++ b/catkintrail/adapters/router_client.py
@@ -5,6 +5,7 @@
 from catkintrail import verdict as verdicts
 from catkintrail.adapters import router_actor
 from catkintrail.core import request_router
+from catkintrail.core import targets as target_records
 
 __all__ = ["COORDINATOR_TIMEOUT_SECONDS", "RouterClient"]
 
@@ -75,8 +76,8 @@
             key, target, is_success, is_target_fault, is_silent
         )
 
-    def mark_target_leaving(self, target: str) -> None:
-        """Records that a target is no longer at its address."""
+    def mark_target_leaving(self, target: target_records.Target) -> None:
+        """Records that a target is leaving, or gone from its address."""
         self.proxy.mark_target_leaving.defer(target)
 
     def status(self) -> router_actor.RouterStatus:
--- a/catkintrail/platform/engines.py
+++ b/catkintrail/platform/engines.py
@@ -58,6 +58,8 @@
 
     Attributes:
         clock: Returns the time in seconds.
+        report_leaving: Called with a target that states in a response that it
+            is leaving.
         opened_connections: Number of attempts to open a connection.
         reused_connections: Number of times an idle connection was taken for a
             request.
@@ -67,8 +69,13 @@
             request.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        report_leaving: relaying.ReportLeaving = lambda target: None,
+    ) -> None:
         self.clock = clock
+        self.report_leaving = report_leaving
         self.opened_connections = 0
         self.reused_connections = 0
         self.connection_shares: dict[str, int] = {}
@@ -458,6 +465,8 @@
             for name, value in pairs
             if name.lower() not in wire.HOP_BY_HOP
         )
+        if wire.states_leaving(self.headers_by_name.get(wire.SERVER_LEAVING)):
+            self.client.report_leaving(self.target)
         self.is_signed = wire.ENGINE_STAMP in self.headers_by_name
         self._is_framed = (
             "content-length" in self.headers_by_name
--- a/catkintrail/platform/orders.py
+++ b/catkintrail/platform/orders.py
@@ -7,6 +7,8 @@
 from catkintrail import verdict as verdicts
 from catkintrail.adapters import bounded_http
 from catkintrail.core import targets as target_records
+from catkintrail.platform import wire
+from catkintrail.ports import relaying
 
 __all__ = ["ReservationClient"]
 
@@ -21,11 +23,16 @@
     """Reserves and releases memory on engines.
 
     Attributes:
+        report_leaving: Called with an engine that states in a response that
+            it is leaving.
         order_count: Number of orders sent.
         http: Pool of connections to engines.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, report_leaving: relaying.ReportLeaving = lambda target: None
+    ) -> None:
+        self.report_leaving = report_leaving
         self.order_count = 0
         self.http = bounded_http.make_pool_manager(MAX_POOLS)
 
@@ -98,6 +105,8 @@
                 verdicts.Verdict.MAY_HAVE_RUN,
                 is_silent=True,
             ) from error
+        if wire.states_leaving(response.headers.get(wire.SERVER_LEAVING)):
+            self.report_leaving(target)
         if response.status != 200:
             is_rejection = 400 <= response.status < 500
             raise errors.TargetError(
--- a/catkintrail/platform/wire.py
+++ b/catkintrail/platform/wire.py
@@ -18,6 +18,7 @@
     "LAST_EVENT_ID",
     "NOT_EXECUTED",
     "READY_PATH",
+    "SERVER_LEAVING",
     "REQUEST_PRIORITY",
     "NOT_FORWARDED",
     "STORE_ERA",
@@ -28,6 +29,7 @@
     "decode_era",
     "decode_target",
     "decode_token_counts",
+    "states_leaving",
 ]
 
 # Identifies one attempt of a caller, not one of the relay: retries at other
@@ -43,6 +45,8 @@
 NOT_EXECUTED = "not-executed"
 READY_PATH = "/api/ready"
 REQUEST_PRIORITY = "request-priority"
+# In all responses of a target that has announced its shutdown.
+SERVER_LEAVING = "server-leaving"
 # Rises each time the store comes back from an older copy.
 STORE_ERA = "store-era"
 # Name of the organisation.
@@ -95,6 +99,11 @@
     return key.strip() if scheme.lower() == API_KEY_SCHEME else ""
 
 
+def states_leaving(value: str | None) -> bool:
+    """Returns whether a `Server-Leaving` header announces a shutdown."""
+    return value is not None and value.strip() not in ("", "0")
+
+
 def decode_era(text: str) -> int:
     """Decodes a `Store-Era` header; returns -1 if it is malformed."""
     text = text.strip()
--- a/catkintrail/ports/relaying.py
+++ b/catkintrail/ports/relaying.py
@@ -14,11 +14,15 @@
     "CallerRequest",
     "MemoryLeases",
     "RelayMetrics",
+    "ReportLeaving",
     "TargetSender",
     "Router",
     "TargetRequest",
 ]
 
+# Called with a target that has announced its shutdown in a response.
+ReportLeaving = Callable[[target_records.Target], None]
+
 
 class CallerRequest(NamedTuple):
     """A caller's request with its complete body.
@@ -251,7 +255,7 @@
             is_silent: Whether the target did not respond in time.
         """
 
-    def mark_target_leaving(self, target: str) -> None:
+    def mark_target_leaving(self, target: target_records.Target) -> None:
         """Records that a target is leaving, or gone from its address."""
 
 
--- a/catkintrail/relay.py
+++ b/catkintrail/relay.py
@@ -13,6 +13,7 @@
 from catkintrail.core import memory_lease
 from catkintrail.core import request_router
 from catkintrail.core import route_table
+from catkintrail.core import targets as target_records
 from catkintrail.ports import relaying
 
 __all__ = ["Relay"]
@@ -212,7 +213,7 @@
         )
         is_success = is_target_fault = is_silent = False
         outcome = "caller_left"
-        at_fault = placement.target.name
+        at_fault = placement.target
         leases: dict[str, memory_lease.Lease] = {}
         try:
             self._reserve(placement, leases)
@@ -236,7 +237,7 @@
             outcome = error.verdict.value
             at_fault = _find_target_at_fault(placement, error)
             # A helper that causes a failure is taken as gone or unreachable.
-            is_silent = is_silent or at_fault != placement.target.name
+            is_silent = is_silent or at_fault != placement.target
             self._record_failure(
                 progress, placement, error, at_fault, waited_seconds
             )
@@ -246,7 +247,7 @@
                 self.leases.release(lease)
             self.metrics.record_send(outcome)
             self.router.record_attempt_end(
-                key, at_fault, is_success, is_target_fault, is_silent
+                key, at_fault.name, is_success, is_target_fault, is_silent
             )
 
     def _reserve(
@@ -282,11 +283,11 @@
         progress: request_progress.Progress,
         placement: request_router.Placement,
         error: errors.TargetError,
-        at_fault: str,
+        at_fault: target_records.Target,
         waited_seconds: float,
     ) -> None:
         progress.verdict = verdicts.combine(progress.verdict, error.verdict)
-        progress.failed_targets.add(at_fault)
+        progress.failed_targets.add(at_fault.name)
         if error.is_leaving:
             self.router.mark_target_leaving(at_fault)
         _LOG.warning(
@@ -294,7 +295,7 @@
             extra={
                 "request_id": progress.request.request_id,
                 "target": placement.target.name,
-                "at_fault": at_fault,
+                "at_fault": at_fault.name,
                 "verdict": error.verdict.value,
                 "reason": str(error),
                 "is_silent": error.is_silent,
@@ -382,9 +383,9 @@
 
 def _find_target_at_fault(
     placement: request_router.Placement, error: errors.TargetError
-) -> str:
-    """Returns the name of the target that caused a failure."""
+) -> target_records.Target:
+    """Returns the target that caused a failure."""
     for target in placement.helpers:
         if error.at_fault in (target.name, target.address):
-            return target.name
-    return placement.target.name
+            return target
+    return placement.target
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -88,7 +88,6 @@
         self.is_draining = False
         rng = random.Random(os.urandom(16))
         self.metrics = metrics_module.Metrics()
-        self.client = engines.EngineClient(clock.boot_seconds)
         self.datagrams = datagrams.DatagramTransport(
             settings.address, settings.datagram_port, self._receive_datagram
         )
@@ -99,6 +98,9 @@
             router, self.datagrams.send, clock.boot_seconds
         )
         self.router = router_client.RouterClient(self.actor)
+        self.client = engines.EngineClient(
+            clock.boot_seconds, self.router.mark_target_leaving
+        )
         self.store = store.StoreClient(settings.store_address)
         self.state_updater = fleet_state_updater.FleetStateUpdater(
             store.StoreSource(self.store),
@@ -108,7 +110,7 @@
             rng,
         )
         self.watch = caller_watch.DisconnectWatcher()
-        self.orders = orders.ReservationClient()
+        self.orders = orders.ReservationClient(self.router.mark_target_leaving)
         self.leases = memory_leases.MemoryLeases(
             # The incarnation keeps reservation ids distinct from those of
             # earlier runs of this instance.
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -153,6 +153,40 @@
         return error
 
 
+class LeavingTests(EngineClientTestCase):
+    """Targets that state in a response that they are leaving."""
+
+    def setUp(self):
+        super().setUp()
+        self.leaving = []
+        self.client = engines.EngineClient(time.monotonic, self.leaving.append)
+
+    def test_success_reports_the_target(self):
+        self.serve(make_response(extra=b"Server-Leaving: 1\r\n"))
+        self.assertEqual(b"ok", self.read_all(self.send()))
+        self.assertEqual([self.target], self.leaving)
+
+    def test_refusal_reports_the_target(self):
+        for status in ("503 Busy", "429 Busy"):
+            extra = b"Not-Executed: 1\r\nServer-Leaving: 1\r\n"
+            self.serve(make_response(status=status, extra=extra))
+            self.assert_send_fails(NOT_RUN)
+            self.assertEqual(self.target, self.leaving[-1])
+
+    def test_late_response_to_another_request_reports_the_target(self):
+        late = make_response(request_id="r0", extra=b"Server-Leaving: 1\r\n")
+        self.serve(late + make_response())
+        self.assertEqual(b"ok", self.read_all(self.send()))
+        self.assertEqual([self.target], self.leaving)
+
+    def test_other_values_report_nothing(self):
+        for value in (b"", b"0"):
+            extra = b"Server-Leaving: " + value + b"\r\n"
+            self.serve(make_response(extra=extra))
+            self.read_all(self.send())
+        self.assertEqual([], self.leaving)
+
+
 class RequestTests(EngineClientTestCase):
 
     def test_hop_by_hop_and_reserved_headers_are_not_forwarded(self):
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -11,17 +11,30 @@
 
 class ReservationTests(testtools.TestCase):
 
-    def reserve(self, status):
+    def setUp(self):
+        super().setUp()
+        self.leaving = []
+
+    def reserve(self, status, extra=b""):
         server = test_platform_engines.ScriptedServer(
-            b"HTTP/1.1 " + status + b"\r\nContent-Length: 2\r\n\r\n{}"
+            b"HTTP/1.1 "
+            + status
+            + b"\r\nContent-Length: 2\r\n"
+            + extra
+            + b"\r\n{}"
         )
         self.addCleanup(server.close)
         target = builders.make_target("e-1", address=server.address)
-        orders.ReservationClient().reserve(target, "t-1", 1_000, 3.0)
+        client = orders.ReservationClient(self.leaving.append)
+        client.reserve(target, "t-1", 1_000, 3.0)
 
     def test_accepted_order(self):
         self.reserve(b"200 OK")
 
+    def test_engine_that_states_its_leaving_is_reported(self):
+        self.reserve(b"200 OK", b"Server-Leaving: 1\r\n")
+        self.assertEqual(["e-1"], [target.name for target in self.leaving])
+
     def test_rejected_order_has_not_run(self):
         for status in (b"409 Conflict", b"421 Misdirected", b"400 Bad"):
             error = self.assertRaises(errors.TargetError, self.reserve, status)
