A request is not sent to a target that leaves after the request was placed

An answer of a coordinator was checked only against targets that were still listed.

A withheld send counts neither as a send nor as a failure of the target, and its request goes elsewhere.

--- a/catkintrail/adapters/router_client.py
+++ b/catkintrail/adapters/router_client.py
@@ -4,6 +4,7 @@
 
 from catkintrail import verdict as verdicts
 from catkintrail.adapters import router_actor
+from catkintrail.core import departures as departure_records
 from catkintrail.core import request_router
 from catkintrail.core import targets as target_records
 
@@ -23,10 +24,17 @@
 
     Attributes:
         proxy: The actor's proxy.
+        departures: The record of targets that are leaving. It is read without
+            the actor, right before each send.
     """
 
-    def __init__(self, actor_ref: pykka.ActorRef) -> None:
+    def __init__(
+        self,
+        actor_ref: pykka.ActorRef,
+        departures: departure_records.DepartureRecord,
+    ) -> None:
         self.proxy = actor_ref.proxy()
+        self.departures = departures
 
     def admit(
         self, host: str, path: str, api_key: str
@@ -76,6 +84,10 @@
             key, target, is_success, is_target_fault, is_silent
         )
 
+    def is_target_leaving(self, target: target_records.Target) -> bool:
+        """Returns whether a target is known to be leaving."""
+        return self.departures.contains(target)
+
     def mark_target_leaving(self, target: target_records.Target) -> None:
         """Records that a target is leaving, or gone from its address."""
         self.proxy.mark_target_leaving.defer(target)
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -300,11 +300,8 @@
 
     def avoids_leaving_targets(self, answer: messages.PlacementAnswer) -> bool:
         """Returns whether an answer names no target that is known to leave."""
-        known = self.fleet_state.targets.targets
-        return not any(
-            target.name in known and known[target.name].is_leaving
-            for target in answer.targets
-        )
+        departures = self.fleet_state.targets.departures
+        return not any(map(departures.contains, answer.targets))
 
     def record_first_token(
         self, key: str, measured_ms: float, predicted_ms: float, now: float
--- a/catkintrail/errors.py
+++ b/catkintrail/errors.py
@@ -115,6 +115,18 @@
         super().__init__(message)
 
 
+class TargetNotCalledError(TargetError):
+    """A call was withheld, because the target must not get it any more.
+
+    Attributes:
+        target: Name of the target; that of a helper if it is the cause.
+    """
+
+    def __init__(self, message: str, target: str) -> None:
+        self.target = target
+        super().__init__(message, verdicts.Verdict.NOT_RUN, at_fault=target)
+
+
 class TargetResponseError(TargetError):
     """A target ran the request and answered with an error status.
 
--- a/catkintrail/platform/engines.py
+++ b/catkintrail/platform/engines.py
@@ -58,8 +58,7 @@
 
     Attributes:
         clock: Returns the time in seconds.
-        report_leaving: Called with a target that states in a response that it
-            is leaving.
+        departures: The targets that are leaving.
         opened_connections: Number of attempts to open a connection.
         reused_connections: Number of times an idle connection was taken for a
             request.
@@ -72,10 +71,10 @@
     def __init__(
         self,
         clock: Callable[[], float],
-        report_leaving: relaying.ReportLeaving = lambda target: None,
+        departures: relaying.Departures = relaying.NO_DEPARTURES,
     ) -> None:
         self.clock = clock
-        self.report_leaving = report_leaving
+        self.departures = departures
         self.opened_connections = 0
         self.reused_connections = 0
         self.connection_shares: dict[str, int] = {}
@@ -291,6 +290,12 @@
                 "the caller's API key was last verified too long ago",
                 verdicts.Verdict.NOT_RUN,
             )
+        helpers = [helper for helper, _ in self.request.helpers]
+        for target in (self.target, *helpers):
+            if self.client.departures.contains(target):
+                raise errors.TargetNotCalledError(
+                    f"{target.name} is leaving", target.name
+                )
         self._send(data, until)
         informational_heads = 0
         while True:
@@ -466,7 +471,7 @@
             if name.lower() not in wire.HOP_BY_HOP
         )
         if wire.states_leaving(self.headers_by_name.get(wire.SERVER_LEAVING)):
-            self.client.report_leaving(self.target)
+            self.client.departures.report(self.target)
         self.is_signed = wire.ENGINE_STAMP in self.headers_by_name
         self._is_framed = (
             "content-length" in self.headers_by_name
--- a/catkintrail/platform/orders.py
+++ b/catkintrail/platform/orders.py
@@ -23,16 +23,15 @@
     """Reserves and releases memory on engines.
 
     Attributes:
-        report_leaving: Called with an engine that states in a response that
-            it is leaving.
+        departures: The engines that are leaving.
         order_count: Number of orders sent.
         http: Pool of connections to engines.
     """
 
     def __init__(
-        self, report_leaving: relaying.ReportLeaving = lambda target: None
+        self, departures: relaying.Departures = relaying.NO_DEPARTURES
     ) -> None:
-        self.report_leaving = report_leaving
+        self.departures = departures
         self.order_count = 0
         self.http = bounded_http.make_pool_manager(MAX_POOLS)
 
@@ -106,7 +105,7 @@
                 is_silent=True,
             ) from error
         if wire.states_leaving(response.headers.get(wire.SERVER_LEAVING)):
-            self.report_leaving(target)
+            self.departures.report(target)
         if response.status != 200:
             is_rejection = 400 <= response.status < 500
             raise errors.TargetError(
--- a/catkintrail/ports/relaying.py
+++ b/catkintrail/ports/relaying.py
@@ -14,14 +14,27 @@
     "CallerRequest",
     "MemoryLeases",
     "RelayMetrics",
-    "ReportLeaving",
+    "Departures",
+    "NO_DEPARTURES",
     "TargetSender",
     "Router",
     "TargetRequest",
 ]
 
-# Called with a target that has announced its shutdown in a response.
-ReportLeaving = Callable[[target_records.Target], None]
+
+class Departures(NamedTuple):
+    """Access to the record of targets that are leaving, from any thread.
+
+    Attributes:
+        report: Records that a target has announced its shutdown.
+        contains: Returns whether a target is known to be leaving.
+    """
+
+    report: Callable[[target_records.Target], None]
+    contains: Callable[[target_records.Target], bool]
+
+
+NO_DEPARTURES = Departures(lambda target: None, lambda target: False)
 
 
 class CallerRequest(NamedTuple):
@@ -255,6 +268,9 @@
             is_silent: Whether the target did not respond in time.
         """
 
+    def is_target_leaving(self, target: target_records.Target) -> bool:
+        """Returns whether a target is known to be leaving."""
+
     def mark_target_leaving(self, target: target_records.Target) -> None:
         """Records that a target is leaving, or gone from its address."""
 
--- a/catkintrail/relay.py
+++ b/catkintrail/relay.py
@@ -217,6 +217,7 @@
         leases: dict[str, memory_lease.Lease] = {}
         try:
             self._reserve(placement, leases)
+            self._check_departures(placement)
             self._exchange(
                 admission, progress, placement, leases, key, writer, caller
             )
@@ -228,7 +229,7 @@
                 raise errors.CallerDisconnectedError(
                     "the caller disconnected"
                 ) from error
-            is_target_fault = True
+            is_target_fault = not isinstance(error, errors.TargetNotCalledError)
             waited_seconds = self.clock() - sent_at
             is_silent = error.is_silent and (
                 waited_seconds >= MIN_SILENCE_SECONDS
@@ -266,6 +267,7 @@
         """
         for helper, tokens in zip(placement.helpers, placement.memory[1:]):
             if tokens:
+                self._check_departures(placement)
                 try:
                     lease = self.leases.reserve(helper, tokens)
                 except errors.TargetError as error:
@@ -278,6 +280,18 @@
                     ) from error
                 leases[helper.name] = lease
 
+    def _check_departures(self, placement: request_router.Placement) -> None:
+        """Checks that no target has left since the request was placed.
+
+        Raises:
+            errors.TargetNotCalledError: One of the targets is leaving.
+        """
+        for target in (placement.target, *placement.helpers):
+            if self.router.is_target_leaving(target):
+                raise errors.TargetNotCalledError(
+                    f"{target.name} is leaving", target.name
+                )
+
     def _record_failure(
         self,
         progress: request_progress.Progress,
@@ -352,7 +366,10 @@
             )
         except errors.TargetError as error:
             # A connection that was not established does not count as a send.
-            if error.verdict is not Verdict.NOT_RUN or not error.is_silent:
+            was_called = not isinstance(error, errors.TargetNotCalledError)
+            if was_called and (
+                error.verdict is not Verdict.NOT_RUN or not error.is_silent
+            ):
                 progress.send_count += 1
             raise
         progress.send_count += 1
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -34,6 +34,7 @@
 from catkintrail.platform import orders
 from catkintrail.platform import store
 from catkintrail.platform import wire
+from catkintrail.ports import relaying
 
 __all__ = ["RelayInstance", "run"]
 
@@ -97,10 +98,13 @@
         self.actor = router_actor.RouterActor.start(
             router, self.datagrams.send, clock.boot_seconds
         )
-        self.router = router_client.RouterClient(self.actor)
-        self.client = engines.EngineClient(
-            clock.boot_seconds, self.router.mark_target_leaving
+        self.router = router_client.RouterClient(
+            self.actor, router.fleet_state.targets.departures
         )
+        departures = relaying.Departures(
+            self.router.mark_target_leaving, self.router.is_target_leaving
+        )
+        self.client = engines.EngineClient(clock.boot_seconds, departures)
         self.store = store.StoreClient(settings.store_address)
         self.state_updater = fleet_state_updater.FleetStateUpdater(
             store.StoreSource(self.store),
@@ -110,7 +114,7 @@
             rng,
         )
         self.watch = caller_watch.DisconnectWatcher()
-        self.orders = orders.ReservationClient(self.router.mark_target_leaving)
+        self.orders = orders.ReservationClient(departures)
         self.leases = memory_leases.MemoryLeases(
             # The incarnation keeps reservation ids distinct from those of
             # earlier runs of this instance.
--- a/tests/test_fleet_state_updater.py
+++ b/tests/test_fleet_state_updater.py
@@ -105,7 +105,9 @@
             self.router, lambda addresses, message: None, time.monotonic
         )
         self.addCleanup(actor.stop)
-        self.client = router_client.RouterClient(actor)
+        self.client = router_client.RouterClient(
+            actor, self.router.fleet_state.targets.departures
+        )
         self.peer_state = None
         self.updater = fleet_state_updater.FleetStateUpdater(
             self.source,
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -159,7 +159,10 @@
     def setUp(self):
         super().setUp()
         self.leaving = []
-        self.client = engines.EngineClient(time.monotonic, self.leaving.append)
+        departures = relaying.Departures(
+            self.leaving.append, lambda target: target in self.leaving
+        )
+        self.client = engines.EngineClient(time.monotonic, departures)
 
     def test_success_reports_the_target(self):
         self.serve(make_response(extra=b"Server-Leaving: 1\r\n"))
@@ -171,7 +174,7 @@
             extra = b"Not-Executed: 1\r\nServer-Leaving: 1\r\n"
             self.serve(make_response(status=status, extra=extra))
             self.assert_send_fails(NOT_RUN)
-            self.assertEqual(self.target, self.leaving[-1])
+            self.assertEqual(self.target, self.leaving.pop())
 
     def test_late_response_to_another_request_reports_the_target(self):
         late = make_response(request_id="r0", extra=b"Server-Leaving: 1\r\n")
@@ -179,6 +182,22 @@
         self.assertEqual(b"ok", self.read_all(self.send()))
         self.assertEqual([self.target], self.leaving)
 
+    def test_target_that_left_after_it_was_chosen_gets_nothing(self):
+        self.serve(make_response())
+        self.leaving.append(self.target)
+        error = self.assertRaises(errors.TargetNotCalledError, self.send)
+        self.assertEqual(NOT_RUN, error.verdict)
+        self.assertEqual([[]], self.server.requests)
+
+    def test_request_with_a_helper_that_left_is_withheld(self):
+        self.serve(make_response())
+        helper = builders.make_target("e-2")
+        self.leaving.append(helper)
+        error = self.assertRaises(
+            errors.TargetNotCalledError, self.send, helpers=((helper, "t"),)
+        )
+        self.assertEqual("e-2", error.target)
+
     def test_other_values_report_nothing(self):
         for value in (b"", b"0"):
             extra = b"Server-Leaving: " + value + b"\r\n"
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -5,6 +5,7 @@
 from catkintrail import errors
 from catkintrail import verdict as verdicts
 from catkintrail.platform import orders
+from catkintrail.ports import relaying
 from tests import relaying as builders
 from tests import test_platform_engines
 
@@ -25,7 +26,9 @@
         )
         self.addCleanup(server.close)
         target = builders.make_target("e-1", address=server.address)
-        client = orders.ReservationClient(self.leaving.append)
+        client = orders.ReservationClient(
+            relaying.Departures(self.leaving.append, lambda target: False)
+        )
         client.reserve(target, "t-1", 1_000, 3.0)
 
     def test_accepted_order(self):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -153,6 +153,9 @@
             key, target, is_success, is_target_fault, is_silent, self.clock()
         )
 
+    def is_target_leaving(self, target):
+        return self.router.fleet_state.targets.departures.contains(target)
+
     def mark_target_leaving(self, target):
         self.leaving_targets.append(target)
 
@@ -282,6 +285,19 @@
             leaving[0], [send[0].name for send in self.targets.sends]
         )
 
+    def test_withheld_sends_use_up_neither_sends_nor_health(self):
+        withheld = errors.TargetNotCalledError("leaving", "")
+        self.serve(
+            withheld,
+            withheld,
+            FakeTargetResponse(200, [event(0)]),
+        )
+        self.assertEqual(200, self.reply.status)
+        for target, _, _ in self.targets.sends:
+            self.assertEqual(
+                0.0, self.router.health.penalty(target.name, 100.0)
+            )
+
 
 class AtMostOnceTests(RelayTestCase):
 
