A watch does not go on in another era of the store

Cause: the store came back from a copy some seconds old and gave its revisions out again. An instance went on watching from the revision it had; once the new history had passed that number the watch succeeded, and the changes below it were never seen.

A watch now starts from a position, era and revision. A response of another era ends it, whatever its revision says, and everything is read again; the calls that other threads wait for end as well, also when a failed call stated the era. Pages of two eras are not joined, late responses of an older era are not used. Entries that a copy lacks are kept for the 2 s in which they are written again, as after an outage. An era that is missing, unreadable or older is logged and the known one kept; an older one is taken after 8 responses in a row. Reads of a history that is replaced again and again back off up to 1 s.

--- a/catkintrail/adapters/bounded_http.py
+++ b/catkintrail/adapters/bounded_http.py
@@ -5,9 +5,12 @@
 ever, and fill its memory.
 """
 
+import contextlib
 import http.client
 import socket
 import time
+from typing import Any
+import weakref
 
 import urllib3
 from urllib3 import connection
@@ -95,6 +98,24 @@
 
     ConnectionCls = _BoundedConnection
 
+    def __init__(self, *args: Any, **options: Any) -> None:
+        self._connections: weakref.WeakSet = weakref.WeakSet()
+        super().__init__(*args, **options)
+
+    def _new_conn(self) -> connection.HTTPConnection:
+        new = super()._new_conn()
+        self._connections.add(new)
+        return new
+
+    def end_calls(self) -> None:
+        """Makes the calls in progress in other threads fail at once."""
+        for used in list(self._connections):
+            sock = used.sock
+            if sock is not None:
+                # It may be closed at the same time.
+                with contextlib.suppress(OSError):
+                    sock.shutdown(socket.SHUT_RDWR)
+
 
 def make_pool_manager(num_pools: int) -> urllib3.PoolManager:
     """Returns a manager of bounded pools that does not repeat requests.
--- a/catkintrail/core/fleet_state.py
+++ b/catkintrail/core/fleet_state.py
@@ -132,6 +132,13 @@
             self.store_recovered_at = now
         self.is_store_up = is_up
 
+    def record_store_restored(self, now: float) -> None:
+        """Records that the store has come back from an older copy.
+
+        As after an outage, entries that are missing are written again.
+        """
+        self.store_recovered_at = now
+
     def mark_target_leaving(
         self, name: str, born: int, now: float
     ) -> list[store_views.TargetChange]:
--- a/catkintrail/errors.py
+++ b/catkintrail/errors.py
@@ -88,6 +88,10 @@
     """The platform no longer keeps the requested range of changes."""
 
 
+class HistoryReplacedError(HistoryExpiredError):
+    """The platform's store has come back from an older copy."""
+
+
 class TargetError(CatkintrailError):
     """A call to a target failed.
 
--- a/catkintrail/fleet_state_updater.py
+++ b/catkintrail/fleet_state_updater.py
@@ -90,14 +90,14 @@
     """Result of a read or a watch call.
 
     Attributes:
-        revision: Revision to watch from next; -1 to read everything again.
+        position: Where to watch from next; None to read everything again.
         pause_seconds: Pause before the next call.
         apply: Passes the result to the router. It is called after the store
             was recorded as available, because the meaning of removals depends
             on that.
     """
 
-    revision: int
+    position: fleet_state_source.Position | None
     pause_seconds: float
     apply: Callable[[], None]
 
@@ -163,26 +163,34 @@
         self._run_watch("targets", self._fetch_targets)
 
     def _run_watch(
-        self, subject: str, fetch: Callable[[int], _FetchResult]
+        self,
+        subject: str,
+        fetch: Callable[[fleet_state_source.Position | None], _FetchResult],
     ) -> None:
         """Reads the store, then watches it while this instance has to watch.
 
         Args:
             subject: What is watched, for the log.
-            fetch: Reads everything if its argument is negative, otherwise
-                watches for changes after that revision.
+            fetch: Reads everything if its argument is None, otherwise watches
+                for changes after that position.
         """
         backoff = _Backoff(self.rng)
-        revision = -1
+        rereads = _Backoff(self.rng)
+        position = None
         while not self._stop.is_set():
             if not self._check_watch_role():
-                revision = -1
+                position = None
                 continue
             try:
-                result = fetch(revision)
+                result = fetch(position)
             except errors.HistoryExpiredError as error:
                 self._log_history_expired(subject, error)
-                revision = -1
+                if isinstance(error, errors.HistoryReplacedError):
+                    self.router.proxy.record_store_restored.defer()
+                position = None
+                # A store whose history changes with each answer must not be
+                # read without a pause.
+                self._stop.wait(rereads.next())
                 continue
             except errors.PlatformError as error:
                 self._record_store_state(False, error)
@@ -190,25 +198,29 @@
                 continue
             self._record_store_state(True)
             backoff.reset()
-            if revision < 0:
+            if position is None:
                 _LOG.info(
                     "store_read",
-                    extra={"subject": subject, "revision": result.revision},
+                    extra={"subject": subject, "position": result.position},
                 )
+            else:
+                rereads.reset()
             result.apply()
-            revision = result.revision
+            position = result.position
             self._stop.wait(result.pause_seconds)
 
-    def _fetch_configuration(self, revision: int) -> _FetchResult:
+    def _fetch_configuration(
+        self, position: fleet_state_source.Position | None
+    ) -> _FetchResult:
         sent_at = proven_at = self.clock()
-        if revision < 0:
+        if position is None:
             update = self.source.read_configuration(READ_TIMEOUTS_SECONDS[-1])
             if update.configuration is None:
                 # Nothing is published yet.
-                return _FetchResult(-1, BACKOFF_LIMIT_SECONDS, lambda: None)
+                return _FetchResult(None, BACKOFF_LIMIT_SECONDS, lambda: None)
         else:
             watch_seconds = self._configuration_watch_seconds()
-            update = self.source.watch_configuration(revision, watch_seconds)
+            update = self.source.watch_configuration(position, watch_seconds)
             if update.configuration is None:
                 waited_seconds = min(watch_seconds, self.clock() - sent_at)
                 proven_at += max(
@@ -216,23 +228,25 @@
                 )
         is_changed = update.configuration is not None
         return _FetchResult(
-            update.revision,
+            update.position,
             CONFIGURATION_PAUSE_SECONDS if is_changed else 0.0,
             lambda: self.router.proxy.update_configuration.defer(
                 update.configuration, proven_at, router_actor.STORE_SOURCE
             ),
         )
 
-    def _fetch_targets(self, revision: int) -> _FetchResult:
+    def _fetch_targets(
+        self, position: fleet_state_source.Position | None
+    ) -> _FetchResult:
         proxy = self.router.proxy
-        if revision < 0:
+        if position is None:
             update = self.source.list_targets()
             apply = proxy.replace_targets
         else:
-            update = self.source.watch_targets(revision, WATCH_SECONDS)
+            update = self.source.watch_targets(position, WATCH_SECONDS)
             apply = proxy.apply_target_events
         return _FetchResult(
-            update.revision,
+            update.position,
             TARGETS_PAUSE_SECONDS if update.events else 0.0,
             lambda: apply.defer(update.events, router_actor.STORE_SOURCE),
         )
--- a/catkintrail/platform/store.py
+++ b/catkintrail/platform/store.py
@@ -2,6 +2,7 @@
 
 import logging
 import socket
+import threading
 from typing import Any, NamedTuple
 import urllib.parse
 
@@ -30,6 +31,9 @@
 KEEP_ALIVE_INTERVAL_SECONDS = 1
 KEEP_ALIVE_PROBES = 2
 MAX_PAGES = 100
+# Responses of an older era in a row, after which that era is taken as current.
+# Fewer may be late responses.
+MAX_OLDER_RESPONSES = 8
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
@@ -48,11 +52,11 @@
 
     Attributes:
         objects: The decoded JSON objects; not validated.
-        revision: The store's revision as of the last page.
+        position: Era, and the store's revision as of the last page.
     """
 
     objects: list[Any]
-    revision: int
+    position: fleet_state_source.Position
 
 
 class ObjectChange(NamedTuple):
@@ -72,17 +76,24 @@
 
     Attributes:
         changes: The changes, in the store's order.
-        revision: Revision from which to continue the watch.
+        position: Where to continue the watch.
     """
 
     changes: list[ObjectChange]
-    revision: int
+    position: fleet_state_source.Position
+
+
+class _Response(NamedTuple):
+    status: int
+    content: Any
+    era: int
 
 
 class StoreClient:
     """HTTP client for the platform's object API.
 
-    Each method may raise errors.PlatformUnavailableError.
+    Each method may raise errors.PlatformUnavailableError. When the store comes
+    back from an older copy, the calls in progress end.
 
     Attributes:
         call_count: Number of calls made.
@@ -95,6 +106,9 @@
         host, _, port = address.rpartition(":")
         self.call_count = 0
         self.era = -1
+        self._older_responses = 0
+        self._states_era = False
+        self._lock = threading.Lock()
         self.http = bounded_http.BoundedPool(
             host,
             int(port),
@@ -106,10 +120,10 @@
     def read(self, kind: str, name: str) -> Any | None:
         """Returns an object; None if it does not exist."""
         path = f"{_kind_path(kind)}/{urllib.parse.quote(name, safe='')}"
-        status, content = self._get(path, RESPONSE_TIMEOUT_SECONDS)
-        if status == 404:
+        response = self._get(path, RESPONSE_TIMEOUT_SECONDS)
+        if response.status == 404:
             return None
-        return content
+        return response.content
 
     def list(
         self, kind: str, timeout_seconds: float = RESPONSE_TIMEOUT_SECONDS
@@ -121,22 +135,33 @@
             timeout_seconds: How long to wait for each page.
 
         Raises:
+            errors.HistoryReplacedError: The pages are of different eras.
             errors.PlatformError: A response is unexpected or malformed, or
                 there are more than MAX_PAGES pages.
         """
         objects: list[Any] = []
         path = _kind_path(kind)
         query = ""
+        era = None
         for _ in range(MAX_PAGES):
-            status, page = self._get(path + query, timeout_seconds)
-            if status != 200:
-                raise errors.PlatformError(f"{path}: status {status}")
+            response = self._get(path + query, timeout_seconds)
+            if response.status != 200:
+                raise errors.PlatformError(f"{path}: status {response.status}")
+            if era not in (None, response.era):
+                raise errors.HistoryReplacedError(
+                    f"{kind}: era {response.era} follows {era}"
+                )
+            era = response.era
+            page = response.content
             try:
                 objects += page["items"]
                 if not page["has-more"]:
                     # The store's revision, to watch from; objects have their
                     # own revisions.
-                    return ObjectListing(objects, int(page["as-of"]))
+                    position = fleet_state_source.Position(
+                        era, int(page["as-of"])
+                    )
+                    return ObjectListing(objects, position)
                 # `after-rev` takes the name of the last object.
                 last = objects[-1]["metadata"]["name"]
             except (KeyError, TypeError, ValueError, IndexError) as error:
@@ -145,40 +170,55 @@
         raise errors.PlatformError(f"{path}: more than {MAX_PAGES} pages")
 
     def watch(
-        self, kind: str, revision: int, wait_seconds: float
+        self,
+        kind: str,
+        position: fleet_state_source.Position,
+        wait_seconds: float,
     ) -> WatchResult:
-        """Waits for changes after a revision.
+        """Waits for changes after a position.
 
         Args:
             kind: Kind of the objects.
-            revision: Revision after which changes are returned.
+            position: Position after which changes are returned.
             wait_seconds: The longest wait for a change.
 
         Raises:
             errors.HistoryExpiredError: The store has discarded these changes.
+            errors.HistoryReplacedError: The store has come back from an older
+                copy since the position. Its revision numbers are given out
+                again, so that changes before the position may be unknown.
             errors.PlatformError: The response is unexpected or malformed.
         """
         query = urllib.parse.urlencode(
-            {"watch": revision, "wait-ms": int(wait_seconds * 1000)}
+            {
+                "watch": position.revision,
+                "wait-ms": int(wait_seconds * 1000),
+            }
         )
         path = f"{_kind_path(kind)}?{query}"
-        status, page = self._get(path, wait_seconds + WATCH_SLACK_SECONDS)
-        if status == 410:
+        response = self._get(path, wait_seconds + WATCH_SLACK_SECONDS)
+        if response.era != position.era:
+            raise errors.HistoryReplacedError(
+                f"{kind}: era {response.era} follows {position.era}"
+            )
+        if response.status == 410:
             raise errors.HistoryExpiredError(
-                f"{kind}: no history since revision {revision}"
+                f"{kind}: no history since revision {position.revision}"
             )
-        if status != 200:
-            raise errors.PlatformError(f"{path}: status {status}")
+        if response.status != 200:
+            raise errors.PlatformError(f"{path}: status {response.status}")
+        page = response.content
         try:
             changes = [
                 ObjectChange(event["object"], bool(event["removed"]))
                 for event in page["events"]
             ]
-            return WatchResult(changes, int(page["as-of"]))
+            position = position._replace(revision=int(page["as-of"]))
+            return WatchResult(changes, position)
         except (KeyError, TypeError, ValueError) as error:
             raise errors.PlatformError(f"{path}: {error!r}") from error
 
-    def _get(self, path: str, timeout_seconds: float) -> tuple[int, Any]:
+    def _get(self, path: str, timeout_seconds: float) -> _Response:
         self.call_count += 1
         try:
             response = self.http.request(
@@ -192,28 +232,55 @@
             raise errors.PlatformUnavailableError(
                 f"cannot reach the store: {error}"
             ) from error
-        self._record_era(response.headers.get(wire.STORE_ERA, ""))
+        era = self._check_era(response.headers.get(wire.STORE_ERA, ""))
         if response.status in (429, 500, 503):
             raise errors.PlatformUnavailableError(
                 f"the store responded with status {response.status}"
             )
         if response.status != 200:
-            return response.status, None
+            return _Response(response.status, None, era)
         try:
-            return 200, msgspec.json.decode(response.data)
+            return _Response(200, msgspec.json.decode(response.data), era)
         except msgspec.DecodeError as error:
             raise errors.PlatformUnavailableError(
                 f"cannot decode a response of the store: {error}"
             ) from error
 
-    def _record_era(self, text: str) -> None:
-        era = wire.decode_era(text)
-        if era == self.era:
-            return
-        _LOG.warning(
-            "store_era_changed", extra={"era": era, "replaced_era": self.era}
-        )
-        self.era = era
+    def _check_era(self, text: str) -> int:
+        """Compares the era of a response with the known one.
+
+        A response without a valid era counts as one of the known era.
+
+        Returns:
+            The current era.
+
+        Raises:
+            errors.PlatformUnavailableError: The response is of an older era.
+        """
+        stated = wire.decode_era(text)
+        with self._lock:
+            known = self.era
+            if (stated >= 0) is not self._states_era:
+                self._states_era = stated >= 0
+                if stated < 0 <= known:
+                    _LOG.warning("store_era_unreadable", extra={"era": text})
+            if 0 <= stated < known:
+                self._older_responses += 1
+                if self._older_responses < MAX_OLDER_RESPONSES:
+                    raise errors.PlatformUnavailableError(
+                        f"a response of era {stated} came after era {known}"
+                    )
+            self._older_responses = 0
+            if stated in (-1, known):
+                return known
+            self.era = stated
+        if known >= 0:
+            _LOG.warning(
+                "store_era_changed",
+                extra={"era": stated, "replaced_era": known},
+            )
+            self.http.end_calls()
+        return stated
 
 
 class StoreSource:
@@ -236,17 +303,17 @@
         """Returns the current configuration."""
         listing = self.client.list(CONFIGURATION_KIND, timeout_seconds)
         return fleet_state_source.ConfigurationUpdate(
-            _newest_configuration(listing.objects), listing.revision
+            _newest_configuration(listing.objects), listing.position
         )
 
     def watch_configuration(
-        self, revision: int, wait_seconds: float
+        self, position: fleet_state_source.Position, wait_seconds: float
     ) -> fleet_state_source.ConfigurationUpdate:
-        """Waits for a change of the configuration after a revision."""
-        result = self.client.watch(CONFIGURATION_KIND, revision, wait_seconds)
+        """Waits for a change of the configuration after a position."""
+        result = self.client.watch(CONFIGURATION_KIND, position, wait_seconds)
         objects = [c.content for c in result.changes if not c.is_removed]
         return fleet_state_source.ConfigurationUpdate(
-            _newest_configuration(objects), result.revision
+            _newest_configuration(objects), result.position
         )
 
     def list_targets(self) -> fleet_state_source.TargetUpdate:
@@ -254,20 +321,20 @@
         listing = self.client.list(TARGET_KIND)
         events = [_decode_target_event(item, False) for item in listing.objects]
         return fleet_state_source.TargetUpdate(
-            tuple(event for event in events if event), listing.revision
+            tuple(event for event in events if event), listing.position
         )
 
     def watch_targets(
-        self, revision: int, wait_seconds: float
+        self, position: fleet_state_source.Position, wait_seconds: float
     ) -> fleet_state_source.TargetUpdate:
-        """Waits for changes of the targets after a revision."""
-        result = self.client.watch(TARGET_KIND, revision, wait_seconds)
+        """Waits for changes of the targets after a position."""
+        result = self.client.watch(TARGET_KIND, position, wait_seconds)
         events = [
             _decode_target_event(change.content, change.is_removed)
             for change in result.changes
         ]
         return fleet_state_source.TargetUpdate(
-            tuple(event for event in events if event), result.revision
+            tuple(event for event in events if event), result.position
         )
 
 
--- a/catkintrail/ports/fleet_state_source.py
+++ b/catkintrail/ports/fleet_state_source.py
@@ -8,22 +8,37 @@
 __all__ = [
     "FleetStateSource",
     "ConfigurationUpdate",
+    "Position",
     "TargetEvent",
     "TargetUpdate",
 ]
 
 
+class Position(NamedTuple):
+    """A point in the history of the store.
+
+    Attributes:
+        era: Rises each time the store comes back from an older copy; -1 if the
+            store does not state it. Revisions of different eras cannot be
+            compared.
+        revision: Revision of the store.
+    """
+
+    era: int
+    revision: int
+
+
 class ConfigurationUpdate(NamedTuple):
     """Result of a read or watch of the configuration.
 
     Attributes:
         configuration: The newest configuration; None if there is none or a
             watch found no change.
-        revision: Revision of the store from which to watch.
+        position: Where to watch from.
     """
 
     configuration: route_table.Configuration | None
-    revision: int
+    position: Position
 
 
 class TargetEvent(NamedTuple):
@@ -45,11 +60,11 @@
 
     Attributes:
         events: The changes; for a list, one event for each entry.
-        revision: Revision of the store from which to watch.
+        position: Where to watch from.
     """
 
     events: tuple[TargetEvent, ...]
-    revision: int
+    position: Position
 
 
 class FleetStateSource(Protocol):
@@ -57,7 +72,8 @@
 
     Each method may raise errors.PlatformUnavailableError. The watches may also
     raise errors.HistoryExpiredError if the store has discarded changes after
-    the revision. They wait at most `wait_seconds`.
+    the position, and errors.HistoryReplacedError if it has come back from an
+    older copy since. They wait at most `wait_seconds`.
     """
 
     def read_configuration(self, timeout_seconds: float) -> ConfigurationUpdate:
@@ -68,12 +84,14 @@
         """
 
     def watch_configuration(
-        self, revision: int, wait_seconds: float
+        self, position: Position, wait_seconds: float
     ) -> ConfigurationUpdate:
-        """Waits for a change of the configuration after a revision."""
+        """Waits for a change of the configuration after a position."""
 
     def list_targets(self) -> TargetUpdate:
         """Returns all current targets."""
 
-    def watch_targets(self, revision: int, wait_seconds: float) -> TargetUpdate:
-        """Waits for changes of the targets after a revision."""
+    def watch_targets(
+        self, position: Position, wait_seconds: float
+    ) -> TargetUpdate:
+        """Waits for changes of the targets after a position."""
--- a/tests/test_fleet_state_updater.py
+++ b/tests/test_fleet_state_updater.py
@@ -176,6 +176,19 @@
             time.sleep(0.02)
         self.assertIn("read", self.source.calls)
 
+    def test_history_that_is_replaced_again_and_again_causes_no_storm(self):
+        def replace_history(position, wait_seconds):
+            self.source.calls.append("watch")
+            raise errors.HistoryReplacedError("replaced")
+
+        self.source.watch_configuration = replace_history
+        self.source.watch_targets = replace_history
+        self.updater.start()
+        self.wait_for(lambda status: status.is_ready)
+        time.sleep(2.0)
+        self.assertTrue(self.client.status().is_ready)
+        self.assertLess(len(self.source.calls), 40)
+
     def test_peer_is_queried_while_the_store_is_unavailable(self):
         self.source.is_up = False
         self.client.proxy.handle_message(
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,7 +1,12 @@
+import contextlib
+import threading
+import time
+
 import testtools
 
 from catkintrail import errors
 from catkintrail.platform import store
+from catkintrail.ports import fleet_state_source
 from tests import platform_standins
 
 
@@ -31,9 +36,9 @@
         reading = self.source.read_configuration()
         self.assertEqual(3, reading.configuration.version)
         self.store.put("config", "main", platform_standins.make_spec(5))
-        update = self.source.watch_configuration(reading.revision, 1.0)
+        update = self.source.watch_configuration(reading.position, 1.0)
         self.assertEqual(5, update.configuration.version)
-        no_change = self.source.watch_configuration(update.revision, 0.1)
+        no_change = self.source.watch_configuration(update.position, 0.1)
         self.assertIsNone(no_change.configuration)
 
     def test_list_reads_all_pages(self):
@@ -56,7 +61,7 @@
         self.put_target("i-1")
         reading = self.source.list_targets()
         self.store.remove("servers", "i-1")
-        update = self.source.watch_targets(reading.revision, 1.0)
+        update = self.source.watch_targets(reading.position, 1.0)
         self.assertEqual(
             [("i-1", True)], [(e.name, e.is_removed) for e in update.events]
         )
@@ -64,7 +69,10 @@
     def test_discarded_history_raises_history_expired_error(self):
         self.store.discard_history()
         self.assertRaises(
-            errors.HistoryExpiredError, self.source.watch_targets, 1, 0.1
+            errors.HistoryExpiredError,
+            self.source.watch_targets,
+            fleet_state_source.Position(1, 1),
+            0.1,
         )
 
     def test_failing_store_raises_platform_unavailable_error(self):
@@ -78,3 +86,113 @@
         self.assertRaises(
             errors.PlatformUnavailableError, self.source.list_targets
         )
+
+
+class EraTests(testtools.TestCase):
+    """A store that comes back from an older copy."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = platform_standins.Store()
+        self.addCleanup(self.store.close)
+        self.client = store.StoreClient(self.store.address)
+        for number in range(4):
+            self.store.put("servers", f"i-{number}", {})
+
+    def test_watch_does_not_go_on_in_another_era(self):
+        copy = self.store.copy()
+        self.store.put("servers", "i-8", {})
+        position = self.client.list("servers").position
+        writes = [("servers", f"i-{number}", {}) for number in range(5)]
+        self.store.restore(copy, writes)
+        self.assertRaises(
+            errors.HistoryReplacedError,
+            self.client.watch,
+            "servers",
+            position,
+            0.1,
+        )
+        reading = self.client.list("servers")
+        self.assertEqual(5, len(reading.objects))
+        self.assertEqual(2, reading.position.era)
+
+    def test_watch_from_a_revision_that_is_not_yet_given_again(self):
+        copy = self.store.copy()
+        self.store.put("servers", "i-8", {})
+        position = self.client.list("servers").position
+        self.store.restore(copy)
+        self.assertRaises(
+            errors.HistoryReplacedError,
+            self.client.watch,
+            "servers",
+            position,
+            0.1,
+        )
+
+    def test_pages_of_different_eras_are_not_joined(self):
+        self.store.page_size = 3
+        handle = self.store.handle_request
+
+        def restore_after_first_page(handler):
+            handle(handler)
+            if self.store.era == 1:
+                self.store.restore(self.store.copy())
+
+        self.store.handle_request = restore_after_first_page
+        self.assertRaises(
+            errors.HistoryReplacedError, self.client.list, "servers"
+        )
+        self.assertEqual(4, len(self.client.list("servers").objects))
+
+    def test_late_response_of_an_older_era_is_not_used(self):
+        self.store.era = 5
+        self.client.list("servers")
+        self.store.era = 4
+        self.assertRaises(
+            errors.PlatformUnavailableError, self.client.list, "servers"
+        )
+        self.assertEqual(5, self.client.era)
+
+    def test_older_era_is_accepted_if_no_other_is_stated(self):
+        self.store.era = 5
+        self.client.list("servers")
+        self.store.era = 4
+        for _ in range(store.MAX_OLDER_RESPONSES - 1):
+            self.assertRaises(
+                errors.PlatformUnavailableError, self.client.list, "servers"
+            )
+        self.assertEqual(4, self.client.list("servers").position.era)
+
+    def test_era_of_failed_calls_counts(self):
+        self.client.list("servers")
+        self.store.era = 2
+        self.store.status = 503
+        self.assertRaises(
+            errors.PlatformUnavailableError, self.client.list, "servers"
+        )
+        self.assertEqual(2, self.client.era)
+
+    def test_responses_without_a_valid_era_keep_the_known_one(self):
+        self.store.era = 3
+        position = self.client.list("servers").position
+        for era in ("", "-1", "3.5", "x", "9" * 40, "\u00b2"):
+            self.store.era = era
+            result = self.client.watch("servers", position, 0.05)
+            self.assertEqual(3, result.position.era)
+
+    def test_watch_ends_when_another_call_sees_a_new_era(self):
+        position = self.client.list("servers").position
+        ended = threading.Event()
+
+        def watch():
+            with contextlib.suppress(errors.PlatformError):
+                self.client.watch("servers", position, 10.0)
+            ended.set()
+
+        threading.Thread(target=watch, daemon=True).start()
+        end = time.monotonic() + 5.0
+        while "watch" not in self.store.calls[-1] and time.monotonic() < end:
+            time.sleep(0.01)
+        self.store.era = 2
+        self.client.list("servers")
+        self.assertTrue(ended.wait(2.0))
--- a/tests/test_store_views.py
+++ b/tests/test_store_views.py
@@ -115,6 +115,15 @@
         self.router.fleet_state.record_store_state(True, 101.0)
         self.assertEqual(["target_gone"], self.remove_target(104.0))
 
+    def test_target_missing_in_an_older_copy_is_kept_until_written_again(self):
+        state = self.router.fleet_state
+        state.record_store_restored(101.0)
+        self.assertEqual([], state.replace_targets([], 101.1))
+        self.assertIn("e-1", state.targets.by_service["engines"])
+        self.assertEqual([], state.expire(102.9))
+        state.replace_targets([relaying.make_target("e-1")], 102.9)
+        self.assertEqual([], state.expire(110.0))
+
     def test_removal_right_after_an_outage_is_delayed(self):
         self.router.fleet_state.record_store_state(False, 100.0)
         self.router.fleet_state.record_store_state(True, 101.0)
