An older list of targets of a peer does not replace newer knowledge

Targets that were gone came back, new ones were dropped.

What an instance knows of the targets now has a position of the store's history. It goes along with the state that peers fetch and with changes that watchers pass on; a peer's list of an older position is ignored. A list of the store itself always holds. test_older_list_of_a_peer_is_ignored fails without the check.

--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -60,12 +60,14 @@
         proof_age_seconds: Seconds since that configuration was last known to
             be the newest.
         targets: The listed targets.
+        targets_position: Position of the store that the targets reflect.
     """
 
     version: int
     configuration: route_table.Configuration | None
     proof_age_seconds: float
     targets: tuple[target_records.Target, ...]
+    targets_position: store_views.Position
 
 
 class RouterStatus(NamedTuple):
@@ -352,22 +354,33 @@
         return True
 
     def replace_targets(
-        self, events: tuple[fleet_state_source.TargetEvent, ...], source: str
+        self,
+        events: tuple[fleet_state_source.TargetEvent, ...],
+        position: store_views.Position,
+        source: str,
     ) -> None:
-        """Replaces the list of targets by one that a source reported."""
+        """Replaces the list of targets by one that a source reported.
+
+        A peer's list that is older than the known targets is ignored.
+        """
+        state = self._router.fleet_state
+        if source != STORE_SOURCE and state.is_older_list(position):
+            return
         targets = [event.target for event in events if event.target]
-        changes = self._router.fleet_state.replace_targets(
-            targets, self._clock()
-        )
+        changes = state.replace_targets(targets, self._clock(), position)
         self._apply_changes(changes, source)
         if source == STORE_SOURCE:
             self._broadcast_store_changes(changes)
 
     def apply_target_events(
-        self, events: tuple[fleet_state_source.TargetEvent, ...], source: str
+        self,
+        events: tuple[fleet_state_source.TargetEvent, ...],
+        position: store_views.Position,
+        source: str,
     ) -> None:
-        """Applies changes of the list of targets."""
+        """Applies changes of the list of targets, which lead to a position."""
         now = self._clock()
+        self._router.fleet_state.targets_position = position
         changes = []
         for event in events:
             changes += self._router.fleet_state.update_target(
@@ -518,6 +531,7 @@
             table.configuration if is_newer else None,
             age,
             tuple(router.fleet_state.targets.targets.values()),
+            router.fleet_state.targets_position,
         )
 
     def status(self) -> RouterStatus:
@@ -603,6 +617,7 @@
                 router.fleet_state.configuration.version,
                 tuple(known[start:end]),
                 tuple(removed[start:end]),
+                router.fleet_state.targets_position,
             )
             self._send(direct_addresses, news)
         if gateways and not changes:
--- a/catkintrail/core/fleet_state.py
+++ b/catkintrail/core/fleet_state.py
@@ -36,6 +36,7 @@
         incarnation: Number that increases with each start of the instance.
         configuration: The newest known configuration.
         targets: The known targets.
+        targets_position: Position of the store that the targets reflect.
         has_target_list: Whether a complete list of targets has been received.
         peers: The other instances.
         is_store_up: Whether the store responded to the last call.
@@ -56,6 +57,7 @@
         self.incarnation = incarnation
         self.configuration = store_views.ConfigurationView()
         self.targets = store_views.TargetView()
+        self.targets_position = store_views.NO_POSITION
         self.has_target_list = False
         self.peers = fleet_peers.FleetPeers(
             settings.address,
@@ -94,12 +96,27 @@
         self,
         listed: list[target_records.Target],
         now: float,
+        position: store_views.Position = store_views.NO_POSITION,
     ) -> list[store_views.TargetChange]:
-        """Applies a complete list of targets; returns the changes."""
+        """Applies a complete list of targets.
+
+        Args:
+            listed: The targets.
+            now: Time in seconds.
+            position: Position of the store that the list reflects.
+
+        Returns:
+            The changes of the known targets.
+        """
+        self.targets_position = position
         self.has_target_list = True
         changes = self.targets.replace_all(listed, self._lapse_grace_end(), now)
         return self._record_leaving(changes, now)
 
+    def is_older_list(self, position: store_views.Position) -> bool:
+        """Returns whether a list is older than the known targets."""
+        return self.has_target_list and position < self.targets_position
+
     def update_target(
         self,
         target: target_records.Target | None,
@@ -301,6 +318,9 @@
             The changes of the known targets.
         """
         self._record_peer_version(address, news.version)
+        if self.has_target_list:
+            position = store_views.Position(*news.position)
+            self.targets_position = max(self.targets_position, position)
         changes = []
         for target in news.targets:
             changes += self.targets.put(target, now)
--- a/catkintrail/core/store_views.py
+++ b/catkintrail/core/store_views.py
@@ -13,6 +13,8 @@
 
 __all__ = [
     "ConfigurationView",
+    "NO_POSITION",
+    "Position",
     "REMOVAL_EVENTS",
     "TargetView",
     "TargetChange",
@@ -26,6 +28,23 @@
 LAPSE_GRACE_SECONDS = 2.0
 
 
+class Position(NamedTuple):
+    """A point in the history of the store.
+
+    Attributes:
+        era: Rises each time the store comes back from an older copy; -1 if the
+            store does not state it. A later era is newer, whatever the
+            revisions are.
+        revision: Revision of the store.
+    """
+
+    era: int
+    revision: int
+
+
+NO_POSITION = Position(-1, -1)
+
+
 class ConfigurationView:
     """The newest known configuration and the age of this knowledge.
 
--- a/catkintrail/fleet_state_updater.py
+++ b/catkintrail/fleet_state_updater.py
@@ -15,6 +15,7 @@
 from catkintrail import errors
 from catkintrail.adapters import router_actor
 from catkintrail.adapters import router_client
+from catkintrail.core import store_views
 from catkintrail.ports import fleet_state_source
 
 __all__ = ["FleetStateUpdater"]
@@ -97,7 +98,7 @@
             on that.
     """
 
-    position: fleet_state_source.Position | None
+    position: store_views.Position | None
     pause_seconds: float
     apply: Callable[[], None]
 
@@ -165,7 +166,7 @@
     def _run_watch(
         self,
         subject: str,
-        fetch: Callable[[fleet_state_source.Position | None], _FetchResult],
+        fetch: Callable[[store_views.Position | None], _FetchResult],
     ) -> None:
         """Reads the store, then watches it while this instance has to watch.
 
@@ -210,7 +211,7 @@
             self._stop.wait(result.pause_seconds)
 
     def _fetch_configuration(
-        self, position: fleet_state_source.Position | None
+        self, position: store_views.Position | None
     ) -> _FetchResult:
         sent_at = proven_at = self.clock()
         if position is None:
@@ -236,7 +237,7 @@
         )
 
     def _fetch_targets(
-        self, position: fleet_state_source.Position | None
+        self, position: store_views.Position | None
     ) -> _FetchResult:
         proxy = self.router.proxy
         if position is None:
@@ -248,7 +249,9 @@
         return _FetchResult(
             update.position,
             TARGETS_PAUSE_SECONDS if update.events else 0.0,
-            lambda: apply.defer(update.events, router_actor.STORE_SOURCE),
+            lambda: apply.defer(
+                update.events, update.position, router_actor.STORE_SOURCE
+            ),
         )
 
     def _check_watch_role(self) -> bool:
@@ -358,7 +361,7 @@
                 fleet_state_source.TargetEvent(target.name, target, False)
                 for target in state.targets
             )
-            proxy.replace_targets.defer(events, source)
+            proxy.replace_targets.defer(events, state.targets_position, source)
         return state.proof_age_seconds < STALE_PROOF_SECONDS
 
     def _log_history_expired(self, subject: str, error: Exception) -> None:
--- a/catkintrail/messages.py
+++ b/catkintrail/messages.py
@@ -555,12 +555,14 @@
         version: Version of the configuration known to the watcher.
         targets: Entries of targets that changed.
         removed: Names of targets that were removed.
+        position: Era and revision of the store that the changes lead to.
     """
 
     sender: str
     version: int
     targets: tuple[targets.Target, ...]
     removed: tuple[str, ...]
+    position: tuple[int, int]
 
 
 class Forwarded(NamedTuple):
--- a/catkintrail/platform/store.py
+++ b/catkintrail/platform/store.py
@@ -13,6 +13,7 @@
 from catkintrail import errors
 from catkintrail.adapters import bounded_http
 from catkintrail.core import route_table
+from catkintrail.core import store_views
 from catkintrail.platform import wire
 from catkintrail.ports import fleet_state_source
 
@@ -56,7 +57,7 @@
     """
 
     objects: list[Any]
-    position: fleet_state_source.Position
+    position: store_views.Position
 
 
 class ObjectChange(NamedTuple):
@@ -80,7 +81,7 @@
     """
 
     changes: list[ObjectChange]
-    position: fleet_state_source.Position
+    position: store_views.Position
 
 
 class _Response(NamedTuple):
@@ -158,9 +159,7 @@
                 if not page["has-more"]:
                     # The store's revision, to watch from; objects have their
                     # own revisions.
-                    position = fleet_state_source.Position(
-                        era, int(page["as-of"])
-                    )
+                    position = store_views.Position(era, int(page["as-of"]))
                     return ObjectListing(objects, position)
                 # `after-rev` takes the name of the last object.
                 last = objects[-1]["metadata"]["name"]
@@ -172,7 +171,7 @@
     def watch(
         self,
         kind: str,
-        position: fleet_state_source.Position,
+        position: store_views.Position,
         wait_seconds: float,
     ) -> WatchResult:
         """Waits for changes after a position.
@@ -307,7 +306,7 @@
         )
 
     def watch_configuration(
-        self, position: fleet_state_source.Position, wait_seconds: float
+        self, position: store_views.Position, wait_seconds: float
     ) -> fleet_state_source.ConfigurationUpdate:
         """Waits for a change of the configuration after a position."""
         result = self.client.watch(CONFIGURATION_KIND, position, wait_seconds)
@@ -325,7 +324,7 @@
         )
 
     def watch_targets(
-        self, position: fleet_state_source.Position, wait_seconds: float
+        self, position: store_views.Position, wait_seconds: float
     ) -> fleet_state_source.TargetUpdate:
         """Waits for changes of the targets after a position."""
         result = self.client.watch(TARGET_KIND, position, wait_seconds)
--- a/catkintrail/ports/fleet_state_source.py
+++ b/catkintrail/ports/fleet_state_source.py
@@ -3,31 +3,17 @@
 from typing import NamedTuple, Protocol
 
 from catkintrail.core import route_table
+from catkintrail.core import store_views
 from catkintrail.core import targets as target_records
 
 __all__ = [
     "FleetStateSource",
     "ConfigurationUpdate",
-    "Position",
     "TargetEvent",
     "TargetUpdate",
 ]
 
 
-class Position(NamedTuple):
-    """A point in the history of the store.
-
-    Attributes:
-        era: Rises each time the store comes back from an older copy; -1 if the
-            store does not state it. Revisions of different eras cannot be
-            compared.
-        revision: Revision of the store.
-    """
-
-    era: int
-    revision: int
-
-
 class ConfigurationUpdate(NamedTuple):
     """Result of a read or watch of the configuration.
 
@@ -38,7 +24,7 @@
     """
 
     configuration: route_table.Configuration | None
-    position: Position
+    position: store_views.Position
 
 
 class TargetEvent(NamedTuple):
@@ -64,7 +50,7 @@
     """
 
     events: tuple[TargetEvent, ...]
-    position: Position
+    position: store_views.Position
 
 
 class FleetStateSource(Protocol):
@@ -84,7 +70,7 @@
         """
 
     def watch_configuration(
-        self, position: Position, wait_seconds: float
+        self, position: store_views.Position, wait_seconds: float
     ) -> ConfigurationUpdate:
         """Waits for a change of the configuration after a position."""
 
@@ -92,6 +78,6 @@
         """Returns all current targets."""
 
     def watch_targets(
-        self, position: Position, wait_seconds: float
+        self, position: store_views.Position, wait_seconds: float
     ) -> TargetUpdate:
         """Waits for changes of the targets after a position."""
--- a/tests/test_coordinators.py
+++ b/tests/test_coordinators.py
@@ -8,6 +8,7 @@
 from catkintrail.adapters import router_actor
 from catkintrail.core import fleet_peers
 from catkintrail.core import request_router
+from catkintrail.core import store_views
 from catkintrail.ports import fleet_state_source
 from tests import relaying as builders
 from tests import virtual_fleet
@@ -178,7 +179,9 @@
             events = tuple(
                 fleet_state_source.TargetEvent(t.name, t, False) for t in listed
             )
-            watcher.replace_targets(events, router_actor.STORE_SOURCE)
+            watcher.replace_targets(
+                events, store_views.Position(1, 1), router_actor.STORE_SOURCE
+            )
             fleet.run(0.5)
             known = fleet.router("10.0.0.3").fleet_state.targets.targets
             self.assertEqual({t.name for t in listed}, set(known))
--- a/tests/test_fleet_state_updater.py
+++ b/tests/test_fleet_state_updater.py
@@ -11,6 +11,7 @@
 from catkintrail.adapters import router_actor
 from catkintrail.adapters import router_client
 from catkintrail.core import request_router
+from catkintrail.core import store_views
 from catkintrail.ports import fleet_state_source
 from tests import relaying as builders
 
@@ -85,7 +86,9 @@
 
     def list_targets(self):
         self._check("list")
-        return fleet_state_source.TargetUpdate(self._events(), 1)
+        return fleet_state_source.TargetUpdate(
+            self._events(), store_views.Position(1, 1)
+        )
 
     def watch_targets(self, revision, wait_seconds):
         self._check("watch targets")
@@ -160,6 +163,25 @@
             # A tenth of the deadline of most callers.
             self.wait_for(lambda status: status.proof_age_seconds < 1.0, 1.0)
 
+    def test_older_list_of_a_peer_is_ignored(self):
+        def replace(names, position, source):
+            events = tuple(
+                fleet_state_source.TargetEvent(
+                    name, builders.make_target(name), False
+                )
+                for name in names
+            )
+            self.client.proxy.replace_targets(events, position, source).get()
+            return set(self.router.fleet_state.targets.targets)
+
+        known = replace(
+            ["e-1"], store_views.Position(1, 9), router_actor.STORE_SOURCE
+        )
+        older = replace(["e-1", "e-2"], store_views.Position(1, 8), "peer")
+        newer = replace(["e-1", "e-3"], store_views.Position(2, 1), "peer")
+        self.assertEqual(({"e-1"}, {"e-1"}), (known, older))
+        self.assertEqual({"e-1", "e-3"}, newer)
+
     def test_failed_calls_are_followed_by_backoff(self):
         self.source.is_up = False
         self.updater.start()
@@ -202,6 +224,7 @@
             builders.make_configuration(4),
             0.5,
             (builders.make_target("e-9"),),
+            store_views.Position(1, 5),
         )
         self.updater.start()
         self.wait_for(lambda status: status.version == 4)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -5,8 +5,8 @@
 import testtools
 
 from catkintrail import errors
+from catkintrail.core import store_views
 from catkintrail.platform import store
-from catkintrail.ports import fleet_state_source
 from tests import platform_standins
 
 
@@ -71,7 +71,7 @@
         self.assertRaises(
             errors.HistoryExpiredError,
             self.source.watch_targets,
-            fleet_state_source.Position(1, 1),
+            store_views.Position(1, 1),
             0.1,
         )
 
