A restored store does not bring back targets that were removed

A store that came back from an older copy lists them again until they have expired there once more, and they were used at once.

In the 5 s after a restore, entries of removed starts are held back; one that is still listed then is used.

--- a/catkintrail/core/fleet_state.py
+++ b/catkintrail/core/fleet_state.py
@@ -155,6 +155,7 @@
         As after an outage, entries that are missing are written again.
         """
         self.store_recovered_at = now
+        self.targets.restored_at = now
 
     def mark_target_leaving(
         self, name: str, born: int, now: float
--- a/catkintrail/core/store_views.py
+++ b/catkintrail/core/store_views.py
@@ -26,6 +26,9 @@
 # Target entries that lapsed during an outage of the store are registered again
 # within about this time after the store returns, as specified by the users.
 LAPSE_GRACE_SECONDS = 2.0
+# A store that has come back from an older copy lists targets that were removed
+# since, until their entries have expired there once more.
+RESTORE_SECONDS = 5.0
 
 
 class Position(NamedTuple):
@@ -112,7 +115,9 @@
     Attributes:
         targets: Listed targets by name, including those that are leaving.
         by_service: Targets that may be used, by service and name.
-        departures: Targets that have announced their shutdown.
+        departures: Targets that have announced their shutdown or were removed.
+        restored_at: Time in seconds at which the store was last seen to have
+            come back from an older copy.
     """
 
     def __init__(
@@ -123,7 +128,11 @@
         self.by_service: dict[str, dict[str, target_records.Target]] = {}
         self._digest = 0
         self._is_digest_stale = True
+        self.restored_at = float("-inf")
         self._lapse_deadlines: dict[str, float] = {}
+        # Entries of removed targets that an older copy of the store may have
+        # brought back.
+        self._doubtful: dict[str, target_records.Target] = {}
 
     @property
     def digest(self) -> int:
@@ -158,6 +167,8 @@
         for name in list(self.targets):
             if name not in names:
                 changes += self.remove(name, keep_until, now)
+        for name in self._doubtful.keys() - names:
+            del self._doubtful[name]
         return changes
 
     def put(
@@ -175,8 +186,14 @@
         self._lapse_deadlines.pop(target.name, None)
         # A target that has announced its shutdown is not used again until it
         # restarts, even if an older entry that lacks the announcement arrives.
-        if self.departures.contains(target) and not target.is_leaving:
+        if self.departures.is_announced(target) and not target.is_leaving:
             return []
+        self._doubtful.pop(target.name, None)
+        if self.departures.is_removed(target):
+            if now < self.restored_at + RESTORE_SECONDS:
+                self._doubtful[target.name] = target
+                return []
+            self.departures.readmit(target.name, target.born)
         old = self.targets.get(target.name)
         self.targets[target.name] = target
         self._is_digest_stale = True
@@ -208,17 +225,20 @@
         Returns:
             The resulting changes.
         """
+        self._doubtful.pop(name, None)
         target = self.targets.get(name)
         if target is None:
             return []
         if keep_until > now and not target.is_leaving:
             self._lapse_deadlines.setdefault(name, keep_until)
             return []
-        return self._drop(name, "target_gone")
+        return self._drop(name, "target_gone", now)
 
     def expire(self, now: float) -> list[TargetChange]:
         """Removes targets whose lapsed entries were not registered again.
 
+        Targets that a restored store still lists are used after a while.
+
         Returns:
             The resulting changes.
         """
@@ -227,7 +247,10 @@
         for name, keep_until in list(self._lapse_deadlines.items()):
             if now > keep_until:
                 del self._lapse_deadlines[name]
-                changes += self._drop(name, "target_lapsed")
+                changes += self._drop(name, "target_lapsed", now)
+        if now >= self.restored_at + RESTORE_SECONDS:
+            for target in list(self._doubtful.values()):
+                changes += self.put(target, now)
         return changes
 
     def leave(self, name: str, born: int, now: float) -> list[TargetChange]:
@@ -249,13 +272,15 @@
             return []
         return self.put(target._replace(is_leaving=True), now)
 
-    def _drop(self, name: str, event: str) -> list[TargetChange]:
+    def _drop(self, name: str, event: str, now: float) -> list[TargetChange]:
         target = self.targets.pop(name, None)
         self._is_digest_stale = True
         self._remove_from_services(name)
         if target is None:
             return []
-        if not target.born:
+        if target.born:
+            self.departures.add_removed(name, target.born, now)
+        else:
             # A later start of the target could not be told from this one.
             self.departures.discard(name, 0)
         return [TargetChange(target, event)]
--- a/tests/test_store_views.py
+++ b/tests/test_store_views.py
@@ -96,6 +96,50 @@
         self.assertIn("e-1", self.view.by_service["desk"])
 
 
+class RestoredStoreTests(testtools.TestCase):
+    """A store that came back from a copy with entries that were removed."""
+
+    def setUp(self):
+        super().setUp()
+        self.router = relaying.make_router([relaying.make_target("e-1")])
+        self.state = self.router.fleet_state
+        self.state.replace_targets([], 105.0)
+
+    def usable(self):
+        return set(self.state.targets.by_service.get("engines", {}))
+
+    def restore(self, now):
+        self.state.record_store_restored(now)
+        self.state.replace_targets([relaying.make_target("e-1")], now)
+
+    def test_removed_target_is_not_used_again(self):
+        self.restore(107.0)
+        self.assertEqual(set(), self.usable())
+        self.state.update_target(None, "e-1", True, 110.0)
+        self.state.expire(120.0)
+        self.assertEqual(set(), self.usable())
+
+    def test_target_that_stays_listed_is_used_again(self):
+        self.restore(107.0)
+        self.state.expire(111.0)
+        self.assertEqual(set(), self.usable())
+        self.state.expire(112.5)
+        self.assertEqual({"e-1"}, self.usable())
+
+    def test_target_that_was_born_anew_is_used_at_once(self):
+        self.state.record_store_restored(107.0)
+        born_anew = relaying.make_target("e-1", born=2)
+        self.state.replace_targets([born_anew], 107.0)
+        self.assertEqual({"e-1"}, self.usable())
+
+    def test_entry_that_is_written_again_later_is_used_at_once(self):
+        self.state.replace_targets([relaying.make_target("e-1")], 107.0)
+        self.assertEqual({"e-1"}, self.usable())
+        self.assertFalse(
+            self.state.targets.departures.contains(relaying.make_target("e-1"))
+        )
+
+
 class StoreOutageTests(testtools.TestCase):
     """Removals of targets after an outage of the store."""
 
