--- a/catkintrail/platform/callers.py
+++ b/catkintrail/platform/callers.py
@@ -441,6 +441,7 @@
         output,
         int(last_event) if last_event.isdigit() else -1,
         received_at,
+        wire.decode_prompt_parts(_get_header(request, wire.PROMPT_PREFIX)),
     )
 
 
--- a/catkintrail/platform/wire.py
+++ b/catkintrail/platform/wire.py
@@ -17,6 +17,7 @@
     "HOP_BY_HOP",
     "LAST_EVENT_ID",
     "NOT_EXECUTED",
+    "PROMPT_PREFIX",
     "READY_PATH",
     "SERVER_LEAVING",
     "REQUEST_PRIORITY",
@@ -27,6 +28,7 @@
     "decode_api_key",
     "decode_configuration",
     "decode_era",
+    "decode_prompt_parts",
     "decode_target",
     "decode_token_counts",
     "states_leaving",
@@ -43,6 +45,8 @@
 HELPERS = "helpers"
 LAST_EVENT_ID = "last-event-id"
 NOT_EXECUTED = "not-executed"
+# Parts of the prompt, in order; the last one belongs to the request alone.
+PROMPT_PREFIX = "prompt-prefix"
 READY_PATH = "/api/ready"
 REQUEST_PRIORITY = "request-priority"
 # In all responses of a target that has announced its shutdown.
@@ -84,6 +88,8 @@
 
 API_KEY_SCHEME = "token"
 MAX_ERA_DIGITS = 18
+MAX_PROMPT_PARTS = 64
+MAX_PROMPT_PART_CHARACTERS = 64
 
 _ROUTE_KINDS = {
     "idempotent": route_table.RouteKind.IDEMPOTENT,
@@ -99,6 +105,21 @@
     return key.strip() if scheme.lower() == API_KEY_SCHEME else ""
 
 
+def decode_prompt_parts(text: str) -> tuple[str, ...]:
+    """Decodes a `Prompt-Prefix` header.
+
+    Returns:
+        Ids of the parts that other requests may share, in order: all but the
+        last one. Empty if the header is malformed.
+    """
+    names = [entry.partition(":")[0].strip() for entry in text.split(",")[:-1]]
+    if len(names) > MAX_PROMPT_PARTS:
+        return ()
+    if not all(0 < len(n) <= MAX_PROMPT_PART_CHARACTERS for n in names):
+        return ()
+    return tuple(name.lower() for name in names)
+
+
 def states_leaving(value: str | None) -> bool:
     """Returns whether a `Server-Leaving` header announces a shutdown."""
     return value is not None and value.strip() not in ("", "0")
--- a/catkintrail/ports/relaying.py
+++ b/catkintrail/ports/relaying.py
@@ -54,6 +54,8 @@
         last_event: Id of the last event that the caller received; -1 if there
             is none.
         received_at: When the request's head was read, in seconds.
+        prompt_parts: Ids of the parts of the prompt that other requests may
+            share, in order.
     """
 
     request_id: str
@@ -68,6 +70,7 @@
     output_tokens: int
     last_event: int
     received_at: float
+    prompt_parts: tuple[str, ...] = ()
 
 
 class ResponseWriter(Protocol):
--- a/catkintrail/relay.py
+++ b/catkintrail/relay.py
@@ -195,6 +195,7 @@
         """
         request = progress.request
         sent_at = self.clock()
+        progress.begin_send()
         _LOG.info(
             "request_placed",
             extra={
@@ -315,6 +316,9 @@
                 "is_silent": error.is_silent,
                 "elapsed_ms": round(waited_seconds * 1000.0, 1),
                 "last_event": progress.sequence.last,
+                "has_response": progress.has_response,
+                "send_events": progress.send_events,
+                "prompt_parts": progress.request.prompt_parts,
             },
         )
 
@@ -373,6 +377,7 @@
                 progress.send_count += 1
             raise
         progress.send_count += 1
+        progress.has_response = True
         try:
             is_stream = (
                 route.kind is route_table.RouteKind.STREAMING
--- a/catkintrail/request_progress.py
+++ b/catkintrail/request_progress.py
@@ -14,6 +14,8 @@
         request: The caller's request.
         deadline: When the final response has to be sent, in seconds.
         verdict: Whether the request may have run on any target so far.
+        has_response: Whether the head of a response to the current send arrived.
+        send_events: Number of events received in the current send.
         send_count: How often the request was sent to a target.
         failed_targets: Names of targets that failed the request.
         sequence: Drops repeated events of the stream and detects missing ones.
@@ -30,6 +32,8 @@
         self.request = request
         self.deadline = deadline
         self.verdict = verdicts.Verdict.NOT_RUN
+        self.has_response = False
+        self.send_events = 0
         self.send_count = 0
         self.failed_targets: set[str] = set()
         self.sequence = event_stream.EventSequence(request.last_event)
@@ -38,6 +42,11 @@
         self.last_event_at = 0.0
         self.longest_gap_seconds = 0.0
 
+    def begin_send(self) -> None:
+        """Resets what is known of the current send."""
+        self.has_response = False
+        self.send_events = 0
+
     def record_events(self, now: float) -> None:
         """Records that events are forwarded at a time in seconds."""
         if self.last_event_at:
--- a/catkintrail/response_forwarder.py
+++ b/catkintrail/response_forwarder.py
@@ -171,6 +171,7 @@
         while data := response.read(min(progress.deadline, read_deadline)):
             try:
                 events = reader.feed(data)
+                progress.send_events += len(events)
                 events = [e for e in events if progress.sequence.accept(e)]
             except errors.FrameError as error:
                 raise errors.TargetError(
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -99,6 +99,20 @@
             self.assertEqual((0, 0), wire.decode_token_counts(malformed))
 
 
+class PromptPartTests(testtools.TestCase):
+
+    def test_last_part_is_left_out(self):
+        self.assertEqual(
+            ("5c1e", "91bd"),
+            wire.decode_prompt_parts("5C1E:800, 91bd:410,e440:250"),
+        )
+        self.assertEqual((), wire.decode_prompt_parts("5c1e:800"))
+
+    def test_malformed_headers_have_no_parts(self):
+        for text in ("", ",", ",,", ":1,a:1", "a" * 65 + ":1,b:1", "a:1," * 99):
+            self.assertEqual((), wire.decode_prompt_parts(text), text[:20])
+
+
 class SettingsTests(testtools.TestCase):
 
     def test_missing_fields_are_named_in_the_error(self):
