--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -298,6 +298,9 @@
             for never.
         rejects_requests: Whether requests are rejected without being run.
         states_leaving: Whether responses have the header `Server-Leaving`.
+        crashing_part: Part of a prompt; when the engine begins to write an
+            answer on it, all of its connections end.
+        crashes: Number of crashes.
         runs: Request id and organisation of each request that was run, in
             order.
         orders: Orders received.
@@ -314,6 +317,8 @@
         self.truncate_after_events = -1
         self.rejects_requests = False
         self.states_leaving = False
+        self.crashing_part = ""
+        self.crashes = 0
         self.runs = []
         self.orders = []
         self.active = 0
@@ -377,9 +382,15 @@
         handler.send_header("Content-Type", "text/event-stream")
         handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
+        parts = handler.headers.get("Prompt-Prefix", "")
+        if self.crashing_part and f"{self.crashing_part}:" in parts:
+            self.crashes += 1
+            handler.close_connection = True
+            return
+        crashes = self.crashes
         first = int(handler.headers.get("Last-Event-Id", -1)) + 1
         for sent, number in enumerate(range(first, self.events)):
-            if sent == self.truncate_after_events:
+            if sent == self.truncate_after_events or crashes != self.crashes:
                 handler.close_connection = True
                 return
             time.sleep(self.event_gap_seconds)
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -64,13 +64,16 @@
     def connect(self):
         return socket.create_connection((self.ip, self.ports["front"]), 5.0)
 
-    def send(self, path, request_id, key="key-1", tokens="1000,100"):
+    def send(
+        self, path, request_id, key="key-1", tokens="1000,100", prefix="a:1000"
+    ):
         connection = self.connect()
         connection.settimeout(10.0)
         connection.sendall(
             f"POST {path} HTTP/1.1\r\nHost: wells.example\r\n"
             f"Attempt-Id: {request_id}\r\nAuthorization: Token {key}\r\n"
             f"Token-Counts: {tokens}\r\nDeadline-Ms: 9000\r\n"
+            f"Prompt-Prefix: {prefix}\r\n"
             "Connection: close\r\nContent-Length: 2\r\n\r\nhi".encode()
         )
         return connection
@@ -335,3 +338,56 @@
             text = response.read().decode()
         self.assertIn('catkintrail_relayed_total{outcome="answered"} 1', text)
         self.assertIn("catkintrail_first_token_seconds", text)
+
+
+class CrashingPromptTests(testtools.TestCase):
+    """Prompts with one part that crashes each engine that writes on it."""
+
+    ENGINES = 8
+    CONTACT_SECONDS = 3.0
+    MAX_CRASHES_AFTER_CONTACT = 3
+
+    def setUp(self):
+        super().setUp()
+        names = platform_standins.PORT_NAMES
+        self.ports = dict(zip(names, processes.free_ports(len(names))))
+        self.store = platform_standins.Store()
+        self.addCleanup(self.store.close)
+        self.store.put("config", "main", platform_standins.make_spec(1))
+        self.engines = []
+        for number in range(self.ENGINES):
+            engine = platform_standins.Engine(f"e-{number}")
+            engine.crashing_part = "bad"
+            self.addCleanup(engine.close)
+            self.store.put("servers", engine.name, engine.entry())
+            self.engines.append(engine)
+        self.relays = []
+        for ip in ("127.0.0.1", "127.0.0.2"):
+            relay = RelayProcess(ip, self.ports, self.store.address)
+            self.addCleanup(relay.close)
+            self.relays.append(relay)
+        for relay in self.relays:
+            self.assertTrue(wait_until(relay.is_ready), "not ready")
+
+    def count_crashes(self):
+        return sum(engine.crashes for engine in self.engines)
+
+    def request(self, number, *parts):
+        relay = self.relays[number % len(self.relays)]
+        prefix = ",".join(f"{part}:100" for part in (*parts, f"own{number}"))
+        return relay.request("/ask/a", f"r{number}", prefix=prefix)[0]
+
+    def test_part_that_crashes_engines_reaches_few_of_them(self):
+        for number in range(10):
+            self.assertEqual(200, self.request(number, "common", "other"))
+        for number in range(10, 18):
+            self.request(number, "common", "bad", "other")
+            time.sleep(0.1)
+        time.sleep(self.CONTACT_SECONDS)
+        before = self.count_crashes()
+        for number in range(20, 40):
+            self.request(number, "common", "bad")
+        after = self.count_crashes()
+        self.assertLessEqual(after - before, self.MAX_CRASHES_AFTER_CONTACT)
+        for number in range(40, 50):
+            self.assertEqual(200, self.request(number, "common", "other"))
