Prompts with a part that crashes engines are quarantined

Cause: a response that breaks off was taken as a fault of the engine alone; nothing asked what the broken requests had in common. Class: a query of death, made worse by retries.

Evidence is a response that broke off within three events of its start. Its shared parts are reported to the fleet at once. Parts without any answer so far are quarantined after three crashes at different moments, parts that answers were written on after eight; parts that the crashes do not tell apart only together. Crashes within 0.1 s count once, as a zone's power failure ends many engines at once. A quarantined prompt is refused at once, before its first send, a retry or after reservations, with the time that is left. An answer that is written ends a quarantine; otherwise it lasts 10 minutes, and one crash renews it. Peers with proof against it refute it. Instances that start, and zones that were cut off, are told when they are met.

--- a/catkintrail/adapters/metrics.py
+++ b/catkintrail/adapters/metrics.py
@@ -91,6 +91,11 @@
         aioprometheus.Gauge,
         "Attempts known at targets, own ones and peers'.",
     ),
+    "catkintrail_quarantined_prompts": (
+        aioprometheus.Gauge,
+        "Combinations of prompt parts that are kept away from engines, since"
+        " they crash them.",
+    ),
     "catkintrail_slow_targets": (
         aioprometheus.Gauge,
         "Targets suspected of being slow.",
--- a/catkintrail/adapters/router_client.py
+++ b/catkintrail/adapters/router_client.py
@@ -1,10 +1,13 @@
 """Calls of the router actor from other threads."""
 
+from typing import Callable
+
 import pykka
 
 from catkintrail import verdict as verdicts
 from catkintrail.adapters import router_actor
 from catkintrail.core import departures as departure_records
+from catkintrail.core import prompt_quarantine
 from catkintrail.core import request_router
 from catkintrail.core import targets as target_records
 
@@ -26,15 +29,21 @@
         proxy: The actor's proxy.
         departures: The record of targets that are leaving. It is read without
             the actor, right before each send.
+        quarantine: The quarantined prompts, read in the same way.
+        clock: Returns the time in seconds.
     """
 
     def __init__(
         self,
         actor_ref: pykka.ActorRef,
         departures: departure_records.DepartureRecord,
+        quarantine: prompt_quarantine.PromptQuarantine,
+        clock: Callable[[], float],
     ) -> None:
         self.proxy = actor_ref.proxy()
         self.departures = departures
+        self.quarantine = quarantine
+        self.clock = clock
 
     def admit(
         self, host: str, path: str, api_key: str
@@ -84,6 +93,23 @@
             key, target, is_success, is_target_fault, is_silent
         )
 
+    def find_quarantine(self, parts: tuple[str, ...]) -> float | None:
+        """Returns for how many seconds a prompt is quarantined, or None."""
+        now = self.clock()
+        until = self.quarantine.find(parts, now)
+        return None if until is None else until - now
+
+    def record_prompt_crash(
+        self, target: target_records.Target, parts: tuple[str, ...]
+    ) -> None:
+        """Records that a target broke off a response right after its start."""
+        crash = prompt_quarantine.EngineCrash(target.name, target.born, parts)
+        self.proxy.record_prompt_crash.defer(crash)
+
+    def record_prompt_proof(self, parts: tuple[str, ...]) -> None:
+        """Records that a target has written an answer on a prompt."""
+        self.proxy.record_prompt_proof.defer(parts)
+
     def is_target_leaving(self, target: target_records.Target) -> bool:
         """Returns whether a target is known to be leaving."""
         return self.departures.contains(target)
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -13,6 +13,7 @@
 from catkintrail.core import fleet_load
 from catkintrail.core import fleet_state
 from catkintrail.core import load_reports
+from catkintrail.core import prompt_quarantine
 from catkintrail.core import route_table
 from catkintrail.core import service_retry_budget
 from catkintrail.core import store_views
@@ -133,6 +134,7 @@
         load: Attempts in progress of this instance and its peers.
         health: Failures and response times of targets, from past attempts.
         chooser: Chooses targets from this state.
+        quarantine: Prompts that are kept away from engines.
     """
 
     def __init__(
@@ -149,6 +151,7 @@
         self.chooser = target_choice.TargetChooser(
             settings, rng, self.fleet_state, self.load, self.health
         )
+        self.quarantine = prompt_quarantine.PromptQuarantine()
         self._retry_budgets: dict[
             str, service_retry_budget.ServiceRetryBudget
         ] = {}
--- a/catkintrail/errors.py
+++ b/catkintrail/errors.py
@@ -102,6 +102,8 @@
             answer in time.
         at_fault: Name or address of the target that failed, where that is
             another one than the target that was called; else "".
+        is_broken_off: Whether the target ended the connection before the end
+            of its response.
     """
 
     def __init__(
@@ -111,7 +113,9 @@
         is_leaving: bool = False,
         is_silent: bool = False,
         at_fault: str = "",
+        is_broken_off: bool = False,
     ) -> None:
+        self.is_broken_off = is_broken_off
         self.verdict = verdict
         self.is_leaving = is_leaving
         self.is_silent = is_silent
--- a/catkintrail/messages.py
+++ b/catkintrail/messages.py
@@ -565,6 +565,47 @@
     position: tuple[int, int]
 
 
+class CrashReport(NamedTuple):
+    """A crash of an engine; see core.prompt_quarantine.EngineCrash.
+
+    Attributes:
+        age_ms: Time since the crash.
+    """
+
+    target: str
+    born: int
+    parts: tuple[str, ...]
+    age_ms: float
+
+
+class QuarantineReport(NamedTuple):
+    """A quarantined combination of prompt parts.
+
+    Attributes:
+        parts: Ids of the parts.
+        left_ms: Remaining duration of the quarantine.
+    """
+
+    parts: tuple[str, ...]
+    left_ms: float
+
+
+class QuarantineNews(NamedTuple):
+    """What an instance knows of prompts that crash engines.
+
+    Attributes:
+        sender: Name of the instance.
+        crashes: Crashes of engines right after the start of a response.
+        quarantines: Combinations that are quarantined.
+        released: Combinations that an engine has written an answer on.
+    """
+
+    sender: str
+    crashes: tuple[CrashReport, ...]
+    quarantines: tuple[QuarantineReport, ...]
+    released: tuple[tuple[str, ...], ...]
+
+
 class Forwarded(NamedTuple):
     """An encoded message to forward to all instances of the receiver's zone."""
 
@@ -668,6 +709,7 @@
     Batch,
     PlacementQuery,
     PlacementAnswer,
+    QuarantineNews,
 )
 _TAG_OF_TYPE = {kind: tag for tag, kind in enumerate(_MESSAGE_TYPES)}
 
--- a/catkintrail/platform/engines.py
+++ b/catkintrail/platform/engines.py
@@ -278,6 +278,7 @@
         self._has_sent_bytes = False
         self._is_framed = True
         self._is_closed = False
+        self._is_ended_by_target = False
 
     def exchange_heads(self, until: float) -> None:
         """Sends the request and reads the head of its response.
@@ -444,12 +445,15 @@
                         "the target did not respond in time"
                     )
                 self._socket.settimeout(max(MIN_TIMEOUT_SECONDS, remaining))
-                self._http.receive_data(self._socket.recv(RECEIVE_BYTES))
+                data = self._socket.recv(RECEIVE_BYTES)
+                self._is_ended_by_target = not data
+                self._http.receive_data(data)
         except TimeoutError as error:
             raise self._make_timeout_error(
                 "the target did not respond in time"
             ) from error
         except OSError as error:
+            self._is_ended_by_target = True
             raise self._make_failure(
                 f"the connection failed: {error}"
             ) from error
@@ -514,7 +518,9 @@
 
     def _make_failure(self, message: str) -> errors.TargetError:
         return errors.TargetError(
-            f"{self.target.address}: {message}", self._verdict()
+            f"{self.target.address}: {message}",
+            self._verdict(),
+            is_broken_off=self._is_ended_by_target,
         )
 
     def _make_timeout_error(self, message: str) -> errors.TargetError:
--- a/catkintrail/ports/relaying.py
+++ b/catkintrail/ports/relaying.py
@@ -271,6 +271,24 @@
             is_silent: Whether the target did not respond in time.
         """
 
+    def find_quarantine(self, parts: tuple[str, ...]) -> float | None:
+        """Returns for how many seconds a prompt is quarantined.
+
+        Args:
+            parts: Ids of the shared parts of the prompt.
+
+        Returns:
+            Time in seconds; None if the prompt is not quarantined.
+        """
+
+    def record_prompt_crash(
+        self, target: target_records.Target, parts: tuple[str, ...]
+    ) -> None:
+        """Records that a target broke off a response right after its start."""
+
+    def record_prompt_proof(self, parts: tuple[str, ...]) -> None:
+        """Records that a target has written an answer on a prompt."""
+
     def is_target_leaving(self, target: target_records.Target) -> bool:
         """Returns whether a target is known to be leaving."""
 
--- a/catkintrail/relay.py
+++ b/catkintrail/relay.py
@@ -25,6 +25,10 @@
 RESPONSE_MARGIN_SECONDS = 0.04
 # A request with less time left than this is refused instead of sent.
 MIN_REMAINING_SECONDS = 0.02
+# A response that ended after at most this many events broke off at its start.
+MAX_STARTING_EVENTS = 3
+# After this many events, an answer is being written on the prompt.
+PROVING_EVENTS = 8
 # A target that has not responded for less than this may only be slow.
 MIN_SILENCE_SECONDS = 0.8
 
@@ -119,6 +123,8 @@
                 )
             elif failure is not None:
                 refusal = self._check_retry(route, progress, failure)
+            if refusal is None:
+                refusal = self._check_quarantine(progress)
             placement: request_router.Placement | Refusal | None = None
             if refusal is None:
                 key = f"{self._name}/{next(self._send_numbers)}"
@@ -157,6 +163,21 @@
             )
         )
 
+    def _check_quarantine(
+        self, progress: request_progress.Progress
+    ) -> Refusal | None:
+        """Returns why a prompt is kept away from engines; None if it is not."""
+        parts = progress.request.prompt_parts
+        seconds = self.router.find_quarantine(parts) if parts else None
+        if seconds is None:
+            return None
+        return Refusal(
+            progress.verdict,
+            verdicts.Reason.QUARANTINED,
+            "a part of the prompt crashes engines",
+            seconds,
+        )
+
     def _check_retry(
         self,
         route: route_table.Route,
@@ -219,6 +240,7 @@
         try:
             self._reserve(placement, leases)
             self._check_departures(placement)
+            self._check_prompt(progress)
             self._exchange(
                 admission, progress, placement, leases, key, writer, caller
             )
@@ -243,10 +265,12 @@
             self._record_failure(
                 progress, placement, error, at_fault, waited_seconds
             )
+            self._record_crash(progress, placement, error)
             return error
         finally:
             for lease in leases.values():
                 self.leases.release(lease)
+            self._record_proof(progress, is_success)
             self.metrics.record_send(outcome)
             self.router.record_attempt_end(
                 key, at_fault.name, is_success, is_target_fault, is_silent
@@ -293,6 +317,15 @@
                     f"{target.name} is leaving", target.name
                 )
 
+    def _check_prompt(self, progress: request_progress.Progress) -> None:
+        """Checks that the prompt was not quarantined since it was placed.
+
+        Raises:
+            errors.TargetNotCalledError: The prompt is quarantined.
+        """
+        if self._check_quarantine(progress) is not None:
+            raise errors.TargetNotCalledError("the prompt is quarantined", "")
+
     def _record_failure(
         self,
         progress: request_progress.Progress,
@@ -322,6 +355,30 @@
             },
         )
 
+    def _record_crash(
+        self,
+        progress: request_progress.Progress,
+        placement: request_router.Placement,
+        error: errors.TargetError,
+    ) -> None:
+        """Records a response that broke off at its start."""
+        parts = progress.request.prompt_parts
+        if (
+            parts
+            and progress.has_response
+            and error.is_broken_off
+            and progress.send_events <= MAX_STARTING_EVENTS
+        ):
+            self.router.record_prompt_crash(placement.target, parts)
+
+    def _record_proof(
+        self, progress: request_progress.Progress, is_success: bool
+    ) -> None:
+        """Records that an engine has written an answer on the prompt."""
+        parts = progress.request.prompt_parts
+        if parts and (is_success or progress.send_events >= PROVING_EVENTS):
+            self.router.record_prompt_proof(parts)
+
     def _exchange(
         self,
         admission: request_router.Admission,
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -99,7 +99,10 @@
             router, self.datagrams.send, clock.boot_seconds
         )
         self.router = router_client.RouterClient(
-            self.actor, router.fleet_state.targets.departures
+            self.actor,
+            router.fleet_state.targets.departures,
+            router.quarantine,
+            clock.boot_seconds,
         )
         departures = relaying.Departures(
             self.router.mark_target_leaving, self.router.is_target_leaving
@@ -325,6 +328,9 @@
             "catkintrail_peers": len(status.peers),
             "catkintrail_known_attempts": status.attempts,
             "catkintrail_slow_targets": status.slow_targets,
+            "catkintrail_quarantined_prompts": len(
+                self.router.quarantine.quarantined
+            ),
             "catkintrail_store_calls": self.store.call_count,
             "catkintrail_connections_opened": self.client.opened_connections,
             "catkintrail_connections_reused": self.client.reused_connections,
--- a/catkintrail/verdict.py
+++ b/catkintrail/verdict.py
@@ -36,6 +36,7 @@
     STORE_UNAVAILABLE = "store_unavailable"
     DEADLINE = "deadline_exceeded"
     TARGET_FAILED = "target_failed"
+    QUARANTINED = "quarantined"
     IN_PROGRESS = "in_progress"
     CANCELLED = "cancelled"
 
@@ -56,6 +57,7 @@
     Reason.STORE_UNAVAILABLE: 503,
     Reason.DEADLINE: 504,
     Reason.TARGET_FAILED: 502,
+    Reason.QUARANTINED: 503,
     Reason.IN_PROGRESS: 409,
     Reason.CANCELLED: 499,
 }
--- a/tests/test_fleet_state_updater.py
+++ b/tests/test_fleet_state_updater.py
@@ -109,7 +109,10 @@
         )
         self.addCleanup(actor.stop)
         self.client = router_client.RouterClient(
-            actor, self.router.fleet_state.targets.departures
+            actor,
+            self.router.fleet_state.targets.departures,
+            self.router.quarantine,
+            time.monotonic,
         )
         self.peer_state = None
         self.updater = fleet_state_updater.FleetStateUpdater(
--- /dev/null
+++ b/tests/test_prompt_quarantine.py
@@ -0,0 +1,295 @@
+"""Tests of the quarantine of prompts that crash engines."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+import testtools
+
+from catkintrail.core import prompt_quarantine
+from tests import relaying as builders
+from tests import virtual_fleet
+
+LIMIT = prompt_quarantine.CRASHES_OF_UNPROVEN_PARTS
+
+
+class QuarantineTestCase(testtools.TestCase):
+
+    def setUp(self):
+        super().setUp()
+        self.quarantine = prompt_quarantine.PromptQuarantine()
+        self.engines = 0
+
+    def crash(self, now, *parts, target=None):
+        self.engines += 1
+        crash = prompt_quarantine.EngineCrash(
+            target or f"e-{self.engines}", 1, parts
+        )
+        return self.quarantine.record_crash(crash, now)
+
+    def is_quarantined(self, now, *parts):
+        return self.quarantine.find(parts, now) is not None
+
+
+class ConvictionTests(QuarantineTestCase):
+
+    def test_part_of_several_crashes_is_quarantined(self):
+        for number in range(LIMIT):
+            self.assertFalse(self.is_quarantined(100.0, "a", "bad"))
+            self.crash(100.0 + number, f"p{number}", "bad")
+        self.assertTrue(self.is_quarantined(103.0, "q", "bad"))
+        self.assertFalse(self.is_quarantined(103.0, "p0", "p1"))
+
+    def test_part_that_engines_have_written_on_is_not_quarantined(self):
+        self.quarantine.record_proof(("common", "other"), 99.0)
+        for number in range(LIMIT):
+            self.crash(100.0 + number, "common", "bad", "other")
+        self.assertTrue(self.is_quarantined(104.0, "common", "bad"))
+        self.assertFalse(self.is_quarantined(104.0, "common", "other"))
+
+    def test_parts_that_crashes_do_not_tell_apart_are_taken_together(self):
+        for number in range(LIMIT):
+            self.crash(100.0 + number, "x", "y")
+        self.assertTrue(self.is_quarantined(104.0, "x", "y", "z"))
+        self.assertFalse(self.is_quarantined(104.0, "x"))
+        self.assertFalse(self.is_quarantined(104.0, "y"))
+
+    def test_part_with_more_crashes_explains_those_of_others(self):
+        self.crash(99.0, "bad", target="e-0")
+        for number in range(LIMIT):
+            self.crash(100.0 + number, "rare", "bad")
+        self.assertTrue(self.is_quarantined(104.0, "bad"))
+        self.assertFalse(self.is_quarantined(104.0, "rare"))
+
+    def test_several_bad_parts_at_once(self):
+        for number in range(LIMIT):
+            self.crash(100.0 + number, "bad", "a")
+            self.crash(100.5 + number, "worse", "b")
+        for part in ("bad", "worse"):
+            self.assertTrue(self.is_quarantined(104.0, part, "a", "b"))
+
+    def test_part_that_turns_bad_after_it_was_proven(self):
+        self.quarantine.record_proof(("p",), 99.0)
+        for number in range(prompt_quarantine.CRASHES_OF_PROVEN_PARTS):
+            self.assertFalse(self.is_quarantined(200.0, "p"))
+            self.crash(100.0 + number, "p")
+        self.assertTrue(self.is_quarantined(200.0, "p"))
+
+    def test_crashes_at_one_moment_have_another_cause(self):
+        # A zone loses power: many engines break off at once.
+        for number in range(30):
+            self.crash(100.0 + number * 0.003, "p", f"q{number}")
+        self.assertFalse(self.is_quarantined(101.0, "p"))
+
+    def test_engines_that_end_in_series_convict_no_part_in_use(self):
+        rng = random.Random(1)
+        for number in range(60):
+            now = 100.0 + 0.3 * number
+            parts = ("common", f"tenant{rng.randrange(5)}")
+            self.crash(now, *parts)
+            for tenant in range(5):
+                proof = ("common", f"tenant{tenant}")
+                self.quarantine.record_proof(proof, now + 0.1 + 0.01 * tenant)
+            self.assertEqual({}, self.quarantine.quarantined)
+
+    def test_repeated_reports_of_one_crash_count_once(self):
+        for _ in range(9):
+            self.crash(100.0, "p", target="e-1")
+            self.crash(100.0, "q", target="e-1")
+        self.assertEqual({}, self.quarantine.quarantined)
+
+
+class ReleaseTests(QuarantineTestCase):
+
+    def convict(self, now):
+        for number in range(LIMIT):
+            self.crash(now - LIMIT + number, "bad")
+
+    def test_answer_that_is_written_ends_the_quarantine(self):
+        self.convict(100.0)
+        released = self.quarantine.record_proof(("a", "bad"), 101.0)
+        self.assertEqual([frozenset({"bad"})], released)
+        self.assertFalse(self.is_quarantined(101.0, "bad"))
+
+    def test_quarantine_ends_by_itself_and_one_crash_renews_it(self):
+        self.convict(100.0)
+        later = 101.0 + prompt_quarantine.QUARANTINE_SECONDS
+        self.assertFalse(self.is_quarantined(later, "bad"))
+        self.quarantine.expire(later)
+        self.crash(later, "bad", "new")
+        self.assertTrue(self.is_quarantined(later, "bad"))
+
+    def test_report_of_a_peer_is_refuted_by_own_proof(self):
+        parts = frozenset({"p"})
+        self.quarantine.record_proof(("p",), 99.0)
+        self.assertFalse(self.quarantine.accept(parts, 60.0, 100.0))
+        self.assertTrue(self.quarantine.accept(frozenset({"q"}), 60.0, 100.0))
+        self.assertTrue(self.is_quarantined(101.0, "q"))
+        self.assertFalse(self.is_quarantined(101.0, "p"))
+
+
+class BoundTests(QuarantineTestCase):
+
+    def test_memory_is_bounded(self):
+        for number in range(3 * prompt_quarantine.MAX_CRASHES):
+            self.crash(100.0 + number, f"p{number}", f"q{number // 3}")
+        self.assertLessEqual(
+            len(self.quarantine.quarantined), prompt_quarantine.MAX_QUARANTINES
+        )
+        self.assertEqual(
+            prompt_quarantine.MAX_CRASHES, len(self.quarantine.crashes(900.0))
+        )
+        for number in range(prompt_quarantine.MAX_PROVEN_PARTS + 9):
+            self.quarantine.record_proof((f"r{number}",), 100.0)
+        self.assertLessEqual(
+            len(self.quarantine._proven_at), prompt_quarantine.MAX_PROVEN_PARTS
+        )
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 6),
+                st.sets(st.sampled_from("abcdef"), min_size=1),
+                st.booleans(),
+            ),
+            max_size=40,
+        )
+    )
+    def test_proven_parts_are_not_quarantined_by_few_crashes(self, events):
+        quarantine = prompt_quarantine.PromptQuarantine()
+        proven = set()
+        crashes = 0
+        for number, (engine, parts, is_proof) in enumerate(events):
+            now = 100.0 + number
+            if is_proof:
+                proven |= parts
+                crashes = 0
+                quarantine.record_proof(parts, now)
+            else:
+                crashes += 1
+                crash = prompt_quarantine.EngineCrash(
+                    f"e-{engine}", number, tuple(parts)
+                )
+                quarantine.record_crash(crash, now)
+            if crashes < prompt_quarantine.CRASHES_OF_PROVEN_PARTS:
+                for part in proven:
+                    self.assertIsNone(quarantine.find((part,), now))
+
+
+class FleetTests(testtools.TestCase):
+    """Requests with a bad part that come at any instance of a fleet.
+
+    Counts what the stated rule counts: requests that reach engines after the
+    fifth crash and the time for contact; and sound requests that share all
+    other parts.
+    """
+
+    CONTACT_SECONDS = 3.0
+    MAX_ARRIVALS = 3
+    CRASH_SECONDS = 0.15
+    RUN_SECONDS = 0.8
+
+    def play(self, zone_sizes, cut_zones=(), loss=0.0):
+        self.fleet = virtual_fleet.VirtualFleet(
+            zone_sizes, [builders.make_target("e-1")]
+        )
+        self.fleet.run(12.0)
+        self.fleet.cut_zones |= set(cut_zones)
+        self.rng = random.Random(1)
+        self.crashes = []
+        self.arrivals = []
+        self.refused = 0
+        for number in range(400):
+            self.fleet.at(0.05 * number, self.send_sound, number)
+        for number in range(60):
+            self.fleet.at(4.0 + 0.25 * number, self.send_bad, number)
+        self.fleet.run(20.0)
+        limit = (
+            self.crashes[4] + self.CONTACT_SECONDS
+            if (len(self.crashes) > 4)
+            else float("inf")
+        )
+        return sum(at > limit for at in self.arrivals)
+
+    def is_quarantined(self, address, parts):
+        quarantine = self.fleet.router(address).quarantine
+        return quarantine.find(parts, self.fleet.now) is not None
+
+    def send_sound(self, number):
+        address = self.rng.choice(sorted(self.fleet.actors))
+        parts = ("common", f"tenant{number % 10}")
+        if self.is_quarantined(address, parts):
+            self.refused += 1
+            return
+        actor = self.fleet.actors[address]
+        self.fleet.at(self.RUN_SECONDS, actor.record_prompt_proof, parts)
+
+    def send_bad(self, number, sends=2):
+        address = self.rng.choice(sorted(self.fleet.actors))
+        parts = ("common", f"tenant{number % 10}", "bad")
+        if self.is_quarantined(address, parts):
+            return
+        self.arrivals.append(self.fleet.now)
+
+        def end_engine():
+            self.crashes.append(self.fleet.now)
+            crash = prompt_quarantine.EngineCrash(
+                f"e-{len(self.crashes)}", 1, parts
+            )
+            self.fleet.actors[address].record_prompt_crash(crash)
+            if sends > 1:
+                self.send_bad(number, sends - 1)
+
+        self.fleet.at(self.CRASH_SECONDS, end_engine)
+
+    def test_6_instances(self):
+        self.assertLessEqual(
+            self.play({"za": 2, "zb": 2, "zc": 2}), self.MAX_ARRIVALS
+        )
+        self.assertEqual(0, self.refused)
+
+    def test_24_instances(self):
+        self.assertLessEqual(
+            self.play({"za": 8, "zb": 8, "zc": 8}), self.MAX_ARRIVALS
+        )
+        self.assertEqual(0, self.refused)
+
+    def test_195_instances(self):
+        sizes = {zone: 39 for zone in ("za", "zb", "zc", "zd", "ze")}
+        self.assertLessEqual(self.play(sizes), self.MAX_ARRIVALS)
+        self.assertEqual(0, self.refused)
+
+    def test_zone_that_is_cut_off_learns_its_own_part(self):
+        late = self.play({"za": 2, "zb": 2, "zc": 2}, cut_zones=("zc",))
+        self.assertLessEqual(late, self.MAX_ARRIVALS)
+        self.assertEqual(0, self.refused)
+
+    def test_instance_that_has_just_started_is_told(self):
+        self.play({"za": 2, "zb": 2, "zc": 2})
+        address = "10.2.0.2"
+        actor = self.fleet.actors[address]
+        self.fleet._start(address, ("10.0.0.1:8002",), 0.5)
+        self.assertIsNot(actor, self.fleet.actors[address])
+        self.assertFalse(self.is_quarantined(address, ("bad",)))
+        self.fleet.run(1.0)
+        self.assertTrue(self.is_quarantined(address, ("bad",)))
+
+    def test_zones_that_are_joined_again_share_their_evidence(self):
+        fleet = virtual_fleet.VirtualFleet(
+            {"za": 2, "zb": 2}, [builders.make_target("e-1")]
+        )
+        fleet.run(5.0)
+        fleet.cut_zones.add("zb")
+        fleet.run(6.0)
+        for number in range(LIMIT + 1):
+            address = ("10.0.0.1", "10.1.0.1")[number % 2]
+            crash = prompt_quarantine.EngineCrash(f"e-{number}", 1, ("bad",))
+            fleet.actors[address].record_prompt_crash(crash)
+            fleet.run(0.5)
+        for address in fleet.actors:
+            self.assertEqual({}, fleet.router(address).quarantine.quarantined)
+        fleet.cut_zones.clear()
+        fleet.run(3.0)
+        for address in fleet.actors:
+            found = fleet.router(address).quarantine.find(("bad",), fleet.now)
+            self.assertIsNotNone(found)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -8,6 +8,7 @@
 from catkintrail import relay
 from catkintrail import verdict as verdicts
 from catkintrail.core import memory_lease
+from catkintrail.core import prompt_quarantine
 from catkintrail.ports import relaying
 from tests import relaying as builders
 
@@ -153,6 +154,17 @@
             key, target, is_success, is_target_fault, is_silent, self.clock()
         )
 
+    def find_quarantine(self, parts):
+        until = self.router.quarantine.find(parts, self.clock())
+        return None if until is None else until - self.clock()
+
+    def record_prompt_crash(self, target, parts):
+        crash = prompt_quarantine.EngineCrash(target.name, target.born, parts)
+        self.router.quarantine.record_crash(crash, self.clock())
+
+    def record_prompt_proof(self, parts):
+        self.router.quarantine.record_proof(parts, self.clock())
+
     def is_target_leaving(self, target):
         return self.router.fleet_state.targets.departures.contains(target)
 
