A target that asks for a pause is sent nothing until it has passed

New contract: 503 with Retry-After from a target. Until now it counted as a failure, ejected the target after two, and the next request went there at once.

The thread that reads the response records the pause, by name and start time, so that it binds the next send of any thread, also one that is already placed. Paused targets are not chosen, not even as the last ones; if all of a service are paused, a request is refused at once with the shortest time left. It is no failure of the target. Not done: telling peers.

--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -267,7 +267,7 @@
         if answer.reason == verdicts.Reason.NOT_READY.value:
             pending.result.set(self._place_elsewhere(pending))
             return
-        if not self._router.avoids_leaving_targets(answer):
+        if not self._router.may_send_to(answer, now):
             placement = self._router.place_locally(pending.request, now)
             self._report_placement(answer.key, now)
             pending.result.set(placement)
@@ -623,21 +623,17 @@
             self._spread_quarantine_news(
                 self._make_quarantine_news(now, released=refuted)
             )
-        peers = self._router.fleet_state.peers
-        if (
-            (is_new or added or released)
-            and peers.is_large_fleet
-            and peers.is_coordinator()
-            and self._is_ordinary_zone_peer(address)
-        ):
+        if (is_new or added or released) and self._passes_news_on(address):
             self._spread_quarantine_news(news)
 
-    def _is_ordinary_zone_peer(self, address: str) -> bool:
-        """Returns whether an address is that of a zone's peer that asks us."""
+    def _passes_news_on(self, address: str) -> bool:
+        """Returns whether news of a sender reach others only through us."""
         peers = self._router.fleet_state.peers
         sender = peers.peers.get(address)
         return (
-            sender is not None
+            peers.is_large_fleet
+            and peers.is_coordinator()
+            and sender is not None
             and sender.availability_zone == peers.own_zone
             and address not in peers.coordinators()
         )
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -19,6 +19,7 @@
 from catkintrail.core import store_views
 from catkintrail.core import target_choice
 from catkintrail.core import target_health
+from catkintrail.core import target_pauses
 from catkintrail.core import targets as target_records
 
 __all__ = [
@@ -135,6 +136,7 @@
         health: Failures and response times of targets, from past attempts.
         chooser: Chooses targets from this state.
         quarantine: Prompts that are kept away from engines.
+        pauses: Targets that asked to be sent nothing for some time.
     """
 
     def __init__(
@@ -148,8 +150,14 @@
         self.fleet_state = fleet_state.FleetState(settings, incarnation, rng)
         self.load = fleet_load.FleetLoad()
         self.health = target_health.TargetHealth()
+        self.pauses = target_pauses.TargetPauses()
         self.chooser = target_choice.TargetChooser(
-            settings, rng, self.fleet_state, self.load, self.health
+            settings,
+            rng,
+            self.fleet_state,
+            self.load,
+            self.health,
+            self.pauses,
         )
         self.quarantine = prompt_quarantine.PromptQuarantine()
         self._retry_budgets: dict[
@@ -301,10 +309,14 @@
             ),
         )
 
-    def avoids_leaving_targets(self, answer: messages.PlacementAnswer) -> bool:
-        """Returns whether an answer names no target that is known to leave."""
+    def may_send_to(self, answer: messages.PlacementAnswer, now: float) -> bool:
+        """Returns whether no target of an answer is leaving or paused."""
         departures = self.fleet_state.targets.departures
-        return not any(map(departures.contains, answer.targets))
+        return not any(
+            departures.contains(target)
+            or self.pauses.remaining_seconds(target, now)
+            for target in answer.targets
+        )
 
     def record_first_token(
         self, key: str, measured_ms: float, predicted_ms: float, now: float
@@ -473,6 +485,7 @@
             The targets that were removed.
         """
         self.load.expire(now)
+        self.pauses.expire(now)
         for owner in self._find_gone_owners(now):
             self.load.drop_owner(owner)
         return self.fleet_state.expire(now)
--- a/catkintrail/core/target_choice.py
+++ b/catkintrail/core/target_choice.py
@@ -19,6 +19,7 @@
 from catkintrail.core import fleet_state as fleet_states
 from catkintrail.core import route_table
 from catkintrail.core import target_health
+from catkintrail.core import target_pauses
 from catkintrail.core import targets as target_records
 
 __all__ = [
@@ -52,6 +53,7 @@
         fleet_state: Known state of the configuration, targets and peers.
         load: Attempts in progress.
         health: Failures and response times of targets.
+        pauses: Targets that asked to be sent nothing for some time.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         fleet_state: fleet_states.FleetState,
         load: fleet_load.FleetLoad,
         health: target_health.TargetHealth,
+        pauses: target_pauses.TargetPauses,
     ) -> None:
         self.name = settings.name
         self.availability_zone = settings.availability_zone
@@ -68,6 +71,7 @@
         self.fleet_state = fleet_state
         self.load = load
         self.health = health
+        self.pauses = pauses
 
     def answer_query(
         self, query: messages.PlacementQuery, now: float
@@ -93,7 +97,19 @@
         listed = list(
             self.fleet_state.targets.by_service.get(query.service, {}).values()
         )
-        usable = [t for t in listed if t.name not in query.tried]
+        pauses = [self.pauses.remaining_seconds(t, now) for t in listed]
+        if listed and all(pauses):
+            return self._decline(
+                query,
+                verdicts.Reason.OVERLOADED,
+                f"all {len(listed)} targets asked for a pause",
+                min(pauses),
+            )
+        usable = [
+            target
+            for target, pause in zip(listed, pauses)
+            if not pause and target.name not in query.tried
+        ]
         healthy = [t for t in usable if not self.health.is_ejected(t.name, now)]
         unreachable_zones = self.fleet_state.peers.unreachable_zones()
         reachable = [
--- a/catkintrail/errors.py
+++ b/catkintrail/errors.py
@@ -104,6 +104,7 @@
             another one than the target that was called; else "".
         is_broken_off: Whether the target ended the connection before the end
             of its response.
+        is_paused: Whether the target asked to be sent nothing for some time.
     """
 
     def __init__(
@@ -114,7 +115,9 @@
         is_silent: bool = False,
         at_fault: str = "",
         is_broken_off: bool = False,
+        is_paused: bool = False,
     ) -> None:
+        self.is_paused = is_paused
         self.is_broken_off = is_broken_off
         self.verdict = verdict
         self.is_leaving = is_leaving
--- a/catkintrail/platform/engines.py
+++ b/catkintrail/platform/engines.py
@@ -6,6 +6,7 @@
 
 import collections
 import contextlib
+import logging
 import select
 import socket
 import threading
@@ -15,12 +16,15 @@
 
 from catkintrail import errors
 from catkintrail import verdict as verdicts
+from catkintrail.core import target_pauses
 from catkintrail.core import targets as target_records
 from catkintrail.platform import wire
 from catkintrail.ports import relaying
 
 __all__ = ["EngineClient"]
 
+_LOG = logging.getLogger("catkintrail.engines")
+
 # Connecting to a live target takes a few milliseconds; a broken network link
 # gives no reply at all.
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -59,6 +63,7 @@
     Attributes:
         clock: Returns the time in seconds.
         departures: The targets that are leaving.
+        pauses: The targets that asked to be sent nothing for some time.
         opened_connections: Number of attempts to open a connection.
         reused_connections: Number of times an idle connection was taken for a
             request.
@@ -72,8 +77,10 @@
         self,
         clock: Callable[[], float],
         departures: relaying.Departures = relaying.NO_DEPARTURES,
+        pauses: target_pauses.TargetPauses | None = None,
     ) -> None:
         self.clock = clock
+        self.pauses = pauses or target_pauses.TargetPauses()
         self.departures = departures
         self.opened_connections = 0
         self.reused_connections = 0
@@ -291,12 +298,17 @@
                 "the caller's API key was last verified too long ago",
                 verdicts.Verdict.NOT_RUN,
             )
+        now = self.client.clock()
         helpers = [helper for helper, _ in self.request.helpers]
         for target in (self.target, *helpers):
             if self.client.departures.contains(target):
                 raise errors.TargetNotCalledError(
                     f"{target.name} is leaving", target.name
                 )
+            if self.client.pauses.remaining_seconds(target, now):
+                raise errors.TargetNotCalledError(
+                    f"{target.name} asked for a pause", target.name
+                )
         self._send(data, until)
         informational_heads = 0
         while True:
@@ -476,12 +488,25 @@
         )
         if wire.states_leaving(self.headers_by_name.get(wire.SERVER_LEAVING)):
             self.client.departures.report(self.target)
+        if self.status == 503 and wire.RETRY_AFTER in self.headers_by_name:
+            self._store_pause(self.headers_by_name[wire.RETRY_AFTER])
         self.is_signed = wire.ENGINE_STAMP in self.headers_by_name
         self._is_framed = (
             "content-length" in self.headers_by_name
             or "transfer-encoding" in self.headers_by_name
         )
 
+    def _store_pause(self, text: str) -> None:
+        seconds = wire.decode_retry_after(text)
+        if seconds is None or seconds > target_pauses.MAX_PAUSE_SECONDS:
+            _LOG.warning(
+                "pause_unreadable",
+                extra={"target": self.target.name, "retry_after": text[:64]},
+            )
+        if seconds is not None:
+            now = self.client.clock()
+            self.client.pauses.add(self.target, seconds, now)
+
     def _skip_response(self, until: float) -> None:
         """Reads the response to another request, and resets the parser."""
         skipped_bytes = 0
@@ -551,6 +576,8 @@
             is_leaving=response.status == 421,
             # The address of the target at fault, which may be a helper.
             at_fault=headers_by_name.get(AT_SERVER, ""),
+            is_paused=response.status == 503
+            and wire.RETRY_AFTER in headers_by_name,
         )
     if headers_by_name.get(wire.ATTEMPT_ID) != response.request.request_id:
         raise errors.TargetError(
--- a/catkintrail/platform/wire.py
+++ b/catkintrail/platform/wire.py
@@ -19,6 +19,7 @@
     "NOT_EXECUTED",
     "PROMPT_PREFIX",
     "READY_PATH",
+    "RETRY_AFTER",
     "SERVER_LEAVING",
     "REQUEST_PRIORITY",
     "NOT_FORWARDED",
@@ -29,6 +30,7 @@
     "decode_configuration",
     "decode_era",
     "decode_prompt_parts",
+    "decode_retry_after",
     "decode_target",
     "decode_token_counts",
     "states_leaving",
@@ -49,6 +51,7 @@
 PROMPT_PREFIX = "prompt-prefix"
 READY_PATH = "/api/ready"
 REQUEST_PRIORITY = "request-priority"
+RETRY_AFTER = "retry-after"
 # In all responses of a target that has announced its shutdown.
 SERVER_LEAVING = "server-leaving"
 # Rises each time the store comes back from an older copy.
@@ -120,6 +123,19 @@
     return tuple(name.lower() for name in names)
 
 
+def decode_retry_after(text: str) -> float | None:
+    """Decodes a `Retry-After` header.
+
+    Returns:
+        Time in seconds, not negative; None if the header is malformed.
+    """
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    return seconds if seconds >= 0 else None
+
+
 def states_leaving(value: str | None) -> bool:
     """Returns whether a `Server-Leaving` header announces a shutdown."""
     return value is not None and value.strip() not in ("", "0")
--- a/catkintrail/relay.py
+++ b/catkintrail/relay.py
@@ -252,7 +252,9 @@
                 raise errors.CallerDisconnectedError(
                     "the caller disconnected"
                 ) from error
-            is_target_fault = not isinstance(error, errors.TargetNotCalledError)
+            is_target_fault = not error.is_paused and not isinstance(
+                error, errors.TargetNotCalledError
+            )
             waited_seconds = self.clock() - sent_at
             is_silent = error.is_silent and (
                 waited_seconds >= MIN_SILENCE_SECONDS
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -107,7 +107,9 @@
         departures = relaying.Departures(
             self.router.mark_target_leaving, self.router.is_target_leaving
         )
-        self.client = engines.EngineClient(clock.boot_seconds, departures)
+        self.client = engines.EngineClient(
+            clock.boot_seconds, departures, router.pauses
+        )
         self.store = store.StoreClient(settings.store_address)
         self.state_updater = fleet_state_updater.FleetStateUpdater(
             store.StoreSource(self.store),
--- a/tests/test_request_router.py
+++ b/tests/test_request_router.py
@@ -345,3 +345,26 @@
             self.assertEqual("e-2", placement.target.name)
         placement = place(router, "k", 100.0, tried=["e-2"])
         self.assertEqual("e-1", placement.target.name)
+
+
+class PauseTests(testtools.TestCase):
+    """Targets that asked to be sent nothing for some time."""
+
+    def setUp(self):
+        super().setUp()
+        self.targets = [builders.make_target(f"e-{n}") for n in (1, 2)]
+        self.router = builders.make_router(self.targets)
+
+    def test_paused_target_is_not_chosen(self):
+        self.router.pauses.add(self.targets[0], 2.0, 100.0)
+        for number in range(6):
+            placement = place(self.router, f"k{number}", 100.0)
+            self.assertEqual("e-2", placement.target.name)
+
+    def test_request_is_refused_at_once_if_all_targets_are_paused(self):
+        self.router.pauses.add(self.targets[0], 2.0, 100.0)
+        self.router.pauses.add(self.targets[1], 3.0, 100.0)
+        refusal = place(self.router, "k1", 100.5)
+        self.assertEqual(verdicts.Reason.OVERLOADED, refusal.reason)
+        self.assertAlmostEqual(1.5, refusal.retry_after_seconds)
+        self.assertEqual("e-1", place(self.router, "k2", 102.1).target.name)
