An empty stream that ends with its connection has been broken off

New contract: a response may have neither a length nor chunks and end with its connection. Whole streams of that kind were passed on already, and one that ends inside an event went on elsewhere; an engine that ended before the first event left an empty stream, which was passed on as a complete answer.

Three tests on real processes; the one of the empty stream failed before. A break inside an event now also counts as evidence against the prompt.

--- a/catkintrail/platform/engines.py
+++ b/catkintrail/platform/engines.py
@@ -259,6 +259,7 @@
         headers: End-to-end headers of the response.
         is_signed: Whether the response has an `Engine-Stamp` header.
         is_reused: Whether the connection has carried an earlier request.
+        is_framed: Whether the head states how the end of the body is found.
         headers_by_name: All headers of the response, by lower-case name.
     """
 
@@ -283,7 +284,7 @@
         self._is_complete = False
         self._is_request_sent = False
         self._has_sent_bytes = False
-        self._is_framed = True
+        self.is_framed = True
         self._is_closed = False
         self._is_ended_by_target = False
 
@@ -491,7 +492,7 @@
         if self.status == 503 and wire.RETRY_AFTER in self.headers_by_name:
             self._store_pause(self.headers_by_name[wire.RETRY_AFTER])
         self.is_signed = wire.ENGINE_STAMP in self.headers_by_name
-        self._is_framed = (
+        self.is_framed = (
             "content-length" in self.headers_by_name
             or "transfer-encoding" in self.headers_by_name
         )
@@ -518,7 +519,7 @@
             if skipped_bytes > MAX_SKIPPED_BYTES:
                 raise self._make_failure("a late response does not end")
         remaining_bytes, is_closed = self._http.trailing_data
-        if is_closed or not self._is_framed:
+        if is_closed or not self.is_framed:
             raise self._make_failure(
                 "received only the response to another request"
             )
@@ -528,7 +529,7 @@
             self._http.receive_data(remaining_bytes)
 
     def _is_reusable(self) -> bool:
-        if not self._is_framed or self._http.trailing_data != (b"", False):
+        if not self.is_framed or self._http.trailing_data != (b"", False):
             return False
         if self._http.their_state is not h11.DONE:
             return False
--- a/catkintrail/ports/relaying.py
+++ b/catkintrail/ports/relaying.py
@@ -161,12 +161,15 @@
         headers: End-to-end headers.
         is_signed: Whether the response has the target's signature.
         is_reused: Whether the connection has carried an earlier request.
+        is_framed: Whether the head states how the end of the body is found;
+            otherwise the body ends with the connection.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     is_signed: bool
     is_reused: bool
+    is_framed: bool
 
     def read(self, until: float) -> bytes:
         """Returns the next bytes of the body; b"" when it is complete.
--- a/catkintrail/response_forwarder.py
+++ b/catkintrail/response_forwarder.py
@@ -193,6 +193,13 @@
             raise errors.TargetError(
                 "the stream ended in the middle of an event",
                 Verdict.MAY_HAVE_RUN,
+                is_broken_off=True,
+            )
+        if not response.is_framed and not progress.send_events:
+            raise errors.TargetError(
+                "the stream ended before its first event",
+                Verdict.MAY_HAVE_RUN,
+                is_broken_off=True,
             )
         if not progress.has_started:
             writer.start(response.status, response.headers, None)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -298,6 +298,9 @@
             for never.
         rejects_requests: Whether requests are rejected without being run.
         states_leaving: Whether responses have the header `Server-Leaving`.
+        is_unframed: Whether streams have neither a length nor chunks and end
+            with their connection.
+        ends_inside_event: Whether truncated streams end inside an event.
         crashing_part: Part of a prompt; when the engine begins to write an
             answer on it, all of its connections end.
         crashes: Number of crashes.
@@ -317,6 +320,8 @@
         self.truncate_after_events = -1
         self.rejects_requests = False
         self.states_leaving = False
+        self.is_unframed = False
+        self.ends_inside_event = False
         self.crashing_part = ""
         self.crashes = 0
         self.runs = []
@@ -380,7 +385,8 @@
         for name, value in headers:
             handler.send_header(name, value)
         handler.send_header("Content-Type", "text/event-stream")
-        handler.send_header("Transfer-Encoding", "chunked")
+        if not self.is_unframed:
+            handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
         parts = handler.headers.get("Prompt-Prefix", "")
         if self.crashing_part and f"{self.crashing_part}:" in parts:
@@ -390,13 +396,20 @@
         crashes = self.crashes
         first = int(handler.headers.get("Last-Event-Id", -1)) + 1
         for sent, number in enumerate(range(first, self.events)):
+            data = b"id: %d\ndata: x\n\n" % number
+            if not self.is_unframed:
+                data = b"%x\r\n%s\r\n" % (len(data), data)
             if sent == self.truncate_after_events or crashes != self.crashes:
                 handler.close_connection = True
+                if self.ends_inside_event:
+                    handler.wfile.write(data[:-5])
                 return
             time.sleep(self.event_gap_seconds)
-            data = b"id: %d\ndata: x\n\n" % number
-            handler.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
-        handler.wfile.write(b"0\r\n\r\n")
+            handler.wfile.write(data)
+        if self.is_unframed:
+            handler.close_connection = True
+        else:
+            handler.wfile.write(b"0\r\n\r\n")
 
     def close(self):
         self.server.shutdown()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -64,6 +64,7 @@
         self.headers = headers
         self.is_signed = is_signed
         self.is_reused = False
+        self.is_framed = True
         self.parts = list(parts)
 
     def read(self, until):
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -208,6 +208,35 @@
         self.assertGreater(positions[0], 0)
         self.assertEqual(6, received.count(b"id: "))
 
+    def test_stream_that_ends_with_its_connection_is_whole(self):
+        for engine in self.engines:
+            engine.is_unframed = True
+        status, received = self.relay.request("/ask/a", "r1")
+        self.assertEqual(200, status)
+        self.assertEqual(3, received.count(b"id: "))
+        self.assertTrue(received.endswith(b"0\r\n\r\n"))
+
+    def test_stream_that_ends_with_its_connection_inside_an_event(self):
+        for engine in self.engines:
+            engine.events = 6
+            engine.is_unframed = True
+            engine.truncate_after_events = 4
+            engine.ends_inside_event = True
+        status, received = self.relay.request("/ask/a", "r1")
+        self.assertEqual(200, status)
+        self.assertEqual(6, received.count(b"id: "))
+        self.assertTrue(received.endswith(b"0\r\n\r\n"))
+        for engine in self.engines:
+            engine.truncate_after_events = 1
+        status, received = self.relay.request("/ask/a", "r2")
+        self.assertFalse(received.endswith(b"0\r\n\r\n"))
+
+    def test_empty_stream_that_ends_with_its_connection_is_not_whole(self):
+        for engine in self.engines:
+            engine.is_unframed = True
+            engine.truncate_after_events = 0
+        self.assertEqual(502, self.relay.request("/ask/a", "r1")[0])
+
     def test_engine_work_is_cancelled_when_the_caller_disconnects(self):
         for engine in self.engines:
             engine.events = 200
