Soak: the store comes back from an older copy, targets state their leaving

New fault store_restore: a copy up to 6 s old replaces the store's content, half of the time after up to 1.5 s without answers, half of the time with a key revoked just before; what was written since is written again within 2 s.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -272,6 +272,26 @@
             )
 
 
+def check_stated_leaving(history: History) -> Findings:
+    """An instance does not use a target that has told it of its leaving."""
+    lag = max(history.lag_seconds, default=0.0)
+    sent_at = {sent.request_id: sent.sent_at for sent in history.sent}
+    instance_of = {sent.request_id: sent.instance for sent in history.sent}
+    stated_at: dict[tuple[str, str], float] = {}
+    for request_id, target, at in history.leaving_stated:
+        stated_at.setdefault((instance_of.get(request_id, ""), target), at)
+    for arrival in history.arrivals:
+        instance = instance_of.get(arrival.request_id, "")
+        at = stated_at.get((instance, arrival.target), float("inf"))
+        late_by = sent_at.get(arrival.request_id, 0.0) - at - DRAIN_SECONDS
+        if late_by > lag and not history.has_fault(
+            (instance,), at - FAULT_EFFECT_SECONDS, arrival.arrived_at
+        ):
+            yield arrival.request_id, (
+                f"at {arrival.target} {late_by:.2f} s late"
+            )
+
+
 def check_memory_is_returned(history: History) -> Findings:
     """Reserved memory is freed in time and used by one request at once."""
     for use in history.reservations:
@@ -453,6 +473,7 @@
     check_proper_requests_pass,
     check_configuration_in_time,
     check_leaving_targets,
+    check_stated_leaving,
     check_memory_is_returned,
     check_repeats_stay_in_budget,
     check_number_of_sends,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -33,6 +33,9 @@
 # service; these last longer.
 SERVICE_WIDE_FRACTION = 0.4
 SERVICE_WIDE_DURATION_FACTOR = 2.0
+# After a restore: time without answers, and time until all is written again.
+MAX_RESTORE_DOWN_SECONDS = 1.5
+MAX_REWRITE_SECONDS = 2.0
 # Proxy mode, and delay in seconds of each piece of data.
 PROXY_FAULTS = {
     "reset": (proxies.Mode.REFUSE, 0.0),
@@ -176,6 +179,9 @@
         if name == "forget":
             self._store.discard_history()
             return
+        if name == "restore":
+            await self._restore_store(fault.seconds, rng)
+            return
         chosen = self._instances
         if rng.random() < 0.5:
             chosen = rng.sample(chosen, rng.randint(1, len(chosen)))
@@ -197,6 +203,26 @@
                 for instance in chosen:
                     instance.store_proxy.set_mode(proxies.Mode.PASS)
 
+    async def _restore_store(
+        self, age_seconds: float, rng: random.Random
+    ) -> None:
+        """Replaces the store's content by a copy that has grown old.
+
+        What the operator and the targets wrote since is written again.
+        """
+        copy = self._store.copy()
+        await asyncio.sleep(age_seconds)
+        with self._recorded_fault("store restore", STORE):
+            if rng.random() < 0.5:
+                self._operator.revoke_key()
+            if rng.random() < 0.5:
+                self._store.status = 503
+                await asyncio.sleep(rng.uniform(0.0, MAX_RESTORE_DOWN_SECONDS))
+                self._store.status = 200
+            self._store.restore(copy)
+            await asyncio.sleep(rng.uniform(0.0, MAX_REWRITE_SECONDS))
+            self._store.write_again()
+
     # Targets.
 
     def _choose_target(self, rng: random.Random) -> targets.Target | None:
--- a/soak/history.py
+++ b/soak/history.py
@@ -169,6 +169,8 @@
         key_revoked_at: When the store accepted the removal of each key, by key.
         target_left_at: When the store accepted that each target leaves, by
             name.
+        leaving_stated: Request id and target of each response in which a
+            target stated that it leaves, and when the response began.
         stops: For each stop: name of the instance, time of SIGTERM, time at
             which the process ended; 0.0 until then.
         unexpected_exits: Names of instances whose process exited without being
@@ -188,6 +190,7 @@
     desk_timeouts: list[tuple[float, float]]
     key_revoked_at: dict[str, float]
     target_left_at: dict[str, float]
+    leaving_stated: list[tuple[str, str, float]]
     stops: list[tuple[str, float, float]]
     unexpected_exits: list[str]
     faults_ended_at: list[float]
@@ -207,4 +210,4 @@
 
 def make_history() -> History:
     """Returns an empty history."""
-    return History([], [], [], [], [], [], {}, [], {}, {}, [], [], [], [])
+    return History([], [], [], [], [], [], {}, [], {}, {}, [], [], [], [], [])
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -3,7 +3,7 @@
 import random
 from typing import NamedTuple
 
-__all__ = ["Fault", "KINDS", "make_plan"]
+__all__ = ["Fault", "KINDS", "RARE_KINDS", "make_plan"]
 
 # Mean time between the starts of faults; each lasts some seconds, so that
 # several overlap.
@@ -26,6 +26,9 @@
     target_surplus target_second target_unframed target_slow
     link_delay link_reset link_silent link_one_way
     """.split())
+# Drawn separately, so that the other faults of a seed do not depend on them.
+RARE_KINDS = ("store_restore",)
+MEAN_RARE_FAULT_GAP_SECONDS = 12.0
 
 
 class Fault(NamedTuple):
@@ -33,7 +36,7 @@
 
     Attributes:
         start_seconds: Seconds from the start of the load.
-        kind: One of KINDS.
+        kind: One of KINDS or RARE_KINDS.
         seconds: Duration, for kinds that last.
         random_seed: Seed of the random choices of the fault, such as its
             subjects.
@@ -72,4 +75,19 @@
         # Some faults start at the same time as the one before.
         if rng.random() > 0.2:
             start_seconds += rng.expovariate(1 / MEAN_FAULT_GAP_SECONDS)
-    return faults
+    return sorted(faults + _make_rare_faults(seed, seconds))
+
+
+def _make_rare_faults(seed: int, seconds: float) -> list[Fault]:
+    rng = random.Random(f"rare {seed}")
+    faults = []
+    start_seconds = FIRST_FAULT_SECONDS
+    while True:
+        start_seconds += rng.expovariate(1 / MEAN_RARE_FAULT_GAP_SECONDS)
+        if start_seconds >= seconds:
+            return faults
+        duration = rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
+        kind = rng.choice(RARE_KINDS)
+        faults.append(
+            Fault(start_seconds, kind, duration, rng.randrange(1 << 30))
+        )
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -205,6 +205,11 @@
         headers = request.headers
         request_id = headers.get("attempt-id", "")
         response_headers = {"Attempt-Id": request_id}
+        if self.is_leaving:
+            response_headers["Server-Leaving"] = "1"
+            self.fleet.history.leaving_stated.append(
+                (request_id, self.name, time.monotonic())
+            )
         expected = headers.get("expect-instance", self.name)
         unusable_helper = self._find_unusable_helper(headers.get("helpers", ""))
         is_full = len(self.running_ids) >= SLOTS + MAX_QUEUED_REQUESTS
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -168,6 +168,7 @@
         self.era = 1
         self._revision = 1
         self._objects = {}
+        self._written = {}
         self._changes = []
         self._changed = threading.Condition(threading.RLock())
         store = self
@@ -188,13 +189,18 @@
                 "spec": spec,
             }
             self._objects[kind, name] = item
+            self._written[kind, name] = spec
             self._changes.append((self._revision, kind, item, False))
             self._changed.notify_all()
 
     def remove(self, kind, name):
         with self._changed:
+            self._written.pop((kind, name), None)
+            item = self._objects.pop((kind, name), None)
+            if item is None:
+                # It is missing since the content was restored.
+                return
             self._revision += 1
-            item = self._objects.pop((kind, name))
             self._changes.append((self._revision, kind, item, True))
             self._changed.notify_all()
 
@@ -225,6 +231,16 @@
                 self.put(*arguments)
             self._changed.notify_all()
 
+    def write_again(self):
+        """Repeats the writes that a restored copy lacks."""
+        with self._changed:
+            for kind, name in self._objects.keys() - self._written.keys():
+                self.remove(kind, name)
+            for (kind, name), spec in list(self._written.items()):
+                item = self._objects.get((kind, name))
+                if item is None or item["spec"] != spec:
+                    self.put(kind, name, spec)
+
     def handle_request(self, handler):
         self.calls.append(handler.path)
         headers = [("Store-Era", str(self.era))]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -36,7 +36,7 @@
 
     def test_plan_has_every_kind(self):
         kinds = {fault.kind for fault in plan.make_plan(1, 120.0)}
-        self.assertEqual(set(plan.KINDS), kinds)
+        self.assertEqual(set(plan.KINDS) | set(plan.RARE_KINDS), kinds)
 
 
 def make_sent(request_id="r-1", route="ask", **changes):
@@ -221,6 +221,12 @@
         self.add_arrival()
         self.assert_violations("leaving targets")
 
+    def test_request_to_target_that_has_stated_its_leaving(self):
+        self.add_sent()
+        self.add_arrival()
+        self.history.leaving_stated.append(("r-1", "e-1", 97.0))
+        self.assert_violations("stated leaving")
+
     def test_memory_held_too_long(self):
         use = run_history.ReservationUse("e-1", "m", 1.0, 2.0, 7.0, False)
         self.history.reservations.append(use)
