Only crashes that still speak against a part are repeated to peers

Crashes whose parts are all proven are left out, others are repeated for 10 s, within the zone in a large fleet; instances that start or are met again get all that counts.

--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -46,6 +46,8 @@
 MAX_BATCH_MESSAGES = 100
 # Limit of the crashes of engines in one message.
 MAX_CRASHES_PER_MESSAGE = 8
+# Crashes are repeated to peers for this long.
+CRASH_NEWS_SECONDS = 10.0
 # A coordinator that did not answer in time is not asked again for this long.
 COORDINATOR_PAUSE_SECONDS = 1.0
 
@@ -537,16 +539,25 @@
         ended = self._router.quarantine.expire(now)
         _log_releases(ended, "expiry")
         peers = self._router.fleet_state.peers
-        if not peers.is_large_fleet or peers.is_coordinator():
-            for news in self._quarantine_snapshot(now):
-                self._spread_quarantine_news(news)
+        if peers.is_large_fleet and not peers.is_coordinator():
+            return
+        # The coordinators of other zones do the same there.
+        recipients = (
+            peers.zone_peers() if peers.is_large_fleet else peers.alive()
+        )
+        for news in self._quarantine_snapshot(now, CRASH_NEWS_SECONDS):
+            self._send([peer.address for peer in recipients], news)
 
-    def _quarantine_snapshot(self, now: float) -> list[messages.QuarantineNews]:
-        """Returns messages with all that is known of quarantines."""
+    def _quarantine_snapshot(
+        self,
+        now: float,
+        max_age_seconds: float = prompt_quarantine.EVIDENCE_SECONDS,
+    ) -> list[messages.QuarantineNews]:
+        """Returns messages with what is known of quarantines."""
         quarantine = self._router.quarantine
         reports = [
             messages.CrashReport(*crash, age_seconds * 1000.0)
-            for crash, age_seconds in quarantine.crashes(now)
+            for crash, age_seconds in quarantine.crashes(now, max_age_seconds)
         ]
         news = [
             self._make_quarantine_news(
@@ -598,8 +609,10 @@
     ) -> None:
         """Applies what a peer knows of prompts that crash engines."""
         quarantine = self._router.quarantine
-        known = {crash[:2] for crash, _ in quarantine.crashes(now)}
-        is_new = any(report[:2] not in known for report in news.crashes)
+        is_new = any(
+            not quarantine.is_known(report.target, report.born)
+            for report in news.crashes
+        )
         added = []
         for report in news.crashes:
             crash = prompt_quarantine.EngineCrash(*report[:3])
--- a/catkintrail/core/prompt_quarantine.py
+++ b/catkintrail/core/prompt_quarantine.py
@@ -163,16 +163,32 @@
             self._add(combination, now + min(seconds, QUARANTINE_SECONDS))
         return True
 
-    def crashes(self, now: float) -> list[tuple[EngineCrash, float]]:
-        """Returns the recorded crashes with their ages in seconds."""
+    def crashes(
+        self, now: float, max_age_seconds: float = EVIDENCE_SECONDS
+    ) -> list[tuple[EngineCrash, float]]:
+        """Returns the crashes that speak against parts without a proof.
+
+        Args:
+            now: Time in seconds.
+            max_age_seconds: Older crashes are left out.
+
+        Returns:
+            The crashes with their ages in seconds.
+        """
         return [
             (
                 EngineCrash(*key, tuple(sorted(evidence.parts))),
                 now - evidence.at,
             )
             for key, evidence in self._crashes.items()
+            if now - evidence.at <= max_age_seconds
+            and not evidence.parts <= self._proven_at.keys()
         ]
 
+    def is_known(self, target: str, born: int) -> bool:
+        """Returns whether a crash of an engine is recorded."""
+        return (target, born) in self._crashes
+
     def expire(self, now: float) -> list[Parts]:
         """Drops old evidence; returns quarantines that have ended."""
         ended = [c for c, until in self.quarantined.items() if until <= now]
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -128,6 +128,22 @@
         self.assertFalse(self.is_quarantined(101.0, "p"))
 
 
+class ReportTests(QuarantineTestCase):
+
+    def test_crashes_that_speak_against_no_part_are_not_reported(self):
+        self.crash(100.0, "p", "q", target="e-1")
+        self.crash(101.0, "p", target="e-2")
+        self.quarantine.record_proof(("p",), 102.0)
+        reported = self.quarantine.crashes(103.0)
+        self.assertEqual(["e-1"], [crash.target for crash, _ in reported])
+
+    def test_old_crashes_are_left_out(self):
+        self.crash(100.0, "p", target="e-1")
+        self.crash(110.0, "q", target="e-2")
+        reported = self.quarantine.crashes(112.0, 5.0)
+        self.assertEqual(["e-2"], [crash.target for crash, _ in reported])
+
+
 class BoundTests(QuarantineTestCase):
 
     def test_memory_is_bounded(self):
