--- /dev/null
+++ b/catkintrail/adapters/quarantine_exchange.py
@@ -0,0 +1,203 @@
+"""Exchange between instances about prompts that crash engines.
+
+All instances hear of each crash and decide alike; see core.prompt_quarantine.
+In a large fleet the coordinators pass news on.
+"""
+
+import logging
+from typing import Callable, Iterable
+
+from catkintrail import messages
+from catkintrail.core import prompt_quarantine
+from catkintrail.core import request_router
+
+__all__ = ["QuarantineExchange"]
+
+_LOG = logging.getLogger("catkintrail.quarantine")
+
+# Limit of the crashes of engines in one message.
+MAX_CRASHES_PER_MESSAGE = 8
+# Crashes are repeated to peers for this long.
+CRASH_NEWS_SECONDS = 10.0
+
+
+class QuarantineExchange:
+    """Records evidence about prompts, and exchanges it with peers.
+
+    Used by the thread of the router actor only.
+    """
+
+    def __init__(
+        self,
+        router: request_router.RequestRouter,
+        send: Callable[[list[str], messages.Message], None],
+    ) -> None:
+        self._router = router
+        self._send = send
+
+    def record_crash(
+        self, crash: prompt_quarantine.EngineCrash, now: float
+    ) -> None:
+        """Records a response that broke off at its start; tells the fleet."""
+        _log_crash(crash)
+        added = self._router.quarantine.record_crash(crash, now)
+        _log_quarantines(added, self._router.settings.name)
+        report = messages.CrashReport(*crash, 0.0)
+        self._spread(self._make_news(now, (report,), tuple(added)))
+
+    def record_proof(self, parts: tuple[str, ...], now: float) -> None:
+        """Records that an answer was written on a prompt."""
+        released = self._router.quarantine.record_proof(parts, now)
+        if released:
+            _log_releases(released, self._router.settings.name)
+            self._spread(self._make_news(now, released=released))
+
+    def greet(self, address: str, now: float) -> None:
+        """Sends all that is known to a peer that does not know it."""
+        for news in self._snapshot(now):
+            self._send([address], news)
+
+    def refresh(self, now: float) -> None:
+        """Drops old evidence and repeats the rest, as messages may be lost."""
+        ended = self._router.quarantine.expire(now)
+        _log_releases(ended, "expiry")
+        peers = self._router.fleet_state.peers
+        if peers.is_large_fleet and not peers.is_coordinator():
+            return
+        # The coordinators of other zones do the same there.
+        recipients = (
+            peers.zone_peers() if peers.is_large_fleet else peers.alive()
+        )
+        for news in self._snapshot(now, CRASH_NEWS_SECONDS):
+            self._send([peer.address for peer in recipients], news)
+
+    def _snapshot(
+        self,
+        now: float,
+        max_age_seconds: float = prompt_quarantine.EVIDENCE_SECONDS,
+    ) -> list[messages.QuarantineNews]:
+        """Returns messages with what is known of quarantines."""
+        quarantine = self._router.quarantine
+        reports = [
+            messages.CrashReport(*crash, age_seconds * 1000.0)
+            for crash, age_seconds in quarantine.crashes(now, max_age_seconds)
+        ]
+        news = [
+            self._make_news(
+                now, tuple(reports[start : start + MAX_CRASHES_PER_MESSAGE])
+            )
+            for start in range(0, len(reports), MAX_CRASHES_PER_MESSAGE)
+        ]
+        if quarantine.quarantined:
+            added = tuple(quarantine.quarantined)
+            news.append(self._make_news(now, added=added))
+        return news
+
+    def _make_news(
+        self,
+        now: float,
+        crashes: tuple[messages.CrashReport, ...] = (),
+        added: tuple[prompt_quarantine.Parts, ...] = (),
+        released: Iterable[prompt_quarantine.Parts] = (),
+    ) -> messages.QuarantineNews:
+        quarantined = self._router.quarantine.quarantined
+        return messages.QuarantineNews(
+            self._router.settings.name,
+            crashes,
+            tuple(
+                messages.QuarantineReport(
+                    tuple(sorted(parts)), (quarantined[parts] - now) * 1000.0
+                )
+                for parts in added
+                if parts in quarantined
+            ),
+            tuple(tuple(sorted(parts)) for parts in released),
+        )
+
+    def _spread(self, news: messages.QuarantineNews) -> None:
+        """Sends news to all instances; in a large fleet by coordinators."""
+        state = self._router.fleet_state
+        peers = state.peers
+        if not peers.is_large_fleet:
+            self._send([peer.address for peer in peers.alive()], news)
+        elif not peers.is_coordinator():
+            self._send(state.load_recipients(), news)
+        else:
+            self._send([peer.address for peer in peers.zone_peers()], news)
+            forwarded = messages.Forwarded(messages.encode(news))
+            self._send(peers.gateways(), forwarded)
+
+    def handle(
+        self, address: str, news: messages.QuarantineNews, now: float
+    ) -> None:
+        """Applies what a peer knows of prompts that crash engines."""
+        quarantine = self._router.quarantine
+        is_new = any(
+            not quarantine.is_known(report.target, report.born)
+            for report in news.crashes
+        )
+        added = []
+        for report in news.crashes:
+            crash = prompt_quarantine.EngineCrash(*report[:3])
+            at = now - report.age_ms / 1000.0
+            added += quarantine.record_crash(crash, at)
+        refuted = []
+        for item in news.quarantines:
+            parts = frozenset(item.parts)
+            if parts in quarantine.quarantined:
+                continue
+            if quarantine.accept(parts, item.left_ms / 1000.0, now):
+                added.append(parts)
+            else:
+                refuted.append(parts)
+        released = []
+        for combination in news.released:
+            released += quarantine.record_proof(combination, now)
+        _log_quarantines(added, news.sender)
+        _log_releases(released, news.sender)
+        if refuted:
+            self._spread(self._make_news(now, released=refuted))
+        if (is_new or added or released) and self._passes_news_on(address):
+            self._spread(news)
+
+    def _passes_news_on(self, address: str) -> bool:
+        """Returns whether news of a sender reach others only through us."""
+        peers = self._router.fleet_state.peers
+        sender = peers.peers.get(address)
+        return (
+            peers.is_large_fleet
+            and peers.is_coordinator()
+            and sender is not None
+            and sender.availability_zone == peers.own_zone
+            and address not in peers.coordinators()
+        )
+
+
+def _log_crash(crash: prompt_quarantine.EngineCrash) -> None:
+    _LOG.warning(
+        "prompt_crash",
+        extra={
+            "target": crash.target,
+            "prompt_parts": crash.parts,
+        },
+    )
+
+
+def _log_quarantines(
+    combinations: Iterable[prompt_quarantine.Parts], source: str
+) -> None:
+    for parts in combinations:
+        _LOG.warning(
+            "prompt_quarantined",
+            extra={"prompt_parts": sorted(parts), "source": source},
+        )
+
+
+def _log_releases(
+    combinations: Iterable[prompt_quarantine.Parts], source: str
+) -> None:
+    for parts in combinations:
+        _LOG.warning(
+            "prompt_released",
+            extra={"prompt_parts": sorted(parts), "source": source},
+        )
--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -4,7 +4,7 @@
 """
 
 import logging
-from typing import Callable, Iterable, NamedTuple
+from typing import Callable, NamedTuple
 
 import pykka
 
@@ -12,6 +12,7 @@
 from catkintrail import messages
 from catkintrail import relay_settings
 from catkintrail import verdict as verdicts
+from catkintrail.adapters import quarantine_exchange
 from catkintrail.core import prompt_quarantine
 from catkintrail.core import request_router
 from catkintrail.core import route_table
@@ -44,10 +45,6 @@
 # Load messages of other zones are delayed this long; a prefill takes longer.
 BATCH_DELAY_SECONDS = 0.1
 MAX_BATCH_MESSAGES = 100
-# Limit of the crashes of engines in one message.
-MAX_CRASHES_PER_MESSAGE = 8
-# Crashes are repeated to peers for this long.
-CRASH_NEWS_SECONDS = 10.0
 # A coordinator that did not answer in time is not asked again for this long.
 COORDINATOR_PAUSE_SECONDS = 1.0
 
@@ -166,6 +163,9 @@
         self._router = router
         self._send = send
         self._clock = clock
+        self._quarantine_exchange = quarantine_exchange.QuarantineExchange(
+            router, send
+        )
         self._started_at = clock()
         self._next_heartbeat = 0.0
         self._next_snapshot = 0.0
@@ -307,23 +307,11 @@
 
     def record_prompt_crash(self, crash: prompt_quarantine.EngineCrash) -> None:
         """Records a response that broke off at its start; tells the fleet."""
-        now = self._clock()
-        _log_crash(crash, self._router.settings.name)
-        added = self._router.quarantine.record_crash(crash, now)
-        _log_quarantines(added, self._router.settings.name)
-        report = messages.CrashReport(*crash, 0.0)
-        self._spread_quarantine_news(
-            self._make_quarantine_news(now, (report,), tuple(added))
-        )
+        self._quarantine_exchange.record_crash(crash, self._clock())
 
     def record_prompt_proof(self, parts: tuple[str, ...]) -> None:
         """Records that an answer was written on a prompt."""
-        released = self._router.quarantine.record_proof(parts, self._clock())
-        if released:
-            _log_releases(released, self._router.settings.name)
-            self._spread_quarantine_news(
-                self._make_quarantine_news(self._clock(), released=released)
-            )
+        self._quarantine_exchange.record_proof(parts, self._clock())
 
     def mark_target_leaving(self, target: target_records.Target) -> None:
         """Records that a target is leaving, or gone from its address."""
@@ -464,7 +452,7 @@
         elif isinstance(message, messages.Batch):
             self._handle_batch(address, message, now)
         elif isinstance(message, messages.QuarantineNews):
-            self._handle_quarantine_news(address, message, now)
+            self._quarantine_exchange.handle(address, message, now)
         elif isinstance(message, messages.PlacementQuery):
             self._handle_query(address, message, now)
         elif isinstance(message, messages.PlacementAnswer):
@@ -487,8 +475,7 @@
         """Sends the running attempts to a peer that does not know them."""
         if not news:
             return
-        for known in self._quarantine_snapshot(now):
-            self._send([address], known)
+        self._quarantine_exchange.greet(address, now)
         peers = self._router.fleet_state.peers
         if (
             not peers.is_large_fleet
@@ -525,7 +512,7 @@
                 interval = LARGE_FLEET_SNAPSHOT_INTERVAL_SECONDS
             self._next_snapshot = now + interval * router.rng.uniform(0.8, 1.2)
             self._broadcast_load(router.snapshot(now))
-            self._refresh_quarantines(now)
+            self._quarantine_exchange.refresh(now)
         recipients = router.fleet_state.load_recipients()
         new = [a for a in recipients if a not in self._load_recipients]
         if new and router.fleet_state.peers.is_large_fleet:
@@ -534,123 +521,6 @@
         self._send_batches(now)
         self._log_suspects(now)
 
-    def _refresh_quarantines(self, now: float) -> None:
-        """Drops old evidence and repeats the rest, as messages may be lost."""
-        ended = self._router.quarantine.expire(now)
-        _log_releases(ended, "expiry")
-        peers = self._router.fleet_state.peers
-        if peers.is_large_fleet and not peers.is_coordinator():
-            return
-        # The coordinators of other zones do the same there.
-        recipients = (
-            peers.zone_peers() if peers.is_large_fleet else peers.alive()
-        )
-        for news in self._quarantine_snapshot(now, CRASH_NEWS_SECONDS):
-            self._send([peer.address for peer in recipients], news)
-
-    def _quarantine_snapshot(
-        self,
-        now: float,
-        max_age_seconds: float = prompt_quarantine.EVIDENCE_SECONDS,
-    ) -> list[messages.QuarantineNews]:
-        """Returns messages with what is known of quarantines."""
-        quarantine = self._router.quarantine
-        reports = [
-            messages.CrashReport(*crash, age_seconds * 1000.0)
-            for crash, age_seconds in quarantine.crashes(now, max_age_seconds)
-        ]
-        news = [
-            self._make_quarantine_news(
-                now, tuple(reports[start : start + MAX_CRASHES_PER_MESSAGE])
-            )
-            for start in range(0, len(reports), MAX_CRASHES_PER_MESSAGE)
-        ]
-        if quarantine.quarantined:
-            added = tuple(quarantine.quarantined)
-            news.append(self._make_quarantine_news(now, added=added))
-        return news
-
-    def _make_quarantine_news(
-        self,
-        now: float,
-        crashes: tuple[messages.CrashReport, ...] = (),
-        added: tuple[prompt_quarantine.Parts, ...] = (),
-        released: Iterable[prompt_quarantine.Parts] = (),
-    ) -> messages.QuarantineNews:
-        quarantined = self._router.quarantine.quarantined
-        return messages.QuarantineNews(
-            self._router.settings.name,
-            crashes,
-            tuple(
-                messages.QuarantineReport(
-                    tuple(sorted(parts)), (quarantined[parts] - now) * 1000.0
-                )
-                for parts in added
-                if parts in quarantined
-            ),
-            tuple(tuple(sorted(parts)) for parts in released),
-        )
-
-    def _spread_quarantine_news(self, news: messages.QuarantineNews) -> None:
-        """Sends news to all instances; in a large fleet by coordinators."""
-        state = self._router.fleet_state
-        peers = state.peers
-        if not peers.is_large_fleet:
-            self._send([peer.address for peer in peers.alive()], news)
-        elif not peers.is_coordinator():
-            self._send(state.load_recipients(), news)
-        else:
-            self._send([peer.address for peer in peers.zone_peers()], news)
-            forwarded = messages.Forwarded(messages.encode(news))
-            self._send(peers.gateways(), forwarded)
-
-    def _handle_quarantine_news(
-        self, address: str, news: messages.QuarantineNews, now: float
-    ) -> None:
-        """Applies what a peer knows of prompts that crash engines."""
-        quarantine = self._router.quarantine
-        is_new = any(
-            not quarantine.is_known(report.target, report.born)
-            for report in news.crashes
-        )
-        added = []
-        for report in news.crashes:
-            crash = prompt_quarantine.EngineCrash(*report[:3])
-            at = now - report.age_ms / 1000.0
-            added += quarantine.record_crash(crash, at)
-        refuted = []
-        for item in news.quarantines:
-            parts = frozenset(item.parts)
-            if parts in quarantine.quarantined:
-                continue
-            if quarantine.accept(parts, item.left_ms / 1000.0, now):
-                added.append(parts)
-            else:
-                refuted.append(parts)
-        released = []
-        for combination in news.released:
-            released += quarantine.record_proof(combination, now)
-        _log_quarantines(added, news.sender)
-        _log_releases(released, news.sender)
-        if refuted:
-            self._spread_quarantine_news(
-                self._make_quarantine_news(now, released=refuted)
-            )
-        if (is_new or added or released) and self._passes_news_on(address):
-            self._spread_quarantine_news(news)
-
-    def _passes_news_on(self, address: str) -> bool:
-        """Returns whether news of a sender reach others only through us."""
-        peers = self._router.fleet_state.peers
-        sender = peers.peers.get(address)
-        return (
-            peers.is_large_fleet
-            and peers.is_coordinator()
-            and sender is not None
-            and sender.availability_zone == peers.own_zone
-            and address not in peers.coordinators()
-        )
-
     def _log_suspects(self, now: float) -> None:
         """Logs which targets have turned slow or fast since the last call."""
         suspects = self._router.health.suspects(now)
@@ -837,37 +707,6 @@
         )
 
 
-def _log_crash(crash: prompt_quarantine.EngineCrash, reporter: str) -> None:
-    _LOG.warning(
-        "prompt_crash",
-        extra={
-            "target": crash.target,
-            "prompt_parts": crash.parts,
-            "reporter": reporter,
-        },
-    )
-
-
-def _log_quarantines(
-    combinations: Iterable[prompt_quarantine.Parts], source: str
-) -> None:
-    for parts in combinations:
-        _LOG.warning(
-            "prompt_quarantined",
-            extra={"prompt_parts": sorted(parts), "source": source},
-        )
-
-
-def _log_releases(
-    combinations: Iterable[prompt_quarantine.Parts], source: str
-) -> None:
-    for parts in combinations:
-        _LOG.warning(
-            "prompt_released",
-            extra={"prompt_parts": sorted(parts), "source": source},
-        )
-
-
 def _log_ejection(target: str, is_silent: bool, reporter: str) -> None:
     _LOG.warning(
         "target_ejected",
