--- a/catkintrail/request_progress.py
+++ b/catkintrail/request_progress.py
@@ -14,7 +14,8 @@
         request: The caller's request.
         deadline: When the final response has to be sent, in seconds.
         verdict: Whether the request may have run on any target so far.
-        has_response: Whether the head of a response to the current send arrived.
+        has_response: Whether the head of a response to the current send has
+            arrived.
         send_events: Number of events received in the current send.
         send_count: How often the request was sent to a target.
         failed_targets: Names of targets that failed the request.
