--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -205,16 +205,20 @@
     CRASH_SECONDS = 0.15
     RUN_SECONDS = 0.8
 
-    def play(self, zone_sizes, cut_zones=(), loss=0.0):
+    def setUp(self):
+        super().setUp()
+        self.fleet = None
+        self.rng = random.Random(1)
+        self.crashes = []
+        self.arrivals = []
+        self.refused = 0
+
+    def play(self, zone_sizes, cut_zones=()):
         self.fleet = virtual_fleet.VirtualFleet(
             zone_sizes, [builders.make_target("e-1")]
         )
         self.fleet.run(12.0)
         self.fleet.cut_zones |= set(cut_zones)
-        self.rng = random.Random(1)
-        self.crashes = []
-        self.arrivals = []
-        self.refused = 0
         for number in range(400):
             self.fleet.at(0.05 * number, self.send_sound, number)
         for number in range(60):
