--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -314,6 +314,8 @@
             for never.
         rejects_requests: Whether requests are rejected without being run.
         states_leaving: Whether responses have the header `Server-Leaving`.
+        limit: Value of the header `Server-Limit` in responses; "" for none.
+        arrivals: Time in seconds of the arrival of each request.
         is_unframed: Whether streams have neither a length nor chunks and end
             with their connection.
         ends_inside_event: Whether truncated streams end inside an event.
@@ -336,6 +338,8 @@
         self.truncate_after_events = -1
         self.rejects_requests = False
         self.states_leaving = False
+        self.limit = ""
+        self.arrivals = []
         self.is_unframed = False
         self.ends_inside_event = False
         self.crashing_part = ""
@@ -379,6 +383,9 @@
         headers = [("Attempt-Id", request_id), ("Engine-Stamp", self.name)]
         if self.states_leaving:
             headers.append(("Server-Leaving", "1"))
+        if self.limit:
+            headers.append(("Server-Limit", self.limit))
+        self.arrivals.append(time.monotonic())
         if handler.headers["Expect-Instance"] != self.name:
             handler.reply(421, b"", [("Instance-Id", self.name)])
             return
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -420,3 +420,62 @@
         self.assertLessEqual(after - before, self.MAX_CRASHES_AFTER_CONTACT)
         for number in range(40, 50):
             self.assertEqual(200, self.request(number, "common", "other"))
+
+
+class LimitTests(testtools.TestCase):
+    """Targets that name a limit of requests for all instances together."""
+
+    LIMIT_PER_SECOND = 1.0
+    CONTACT_SECONDS = 3.0
+    WINDOW_SECONDS = 4.0
+    MAX_ARRIVALS = 1.5 * LIMIT_PER_SECOND * WINDOW_SECONDS + 5
+
+    def setUp(self):
+        super().setUp()
+        names = platform_standins.PORT_NAMES
+        self.ports = dict(zip(names, processes.free_ports(len(names))))
+        self.store = platform_standins.Store()
+        self.addCleanup(self.store.close)
+        self.store.put("config", "main", platform_standins.make_spec(1))
+        self.engines = []
+        for number in range(2):
+            engine = platform_standins.Engine(f"e-{number}")
+            self.addCleanup(engine.close)
+            self.store.put("servers", engine.name, engine.entry())
+            self.engines.append(engine)
+        self.relays = []
+        for ip in ("127.0.0.1", "127.0.0.2", "127.0.0.3"):
+            relay = RelayProcess(ip, self.ports, self.store.address)
+            self.addCleanup(relay.close)
+            self.relays.append(relay)
+        for relay in self.relays:
+            self.assertTrue(wait_until(relay.is_ready), "not ready")
+
+    def request_for(self, seconds):
+        """Sends requests to all instances in turn; returns their statuses."""
+        end = time.monotonic() + seconds
+        statuses = []
+        while time.monotonic() < end:
+            relay = self.relays[len(statuses) % len(self.relays)]
+            request_id = f"r{len(statuses)}"
+            statuses.append(relay.request("/ask/a", request_id)[0])
+            time.sleep(0.05)
+        return statuses
+
+    def test_target_gets_no_more_requests_than_its_limit_from_all_instances(
+        self,
+    ):
+        limited = self.engines[0]
+        limited.limit = str(self.LIMIT_PER_SECOND)
+        statuses = self.request_for(9.0)
+        self.assertEqual({200}, set(statuses))
+        late = [
+            at
+            for at in limited.arrivals
+            if at >= limited.arrivals[0] + self.CONTACT_SECONDS
+        ]
+        for start in late:
+            window = [
+                at for at in late if start <= at < start + self.WINDOW_SECONDS
+            ]
+            self.assertLessEqual(len(window), self.MAX_ARRIVALS)
