A target's limit binds all instances together

Cause: nothing read `Server-Limit`. What a target says of itself was heard in three ways, one for each thing that it may say, so that a new one was missed.

Change: core/target_notices is the one home of departures, pauses and limits; the choice, the check before a reservation and the check before the first byte ask it. For each limited target the first coordinator of its zone issues permits for the whole fleet (generic cell rate algorithm); each send, also a retry, a resumed stream or a part of a divided prompt, needs one. If none is due, other targets are chosen; if all are at their limits, the request is refused at once with the time until the next permit. Issuers that can reach only some zones issue that share. An answer without the header ends the limit, unless its request was sent before the limit was stated; older statements of peers do not bring it back. QuarantineExchange's ways to reach the fleet became adapters/fleet_broadcast, which both use.

--- a/catkintrail/adapters/quarantine_exchange.py
+++ b/catkintrail/adapters/quarantine_exchange.py
@@ -5,9 +5,10 @@
 """
 
 import logging
-from typing import Callable, Iterable
+from typing import Iterable
 
 from catkintrail import messages
+from catkintrail.adapters import fleet_broadcast
 from catkintrail.core import prompt_quarantine
 from catkintrail.core import request_router
 
@@ -28,9 +29,7 @@
     """
 
     def __init__(
-        self,
-        router: request_router.RequestRouter,
-        send: Callable[[list[str], messages.Message], None],
+        self, router: request_router.RequestRouter, send: fleet_broadcast.Send
     ) -> None:
         self._router = router
         self._send = send
@@ -61,15 +60,13 @@
         """Drops old evidence and repeats the rest, as messages may be lost."""
         ended = self._router.quarantine.expire(now)
         _log_releases(ended, "expiry")
-        peers = self._router.fleet_state.peers
-        if peers.is_large_fleet and not peers.is_coordinator():
-            return
-        # The coordinators of other zones do the same there.
-        recipients = (
-            peers.zone_peers() if peers.is_large_fleet else peers.alive()
+        recipients = fleet_broadcast.choose_refresh_recipients(
+            self._router.fleet_state.peers
         )
+        if not recipients:
+            return
         for news in self._snapshot(now, CRASH_NEWS_SECONDS):
-            self._send([peer.address for peer in recipients], news)
+            self._send(recipients, news)
 
     def _snapshot(
         self,
@@ -115,17 +112,7 @@
         )
 
     def _spread(self, news: messages.QuarantineNews) -> None:
-        """Sends news to all instances; in a large fleet by coordinators."""
-        state = self._router.fleet_state
-        peers = state.peers
-        if not peers.is_large_fleet:
-            self._send([peer.address for peer in peers.alive()], news)
-        elif not peers.is_coordinator():
-            self._send(state.load_recipients(), news)
-        else:
-            self._send([peer.address for peer in peers.zone_peers()], news)
-            forwarded = messages.Forwarded(messages.encode(news))
-            self._send(peers.gateways(), forwarded)
+        fleet_broadcast.spread(self._router.fleet_state, self._send, news)
 
     def handle(
         self, address: str, news: messages.QuarantineNews, now: float
@@ -157,20 +144,11 @@
         _log_releases(released, news.sender)
         if refuted:
             self._spread(self._make_news(now, released=refuted))
-        if (is_new or added or released) and self._passes_news_on(address):
-            self._spread(news)
-
-    def _passes_news_on(self, address: str) -> bool:
-        """Returns whether news of a sender reach others only through us."""
         peers = self._router.fleet_state.peers
-        sender = peers.peers.get(address)
-        return (
-            peers.is_large_fleet
-            and peers.is_coordinator()
-            and sender is not None
-            and sender.availability_zone == peers.own_zone
-            and address not in peers.coordinators()
-        )
+        if (is_new or added or released) and fleet_broadcast.passes_news_on(
+            peers, address
+        ):
+            self._spread(news)
 
 
 def _log_crash(crash: prompt_quarantine.EngineCrash) -> None:
--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -12,6 +12,9 @@
 from catkintrail import messages
 from catkintrail import relay_settings
 from catkintrail import verdict as verdicts
+from catkintrail.adapters import fleet_broadcast
+from catkintrail.adapters import limit_exchange
+from catkintrail.adapters import permit_exchange
 from catkintrail.adapters import quarantine_exchange
 from catkintrail.core import prompt_quarantine
 from catkintrail.core import request_router
@@ -48,7 +51,6 @@
 # A coordinator that did not answer in time is not asked again for this long.
 COORDINATOR_PAUSE_SECONDS = 1.0
 
-Send = Callable[[list[str], messages.Message], None]
 Clock = Callable[[], float]
 
 
@@ -106,11 +108,12 @@
 
 
 class PendingPlacement(NamedTuple):
-    """A placement that a coordinator has been asked for.
+    """A placement that waits for a peer.
 
     Attributes:
         request: The request.
-        coordinator: Address of the coordinator.
+        coordinator: Address of the coordinator that chooses; "" if this
+            instance has chosen and waits for a permit.
         result: Future of the placement, of a refusal or of another
             `PendingPlacement`.
     """
@@ -156,7 +159,7 @@
     def __init__(
         self,
         router: request_router.RequestRouter,
-        send: Send,
+        send: fleet_broadcast.Send,
         clock: Clock,
     ) -> None:
         super().__init__()
@@ -166,6 +169,8 @@
         self._quarantine_exchange = quarantine_exchange.QuarantineExchange(
             router, send
         )
+        self._limit_exchange = limit_exchange.LimitExchange(router, send)
+        self._permit_exchange = permit_exchange.PermitExchange(router, send)
         self._started_at = clock()
         self._next_heartbeat = 0.0
         self._next_snapshot = 0.0
@@ -189,7 +194,8 @@
     ) -> PlacementResult:
         """Chooses a target, or asks a coordinator to choose one.
 
-        The attempt is reported to peers.
+        The attempt is reported to peers. Targets with a limit need a permit,
+        for which a peer may have to be asked too.
         """
         refusal = self._router.count_send(request, self._clock())
         if refusal is not None:
@@ -197,14 +203,18 @@
         return self._place_or_ask(request)
 
     def give_up_waiting(self, key: str) -> PlacementResult | None:
-        """Places a request whose coordinator has not answered in time.
+        """Places a request that has waited too long for a peer.
 
         Returns:
-            The result; None if the coordinator has answered meanwhile.
+            The result; None if the peer has answered meanwhile.
         """
-        pending = self._pending.pop(key, None)
+        pending = self._pending.get(key)
         if pending is None:
             return None
+        if not pending.coordinator:
+            self._permit_exchange.give_up(key, self._clock())
+            return self._pending.get(key)
+        del self._pending[key]
         _LOG.info("coordinator_silent", extra={"peer": pending.coordinator})
         return self._place_elsewhere(pending)
 
@@ -221,9 +231,7 @@
         now = self._clock()
         coordinator = self._choose_coordinator(now)
         if not coordinator:
-            placement = self._router.place_locally(request, now)
-            self._report_placement(request.key, now)
-            return placement
+            return self._place_here(request, now)
         pending = PendingPlacement(
             request, coordinator, pykka.ThreadingFuture()
         )
@@ -231,6 +239,28 @@
         self._send([coordinator], self._router.make_query(request))
         return pending
 
+    def _place_here(
+        self, request: request_router.PlacementRequest, now: float
+    ) -> PlacementResult:
+        """Chooses a target from the load that this instance knows."""
+        pending = PendingPlacement(request, "", pykka.ThreadingFuture())
+        self._pending[request.key] = pending
+
+        def deliver(answer: messages.PlacementAnswer) -> None:
+            del self._pending[request.key]
+            placement = self._router.finish_placement(
+                request, answer, self._clock()
+            )
+            self._report_placement(request.key, self._clock())
+            pending.result.set(placement)
+
+        query = self._router.make_query(request)
+        answer = self._router.chooser.answer_query(query, now)
+        self._permit_exchange.settle(query, answer, deliver, now)
+        if request.key in self._pending:
+            return pending
+        return pending.result.get(timeout=0)
+
     def _choose_coordinator(self, now: float) -> str:
         """Returns the address of the coordinator to ask; "" for none."""
         peers = self._router.fleet_state.peers
@@ -252,27 +282,30 @@
         self, address: str, query: messages.PlacementQuery, now: float
     ) -> None:
         """Places a request of another instance of this zone."""
+
+        def deliver(answer: messages.PlacementAnswer) -> None:
+            self._send([address], answer)
+            update = self._router.make_placement_update(
+                query.key, self._clock(), query.sender
+            )
+            if update is not None:
+                self._queue_for_other_zones(update, self._clock())
+
         answer = self._router.chooser.answer_query(query, now)
-        self._send([address], answer)
-        update = self._router.make_placement_update(
-            query.key, now, query.sender
-        )
-        if update is not None:
-            self._queue_for_other_zones(update, now)
+        self._permit_exchange.settle(query, answer, deliver, now)
 
     def _handle_placement_answer(
         self, answer: messages.PlacementAnswer, now: float
     ) -> None:
-        pending = self._pending.pop(answer.key, None)
-        if pending is None:
+        pending = self._pending.get(answer.key)
+        if pending is None or not pending.coordinator:
             return
+        del self._pending[answer.key]
         if answer.reason == verdicts.Reason.NOT_READY.value:
             pending.result.set(self._place_elsewhere(pending))
             return
         if not self._router.may_send_to(answer, now):
-            placement = self._router.place_locally(pending.request, now)
-            self._report_placement(answer.key, now)
-            pending.result.set(placement)
+            pending.result.set(self._place_here(pending.request, now))
             return
         placement = self._router.finish_placement(pending.request, answer, now)
         self._report_placement(answer.key, now, pending.coordinator)
@@ -313,6 +346,10 @@
         """Records that an answer was written on a prompt."""
         self._quarantine_exchange.record_proof(parts, self._clock())
 
+    def tell_limit(self, target: target_records.Target) -> None:
+        """Tells the fleet that the limit of a target has changed."""
+        self._limit_exchange.tell(target, self._clock())
+
     def mark_target_leaving(self, target: target_records.Target) -> None:
         """Records that a target is leaving, or gone from its address."""
         now = self._clock()
@@ -453,6 +490,12 @@
             self._handle_batch(address, message, now)
         elif isinstance(message, messages.QuarantineNews):
             self._quarantine_exchange.handle(address, message, now)
+        elif isinstance(message, messages.LimitNews):
+            self._limit_exchange.handle(address, message, now)
+        elif isinstance(message, messages.PermitQuery):
+            self._permit_exchange.handle_query(address, message, now)
+        elif isinstance(message, messages.PermitAnswer):
+            self._permit_exchange.handle_answer(message, now)
         elif isinstance(message, messages.PlacementQuery):
             self._handle_query(address, message, now)
         elif isinstance(message, messages.PlacementAnswer):
@@ -476,6 +519,7 @@
         if not news:
             return
         self._quarantine_exchange.greet(address, now)
+        self._limit_exchange.greet(address, now)
         peers = self._router.fleet_state.peers
         if (
             not peers.is_large_fleet
@@ -492,6 +536,7 @@
         router = self._router
         expired = router.expire(now)
         self._apply_changes(expired, "expiry")
+        self._permit_exchange.expire(now)
         if expired and router.fleet_state.is_watcher():
             self._broadcast_store_changes(expired)
         if now >= self._next_heartbeat:
@@ -513,6 +558,7 @@
             self._next_snapshot = now + interval * router.rng.uniform(0.8, 1.2)
             self._broadcast_load(router.snapshot(now))
             self._quarantine_exchange.refresh(now)
+            self._limit_exchange.refresh(now)
         recipients = router.fleet_state.load_recipients()
         new = [a for a in recipients if a not in self._load_recipients]
         if new and router.fleet_state.peers.is_large_fleet:
--- a/catkintrail/adapters/router_client.py
+++ b/catkintrail/adapters/router_client.py
@@ -6,15 +6,15 @@
 
 from catkintrail import verdict as verdicts
 from catkintrail.adapters import router_actor
-from catkintrail.core import departures as departure_records
 from catkintrail.core import prompt_quarantine
 from catkintrail.core import request_router
+from catkintrail.core import target_notices
 from catkintrail.core import targets as target_records
 
-__all__ = ["COORDINATOR_TIMEOUT_SECONDS", "RouterClient"]
+__all__ = ["PEER_TIMEOUT_SECONDS", "RouterClient"]
 
-# How long a coordinator may take to answer before another one is asked.
-COORDINATOR_TIMEOUT_SECONDS = 0.08
+# How long a peer may take to choose a target or to issue a permit.
+PEER_TIMEOUT_SECONDS = 0.08
 # The actor does no blocking I/O, so a slower response indicates a fault.
 CALL_TIMEOUT_SECONDS = 5.0
 
@@ -27,8 +27,8 @@
 
     Attributes:
         proxy: The actor's proxy.
-        departures: The record of targets that are leaving. It is read without
-            the actor, right before each send.
+        notices: What targets have stated of themselves. It is read without the
+            actor, right before each send.
         quarantine: The quarantined prompts, read in the same way.
         clock: Returns the time in seconds.
     """
@@ -36,12 +36,12 @@
     def __init__(
         self,
         actor_ref: pykka.ActorRef,
-        departures: departure_records.DepartureRecord,
+        notices: target_notices.TargetNotices,
         quarantine: prompt_quarantine.PromptQuarantine,
         clock: Callable[[], float],
     ) -> None:
         self.proxy = actor_ref.proxy()
-        self.departures = departures
+        self.notices = notices
         self.quarantine = quarantine
         self.clock = clock
 
@@ -57,18 +57,18 @@
     ) -> request_router.Placement | verdicts.Refusal:
         """Chooses a target and reports the attempt to peers.
 
-        Coordinators that do not answer in time are passed over.
+        Peers that do not answer in time are passed over.
         """
         result = self.proxy.place(request).get(timeout=CALL_TIMEOUT_SECONDS)
         while isinstance(result, router_actor.PendingPlacement):
-            result = self._await_coordinator(result)
+            result = self._await_peer(result)
         return result
 
-    def _await_coordinator(
+    def _await_peer(
         self, pending: router_actor.PendingPlacement
     ) -> router_actor.PlacementResult:
         try:
-            return pending.result.get(timeout=COORDINATOR_TIMEOUT_SECONDS)
+            return pending.result.get(timeout=PEER_TIMEOUT_SECONDS)
         except pykka.Timeout:
             future = self.proxy.give_up_waiting(pending.request.key)
             result = future.get(timeout=CALL_TIMEOUT_SECONDS)
@@ -110,9 +110,23 @@
         """Records that a target has written an answer on a prompt."""
         self.proxy.record_prompt_proof.defer(parts)
 
-    def is_target_leaving(self, target: target_records.Target) -> bool:
-        """Returns whether a target is known to be leaving."""
-        return self.departures.contains(target)
+    def find_obstacle(
+        self, target: target_records.Target, permits: tuple[str, ...]
+    ) -> str:
+        """Returns why a target must not be sent a request; "" if it may be."""
+        return self.notices.find_obstacle(target, permits, self.clock())
+
+    def record_statement(
+        self,
+        target: target_records.Target,
+        statement: target_notices.TargetStatement,
+        sent_at: float,
+    ) -> None:
+        """Records what an answer states of its target."""
+        if self.notices.record(target, statement, sent_at, self.clock()):
+            self.proxy.tell_limit.defer(target)
+        if statement.is_leaving:
+            self.mark_target_leaving(target)
 
     def mark_target_leaving(self, target: target_records.Target) -> None:
         """Records that a target is leaving, or gone from its address."""
--- a/catkintrail/core/fleet_peers.py
+++ b/catkintrail/core/fleet_peers.py
@@ -251,6 +251,25 @@
         Returns:
             Addresses, sorted by the name of the zone.
         """
+        return list(self._gateways_by_zone().values())
+
+    def permit_issuer(self, zone: str) -> str:
+        """Returns the instance that issues the permits of a zone's targets.
+
+        It is the first coordinator of the zone. For a zone of which no instance
+        can be reached, it is that of the first other zone.
+        """
+        chosen = self._gateways_by_zone()
+        chosen[self.own_zone] = self.coordinators()[0]
+        return chosen.get(zone) or chosen[min(chosen)]
+
+    def reachable_zone_share(self) -> float:
+        """Returns the share of the known zones that can be reached."""
+        zones = {peer.availability_zone for peer in self.peers.values()}
+        zones = (zones | {self.own_zone}) - {""}
+        return 1.0 - len(self.unreachable_zones()) / len(zones)
+
+    def _gateways_by_zone(self) -> dict[str, str]:
         chosen: dict[str, str] = {}
         for zone in sorted({peer.availability_zone for peer in self.alive()}):
             if zone == self.own_zone:
@@ -264,7 +283,7 @@
             chosen[zone] = (
                 reported[0] if reported else self._zone_ranking(zone)[0].address
             )
-        return list(chosen.values())
+        return chosen
 
     def choose_heartbeat_recipients(
         self, now: float, rng: random.Random
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -19,7 +19,7 @@
 from catkintrail.core import store_views
 from catkintrail.core import target_choice
 from catkintrail.core import target_health
-from catkintrail.core import target_pauses
+from catkintrail.core import target_notices
 from catkintrail.core import targets as target_records
 
 __all__ = [
@@ -104,6 +104,8 @@
         cost: Cost of the chosen placement.
         may_retry_early: Whether the retry budget is large enough to send a
             retry before the target has exceeded its timeout.
+        permits: Names of the targets with a limit for which the request has a
+            permit.
     """
 
     target: target_records.Target
@@ -114,6 +116,7 @@
     candidates: int
     cost: float
     may_retry_early: bool
+    permits: tuple[str, ...] = ()
 
 
 def caller_event_timeout_ms(route: route_table.Route) -> float:
@@ -136,7 +139,7 @@
         health: Failures and response times of targets, from past attempts.
         chooser: Chooses targets from this state.
         quarantine: Prompts that are kept away from engines.
-        pauses: Targets that asked to be sent nothing for some time.
+        notices: What targets have stated of themselves.
     """
 
     def __init__(
@@ -150,14 +153,16 @@
         self.fleet_state = fleet_state.FleetState(settings, incarnation, rng)
         self.load = fleet_load.FleetLoad()
         self.health = target_health.TargetHealth()
-        self.pauses = target_pauses.TargetPauses()
+        self.notices = target_notices.TargetNotices(
+            self.fleet_state.targets.departures
+        )
         self.chooser = target_choice.TargetChooser(
             settings,
             rng,
             self.fleet_state,
             self.load,
             self.health,
-            self.pauses,
+            self.notices,
         )
         self.quarantine = prompt_quarantine.PromptQuarantine()
         self._retry_budgets: dict[
@@ -307,17 +312,28 @@
             and budget.allows_early_retry(
                 self.fleet_state.peers.max_alive, now
             ),
+            answer.permits,
         )
 
     def may_send_to(self, answer: messages.PlacementAnswer, now: float) -> bool:
-        """Returns whether no target of an answer is leaving or paused."""
-        departures = self.fleet_state.targets.departures
+        """Returns whether all targets of an answer may be sent the request."""
         return not any(
-            departures.contains(target)
-            or self.pauses.remaining_seconds(target, now)
+            self.notices.find_obstacle(target, answer.permits, now)
             for target in answer.targets
         )
 
+    def find_unpermitted(
+        self, answer: messages.PlacementAnswer
+    ) -> target_records.Target | None:
+        """Returns a target for which a permit is needed; None for none."""
+        for target in answer.targets:
+            if (
+                target.name not in answer.permits
+                and self.notices.limits.find(target) is not None
+            ):
+                return target
+        return None
+
     def record_first_token(
         self, key: str, measured_ms: float, predicted_ms: float, now: float
     ) -> messages.LoadUpdate | None:
@@ -485,7 +501,7 @@
             The targets that were removed.
         """
         self.load.expire(now)
-        self.pauses.expire(now)
+        self.notices.expire(now)
         for owner in self._find_gone_owners(now):
             self.load.drop_owner(owner)
         return self.fleet_state.expire(now)
--- a/catkintrail/core/target_choice.py
+++ b/catkintrail/core/target_choice.py
@@ -19,7 +19,7 @@
 from catkintrail.core import fleet_state as fleet_states
 from catkintrail.core import route_table
 from catkintrail.core import target_health
-from catkintrail.core import target_pauses
+from catkintrail.core import target_notices
 from catkintrail.core import targets as target_records
 
 __all__ = [
@@ -53,7 +53,7 @@
         fleet_state: Known state of the configuration, targets and peers.
         load: Attempts in progress.
         health: Failures and response times of targets.
-        pauses: Targets that asked to be sent nothing for some time.
+        notices: What targets have stated of themselves.
     """
 
     def __init__(
@@ -63,7 +63,7 @@
         fleet_state: fleet_states.FleetState,
         load: fleet_load.FleetLoad,
         health: target_health.TargetHealth,
-        pauses: target_pauses.TargetPauses,
+        notices: target_notices.TargetNotices,
     ) -> None:
         self.name = settings.name
         self.availability_zone = settings.availability_zone
@@ -71,7 +71,7 @@
         self.fleet_state = fleet_state
         self.load = load
         self.health = health
-        self.pauses = pauses
+        self.notices = notices
 
     def answer_query(
         self, query: messages.PlacementQuery, now: float
@@ -97,18 +97,19 @@
         listed = list(
             self.fleet_state.targets.by_service.get(query.service, {}).values()
         )
-        pauses = [self.pauses.remaining_seconds(t, now) for t in listed]
-        if listed and all(pauses):
+        waits = [self.notices.wait_seconds(t, now) for t in listed]
+        if listed and all(waits):
             return self._decline(
                 query,
                 verdicts.Reason.OVERLOADED,
-                f"all {len(listed)} targets asked for a pause",
-                min(pauses),
+                f"all {len(listed)} targets asked for a pause or get as much as"
+                " their limits allow",
+                min(waits),
             )
         usable = [
             target
-            for target, pause in zip(listed, pauses)
-            if not pause and target.name not in query.tried
+            for target, wait in zip(listed, waits)
+            if not wait and target.name not in query.tried
         ]
         healthy = [t for t in usable if not self.health.is_ejected(t.name, now)]
         unreachable_zones = self.fleet_state.peers.unreachable_zones()
@@ -175,7 +176,7 @@
         compared: list[target_records.Target] = []
         for compared in self._candidate_sets(candidates):
             engines = self._describe_engines(compared, figures, now)
-            choice = engine_placement.choose(demand, engines, figures)
+            choice = self._choose_group(demand, engines, figures)
             if choice is not None and engine_placement.is_untroubled(
                 choice, demand, figures
             ):
@@ -198,6 +199,26 @@
         self.record_attempt(query, answer, now)
         return answer
 
+    def _choose_group(
+        self,
+        demand: engine_placement.RequestDemand,
+        engines: list[engine_placement.EngineState],
+        figures: route_table.EngineFigures,
+    ) -> engine_placement.Choice | None:
+        """Chooses engines; for divided prompts, those without a limit first.
+
+        A part of a prompt counts as a request at its engine, and a group whose
+        engines all need permits would seldom get them at the same time.
+        """
+        choice = engine_placement.choose(demand, engines, figures)
+        if choice is None or len(choice.engines) == 1:
+            return choice
+        limits = self.notices.limits
+        if all(limits.find(engine) is None for engine in choice.engines):
+            return choice
+        unlimited = [e for e in engines if limits.find(e.target) is None]
+        return engine_placement.choose(demand, unlimited, figures) or choice
+
     def _candidate_sets(
         self, candidates: list[target_records.Target]
     ) -> Iterator[list[target_records.Target]]:
--- a/catkintrail/messages.py
+++ b/catkintrail/messages.py
@@ -606,6 +606,66 @@
     released: tuple[tuple[str, ...], ...]
 
 
+class LimitReport(NamedTuple):
+    """What a target has stated of its limit.
+
+    Attributes:
+        target: Name of the target.
+        born: Start time of the target in Unix milliseconds.
+        requests_per_second: The limit; None if there is none any more.
+        age_ms: Time since the target has stated it.
+    """
+
+    target: str
+    born: int
+    requests_per_second: float | None
+    age_ms: float
+
+
+class LimitNews(NamedTuple):
+    """What an instance knows of the limits of targets."""
+
+    sender: str
+    reports: tuple[LimitReport, ...]
+
+
+class PermitQuery(NamedTuple):
+    """Asks for a permit to send one request to a target with a limit.
+
+    Attributes:
+        key: Id of the attempt, unique in the deployment.
+        target: Name of the target.
+        born: Start time of the target in Unix milliseconds.
+        availability_zone: Availability zone of the target.
+        requests_per_second: The limit.
+        age_ms: Time since the target has stated it.
+        asker: IP address of the instance that gets the answer; "" for the
+            sender.
+    """
+
+    key: str
+    target: str
+    born: int
+    availability_zone: str
+    requests_per_second: float
+    age_ms: float
+    asker: str
+
+
+class PermitAnswer(NamedTuple):
+    """The answer to a PermitQuery.
+
+    Attributes:
+        key: Id of the attempt.
+        target: Name of the target.
+        wait_seconds: Time until a permit is due; 0 if one is issued.
+    """
+
+    key: str
+    target: str
+    wait_seconds: float
+
+
 class Forwarded(NamedTuple):
     """An encoded message to forward to all instances of the receiver's zone."""
 
@@ -660,6 +720,8 @@
             if it was placed.
         detail: Why the request was not placed, in words.
         retry_after_seconds: When the request may be placed.
+        permits: Names of the targets with a limit for which the request has a
+            permit.
     """
 
     sender: str
@@ -672,6 +734,7 @@
     reason: str
     detail: str
     retry_after_seconds: float
+    permits: tuple[str, ...] = ()
 
 
 _MESSAGE_TYPES: tuple[type, ...] = (
@@ -710,6 +773,9 @@
     PlacementQuery,
     PlacementAnswer,
     QuarantineNews,
+    LimitNews,
+    PermitQuery,
+    PermitAnswer,
 )
 _TAG_OF_TYPE = {kind: tag for tag, kind in enumerate(_MESSAGE_TYPES)}
 
--- a/catkintrail/platform/engines.py
+++ b/catkintrail/platform/engines.py
@@ -16,6 +16,7 @@
 
 from catkintrail import errors
 from catkintrail import verdict as verdicts
+from catkintrail.core import target_notices
 from catkintrail.core import target_pauses
 from catkintrail.core import targets as target_records
 from catkintrail.platform import wire
@@ -62,8 +63,8 @@
 
     Attributes:
         clock: Returns the time in seconds.
-        departures: The targets that are leaving.
-        pauses: The targets that asked to be sent nothing for some time.
+        notices: What targets have stated of themselves.
+        record_statement: Records what a response states of its target.
         opened_connections: Number of attempts to open a connection.
         reused_connections: Number of times an idle connection was taken for a
             request.
@@ -76,12 +77,12 @@
     def __init__(
         self,
         clock: Callable[[], float],
-        departures: relaying.Departures = relaying.NO_DEPARTURES,
-        pauses: target_pauses.TargetPauses | None = None,
+        notices: target_notices.TargetNotices,
+        record_statement: relaying.StatementRecorder,
     ) -> None:
         self.clock = clock
-        self.pauses = pauses or target_pauses.TargetPauses()
-        self.departures = departures
+        self.notices = notices
+        self.record_statement = record_statement
         self.opened_connections = 0
         self.reused_connections = 0
         self.connection_shares: dict[str, int] = {}
@@ -287,6 +288,7 @@
         self.is_framed = True
         self._is_closed = False
         self._is_ended_by_target = False
+        self._sent_at = 0.0
 
     def exchange_heads(self, until: float) -> None:
         """Sends the request and reads the head of its response.
@@ -302,14 +304,12 @@
         now = self.client.clock()
         helpers = [helper for helper, _ in self.request.helpers]
         for target in (self.target, *helpers):
-            if self.client.departures.contains(target):
-                raise errors.TargetNotCalledError(
-                    f"{target.name} is leaving", target.name
-                )
-            if self.client.pauses.remaining_seconds(target, now):
-                raise errors.TargetNotCalledError(
-                    f"{target.name} asked for a pause", target.name
-                )
+            obstacle = self.client.notices.find_obstacle(
+                target, self.request.permits, now
+            )
+            if obstacle:
+                raise errors.TargetNotCalledError(obstacle, target.name)
+        self._sent_at = now
         self._send(data, until)
         informational_heads = 0
         while True:
@@ -487,26 +487,40 @@
             for name, value in pairs
             if name.lower() not in wire.HOP_BY_HOP
         )
-        if wire.states_leaving(self.headers_by_name.get(wire.SERVER_LEAVING)):
-            self.client.departures.report(self.target)
-        if self.status == 503 and wire.RETRY_AFTER in self.headers_by_name:
-            self._store_pause(self.headers_by_name[wire.RETRY_AFTER])
+        self._record_statement()
         self.is_signed = wire.ENGINE_STAMP in self.headers_by_name
         self.is_framed = (
             "content-length" in self.headers_by_name
             or "transfer-encoding" in self.headers_by_name
         )
 
-    def _store_pause(self, text: str) -> None:
-        seconds = wire.decode_retry_after(text)
-        if seconds is None or seconds > target_pauses.MAX_PAUSE_SECONDS:
+    def _record_statement(self) -> None:
+        headers = self.headers_by_name
+        statement = wire.decode_statement(self.status, headers)
+        if self.status == 503 and wire.RETRY_AFTER in headers:
+            seconds = statement.pause_seconds
+            if seconds is None or seconds > target_pauses.MAX_PAUSE_SECONDS:
+                text = headers[wire.RETRY_AFTER][:64]
+                _LOG.warning(
+                    "pause_unreadable",
+                    extra={"target": self.target.name, "retry_after": text},
+                )
+        if (
+            wire.SERVER_LIMIT in headers
+            and statement.requests_per_second is None
+        ):
+            text = headers[wire.SERVER_LIMIT][:64]
             _LOG.warning(
-                "pause_unreadable",
-                extra={"target": self.target.name, "retry_after": text[:64]},
+                "limit_unreadable",
+                extra={"target": self.target.name, "limit": text},
+            )
+        request_id = headers.get(wire.ATTEMPT_ID, self.request.request_id)
+        if request_id != self.request.request_id:
+            # A late response, whose limit may have been replaced since.
+            statement = statement._replace(
+                requests_per_second=None, ends_limit=False
             )
-        if seconds is not None:
-            now = self.client.clock()
-            self.client.pauses.add(self.target, seconds, now)
+        self.client.record_statement(self.target, statement, self._sent_at)
 
     def _skip_response(self, until: float) -> None:
         """Reads the response to another request, and resets the parser."""
--- a/catkintrail/platform/orders.py
+++ b/catkintrail/platform/orders.py
@@ -23,15 +23,13 @@
     """Reserves and releases memory on engines.
 
     Attributes:
-        departures: The engines that are leaving.
+        record_statement: Records what a response states of its target.
         order_count: Number of orders sent.
         http: Pool of connections to engines.
     """
 
-    def __init__(
-        self, departures: relaying.Departures = relaying.NO_DEPARTURES
-    ) -> None:
-        self.departures = departures
+    def __init__(self, record_statement: relaying.StatementRecorder) -> None:
+        self.record_statement = record_statement
         self.order_count = 0
         self.http = bounded_http.make_pool_manager(MAX_POOLS)
 
@@ -104,8 +102,10 @@
                 verdicts.Verdict.MAY_HAVE_RUN,
                 is_silent=True,
             ) from error
-        if wire.states_leaving(response.headers.get(wire.SERVER_LEAVING)):
-            self.departures.report(target)
+        statement = wire.decode_statement(response.status, response.headers)
+        # The pause and the end of a limit are stated to requests only.
+        statement = statement._replace(pause_seconds=None, ends_limit=False)
+        self.record_statement(target, statement, 0.0)
         if response.status != 200:
             is_rejection = 400 <= response.status < 500
             raise errors.TargetError(
--- a/catkintrail/platform/wire.py
+++ b/catkintrail/platform/wire.py
@@ -1,9 +1,11 @@
 """Decodes the platform's headers and objects into catkintrail's types."""
 
-from typing import Any
+import math
+from typing import Any, Mapping
 
 from catkintrail import errors
 from catkintrail.core import route_table
+from catkintrail.core import target_notices
 from catkintrail.core import targets as target_records
 
 __all__ = [
@@ -21,6 +23,7 @@
     "READY_PATH",
     "RETRY_AFTER",
     "SERVER_LEAVING",
+    "SERVER_LIMIT",
     "REQUEST_PRIORITY",
     "NOT_FORWARDED",
     "STORE_ERA",
@@ -30,7 +33,9 @@
     "decode_configuration",
     "decode_era",
     "decode_prompt_parts",
+    "decode_limit",
     "decode_retry_after",
+    "decode_statement",
     "decode_target",
     "decode_token_counts",
     "states_leaving",
@@ -54,6 +59,8 @@
 RETRY_AFTER = "retry-after"
 # In all responses of a target that has announced its shutdown.
 SERVER_LEAVING = "server-leaving"
+# Requests a second that the target takes from all instances together.
+SERVER_LIMIT = "server-limit"
 # Rises each time the store comes back from an older copy.
 STORE_ERA = "store-era"
 # Name of the organisation.
@@ -141,6 +148,41 @@
     return value is not None and value.strip() not in ("", "0")
 
 
+def decode_limit(text: str) -> float | None:
+    """Decodes a `Server-Limit` header.
+
+    Returns:
+        Requests a second, not negative; None if the header is malformed.
+    """
+    try:
+        limit = float(text)
+    except ValueError:
+        return None
+    return limit if 0 <= limit < math.inf else None
+
+
+def decode_statement(
+    status: int, headers_by_name: Mapping[str, str]
+) -> target_notices.TargetStatement:
+    """Decodes what a response states of its target.
+
+    Args:
+        status: Status code.
+        headers_by_name: Header values by lower-case name.
+    """
+    pause_seconds = limit = None
+    if status == 503 and RETRY_AFTER in headers_by_name:
+        pause_seconds = decode_retry_after(headers_by_name[RETRY_AFTER])
+    if SERVER_LIMIT in headers_by_name:
+        limit = decode_limit(headers_by_name[SERVER_LIMIT])
+    return target_notices.TargetStatement(
+        states_leaving(headers_by_name.get(SERVER_LEAVING)),
+        pause_seconds,
+        limit,
+        SERVER_LIMIT not in headers_by_name,
+    )
+
+
 def decode_era(text: str) -> int:
     """Decodes a `Store-Era` header; returns -1 if it is malformed."""
     text = text.strip()
--- a/catkintrail/ports/relaying.py
+++ b/catkintrail/ports/relaying.py
@@ -5,6 +5,7 @@
 from catkintrail import verdict as verdicts
 from catkintrail.core import memory_lease
 from catkintrail.core import request_router
+from catkintrail.core import target_notices
 from catkintrail.core import targets as target_records
 
 __all__ = [
@@ -14,27 +15,17 @@
     "CallerRequest",
     "MemoryLeases",
     "RelayMetrics",
-    "Departures",
-    "NO_DEPARTURES",
+    "StatementRecorder",
     "TargetSender",
     "Router",
     "TargetRequest",
 ]
 
 
-class Departures(NamedTuple):
-    """Access to the record of targets that are leaving, from any thread.
-
-    Attributes:
-        report: Records that a target has announced its shutdown.
-        contains: Returns whether a target is known to be leaving.
-    """
-
-    report: Callable[[target_records.Target], None]
-    contains: Callable[[target_records.Target], bool]
-
-
-NO_DEPARTURES = Departures(lambda target: None, lambda target: False)
+# Records what an answer states of its target, and when the request was sent.
+StatementRecorder = Callable[
+    [target_records.Target, target_notices.TargetStatement, float], None
+]
 
 
 class CallerRequest(NamedTuple):
@@ -138,6 +129,8 @@
         deadline: When the response becomes useless, in seconds.
         valid_until: Latest time to send the request, in seconds, after which
             the check of the API key is out of date.
+        permits: Names of the targets with a limit for which the request has a
+            permit.
     """
 
     request_id: str
@@ -151,6 +144,7 @@
     resume_after: int
     deadline: float
     valid_until: float
+    permits: tuple[str, ...] = ()
 
 
 class TargetResponse(Protocol):
@@ -292,8 +286,15 @@
     def record_prompt_proof(self, parts: tuple[str, ...]) -> None:
         """Records that a target has written an answer on a prompt."""
 
-    def is_target_leaving(self, target: target_records.Target) -> bool:
-        """Returns whether a target is known to be leaving."""
+    def find_obstacle(
+        self, target: target_records.Target, permits: tuple[str, ...]
+    ) -> str:
+        """Returns why a target must not be sent a request; "" if it may be.
+
+        Args:
+            target: The target.
+            permits: Names of the targets for which the request has a permit.
+        """
 
     def mark_target_leaving(self, target: target_records.Target) -> None:
         """Records that a target is leaving, or gone from its address."""
--- a/catkintrail/relay.py
+++ b/catkintrail/relay.py
@@ -239,7 +239,7 @@
         leases: dict[str, memory_lease.Lease] = {}
         try:
             self._reserve(placement, leases)
-            self._check_departures(placement)
+            self._check_targets(placement)
             self._check_prompt(progress)
             self._exchange(
                 admission, progress, placement, leases, key, writer, caller
@@ -294,7 +294,7 @@
         """
         for helper, tokens in zip(placement.helpers, placement.memory[1:]):
             if tokens:
-                self._check_departures(placement)
+                self._check_targets(placement)
                 try:
                     lease = self.leases.reserve(helper, tokens)
                 except errors.TargetError as error:
@@ -307,17 +307,17 @@
                     ) from error
                 leases[helper.name] = lease
 
-    def _check_departures(self, placement: request_router.Placement) -> None:
-        """Checks that no target has left since the request was placed.
+    def _check_targets(self, placement: request_router.Placement) -> None:
+        """Checks what targets have stated since the request was placed.
 
         Raises:
-            errors.TargetNotCalledError: One of the targets is leaving.
+            errors.TargetNotCalledError: One of the targets must not be sent the
+                request any more.
         """
         for target in (placement.target, *placement.helpers):
-            if self.router.is_target_leaving(target):
-                raise errors.TargetNotCalledError(
-                    f"{target.name} is leaving", target.name
-                )
+            obstacle = self.router.find_obstacle(target, placement.permits)
+            if obstacle:
+                raise errors.TargetNotCalledError(obstacle, target.name)
 
     def _check_prompt(self, progress: request_progress.Progress) -> None:
         """Checks that the prompt was not quarantined since it was placed.
@@ -418,6 +418,7 @@
             # Retries need no newer proof, so that they go on while the store
             # is unavailable.
             float("inf") if progress.send_count else placement.valid_until,
+            placement.permits,
         )
         sent_at = self.clock()
         head_deadline = response_forwarder.first_response_deadline(
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -34,7 +34,6 @@
 from catkintrail.platform import orders
 from catkintrail.platform import store
 from catkintrail.platform import wire
-from catkintrail.ports import relaying
 
 __all__ = ["RelayInstance", "run"]
 
@@ -100,15 +99,12 @@
         )
         self.router = router_client.RouterClient(
             self.actor,
-            router.fleet_state.targets.departures,
+            router.notices,
             router.quarantine,
             clock.boot_seconds,
         )
-        departures = relaying.Departures(
-            self.router.mark_target_leaving, self.router.is_target_leaving
-        )
         self.client = engines.EngineClient(
-            clock.boot_seconds, departures, router.pauses
+            clock.boot_seconds, router.notices, self.router.record_statement
         )
         self.store = store.StoreClient(settings.store_address)
         self.state_updater = fleet_state_updater.FleetStateUpdater(
@@ -119,7 +115,7 @@
             rng,
         )
         self.watch = caller_watch.DisconnectWatcher()
-        self.orders = orders.ReservationClient(departures)
+        self.orders = orders.ReservationClient(self.router.record_statement)
         self.leases = memory_leases.MemoryLeases(
             # The incarnation keeps reservation ids distinct from those of
             # earlier runs of this instance.
--- a/tests/relaying.py
+++ b/tests/relaying.py
@@ -1,11 +1,14 @@
 """Builders of settings, configurations and routers for tests."""
 
 import random
+import time
 
 from catkintrail import relay_settings
 from catkintrail.core import request_router
+from catkintrail.core import target_notices
 from catkintrail.core import route_table
 from catkintrail.core import targets as target_records
+from catkintrail.platform import engines
 
 FIGURES = route_table.EngineFigures(
     450_000, 0.925, 0.00966, 0.00254, 256.0, 0.0917, 2048, 46, 13_229.0
@@ -100,3 +103,17 @@
     )
     router.fleet_state.replace_targets(list(targets), now)
     return router
+
+
+def make_engine_client(record_statement=None):
+    """Returns a client that records statements as an instance does."""
+    notices = target_notices.TargetNotices()
+
+    def record(target, statement, sent_at):
+        notices.record(target, statement, sent_at, time.monotonic())
+        if statement.is_leaving:
+            notices.departures.add(target.name, target.born, sent_at)
+
+    return engines.EngineClient(
+        time.monotonic, notices, record_statement or record
+    )
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -17,7 +17,6 @@
 from catkintrail.adapters import bounded_http
 from catkintrail.adapters import caller_watch
 from catkintrail.core import event_stream
-from catkintrail.platform import engines
 from catkintrail.platform import orders
 from catkintrail.platform import store
 from tests import relaying as builders
@@ -121,7 +120,7 @@
 class EngineTests(EndlessTestCase):
 
     def send(self, server):
-        client = engines.EngineClient(time.monotonic)
+        client = builders.make_engine_client()
         target = builders.make_target("e-1", address=server.address)
         return client.send(
             target,
@@ -188,7 +187,9 @@
 
     def reserve(self, server):
         target = builders.make_target("e-1", address=server.address)
-        orders.ReservationClient().reserve(target, "t-1", 1_000, 3.0)
+        orders.ReservationClient(lambda *_: None).reserve(
+            target, "t-1", 1_000, 3.0
+        )
 
     def test_response_without_end(self):
         cases = list(ENDLESS_HEADS.values()) + list(ENDLESS_BODIES.values())
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -10,7 +10,6 @@
 from catkintrail import verdict as verdicts
 from catkintrail.adapters import caller_watch
 from catkintrail.core import target_pauses
-from catkintrail.platform import engines
 from catkintrail.ports import relaying
 from tests import relaying as builders
 
@@ -122,7 +121,7 @@
 
     def setUp(self):
         super().setUp()
-        self.client = engines.EngineClient(time.monotonic)
+        self.client = builders.make_engine_client()
         self.caller = caller_watch.CallerConnection()
         self.server = None
         self.target = None
@@ -163,10 +162,15 @@
     def setUp(self):
         super().setUp()
         self.leaving = []
-        departures = relaying.Departures(
-            self.leaving.append, lambda target: target in self.leaving
-        )
-        self.client = engines.EngineClient(time.monotonic, departures)
+
+        def record(target, statement, sent_at):
+            if statement.is_leaving:
+                self.leaving.append(target)
+
+        self.client = builders.make_engine_client(record)
+
+    def record_departure(self, target):
+        self.client.notices.departures.add(target.name, target.born, 0.0)
 
     def test_success_reports_the_target(self):
         self.serve(make_response(extra=b"Server-Leaving: 1\r\n"))
@@ -188,7 +192,7 @@
 
     def test_target_that_left_after_it_was_chosen_gets_nothing(self):
         self.serve(make_response())
-        self.leaving.append(self.target)
+        self.record_departure(self.target)
         error = self.assertRaises(errors.TargetNotCalledError, self.send)
         self.assertEqual(NOT_RUN, error.verdict)
         self.assert_nothing_received()
@@ -196,7 +200,7 @@
     def test_request_with_a_helper_that_left_is_withheld(self):
         self.serve(make_response())
         helper = builders.make_target("e-2")
-        self.leaving.append(helper)
+        self.record_departure(helper)
         error = self.assertRaises(
             errors.TargetNotCalledError, self.send, helpers=((helper, "t"),)
         )
@@ -219,7 +223,7 @@
         return self.assert_send_fails(NOT_RUN)
 
     def remaining(self):
-        return self.client.pauses.remaining_seconds(
+        return self.client.notices.pauses.remaining_seconds(
             self.target, time.monotonic()
         )
 
@@ -253,6 +257,53 @@
             self.assertEqual(0.0, self.remaining(), value)
 
 
+class LimitTests(EngineClientTestCase):
+    """Targets that name a limit of requests a second."""
+
+    def respond(self, value, **options):
+        extra = b"Server-Limit: " + value + b"\r\n"
+        self.serve(make_response(extra=extra, **options))
+
+    def find(self):
+        return self.client.notices.limits.find(self.target)
+
+    def test_limit_is_heard_in_answers_and_refusals(self):
+        for status, value in (("200 OK", 0.5), ("503 Busy", 0.7)):
+            self.respond(b"%.1f" % value, status=status)
+            self.send(permits=("e-1",)).close()
+            self.assertEqual(value, self.find(), status)
+
+    def test_request_without_a_permit_is_withheld(self):
+        self.respond(b"2")
+        self.send().close()
+        limited = self.target
+        self.serve(make_response())
+        self.target = limited._replace(address=self.server.address)
+        self.assertRaises(errors.TargetNotCalledError, self.send)
+        self.assert_nothing_received()
+        self.send(permits=("e-1",)).close()
+        self.assertIsNone(self.find())
+
+    def test_late_response_neither_names_nor_ends_a_limit(self):
+        limited = make_response(extra=b"Server-Limit: 2\r\n")
+        late = make_response(request_id="r0")
+        self.serve(late + limited)
+        self.send().close()
+        self.assertEqual(2.0, self.find())
+        late = make_response(request_id="r0", extra=b"Server-Limit: 9\r\n")
+        self.serve(late + limited)
+        self.send(permits=("e-1",)).close()
+        self.assertEqual(2.0, self.find())
+
+    def test_unreadable_limit_ends_none(self):
+        self.respond(b"2")
+        self.send().close()
+        for value in (b"few", b"-1", b"nan", b"inf", b""):
+            self.respond(value)
+            self.send(permits=("e-1",)).close()
+            self.assertEqual(2.0, self.find(), value)
+
+
 class RequestTests(EngineClientTestCase):
 
     def test_hop_by_hop_and_reserved_headers_are_not_forwarded(self):
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -5,7 +5,6 @@
 from catkintrail import errors
 from catkintrail import verdict as verdicts
 from catkintrail.platform import orders
-from catkintrail.ports import relaying
 from tests import relaying as builders
 from tests import test_platform_engines
 
@@ -15,6 +14,14 @@
     def setUp(self):
         super().setUp()
         self.leaving = []
+        self.limits = []
+
+    def record_statement(self, target, statement, sent_at):
+        if statement.is_leaving:
+            self.leaving.append(target)
+        self.limits.append(
+            (statement.requests_per_second, statement.ends_limit)
+        )
 
     def reserve(self, status, extra=b""):
         server = test_platform_engines.ScriptedServer(
@@ -26,9 +33,7 @@
         )
         self.addCleanup(server.close)
         target = builders.make_target("e-1", address=server.address)
-        client = orders.ReservationClient(
-            relaying.Departures(self.leaving.append, lambda target: False)
-        )
+        client = orders.ReservationClient(self.record_statement)
         client.reserve(target, "t-1", 1_000, 3.0)
 
     def test_accepted_order(self):
@@ -38,6 +43,11 @@
         self.reserve(b"200 OK", b"Server-Leaving: 1\r\n")
         self.assertEqual(["e-1"], [target.name for target in self.leaving])
 
+    def test_order_tells_a_limit_but_not_its_end(self):
+        self.reserve(b"200 OK", b"Server-Limit: 2.5\r\n")
+        self.reserve(b"200 OK")
+        self.assertEqual([(2.5, False), (None, False)], self.limits)
+
     def test_rejected_order_has_not_run(self):
         for status in (b"409 Conflict", b"421 Misdirected", b"400 Bad"):
             error = self.assertRaises(errors.TargetError, self.reserve, status)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -166,8 +166,8 @@
     def record_prompt_proof(self, parts):
         self.router.quarantine.record_proof(parts, self.clock())
 
-    def is_target_leaving(self, target):
-        return self.router.fleet_state.targets.departures.contains(target)
+    def find_obstacle(self, target, permits):
+        return self.router.notices.find_obstacle(target, permits, self.clock())
 
     def mark_target_leaving(self, target):
         self.leaving_targets.append(target)
--- a/tests/test_request_router.py
+++ b/tests/test_request_router.py
@@ -356,14 +356,14 @@
         self.router = builders.make_router(self.targets)
 
     def test_paused_target_is_not_chosen(self):
-        self.router.pauses.add(self.targets[0], 2.0, 100.0)
+        self.router.notices.pauses.add(self.targets[0], 2.0, 100.0)
         for number in range(6):
             placement = place(self.router, f"k{number}", 100.0)
             self.assertEqual("e-2", placement.target.name)
 
     def test_request_is_refused_at_once_if_all_targets_are_paused(self):
-        self.router.pauses.add(self.targets[0], 2.0, 100.0)
-        self.router.pauses.add(self.targets[1], 3.0, 100.0)
+        self.router.notices.pauses.add(self.targets[0], 2.0, 100.0)
+        self.router.notices.pauses.add(self.targets[1], 3.0, 100.0)
         refusal = place(self.router, "k1", 100.5)
         self.assertEqual(verdicts.Reason.OVERLOADED, refusal.reason)
         self.assertAlmostEqual(1.5, refusal.retry_after_seconds)
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -118,7 +118,7 @@
         if not isinstance(result, router_actor.PendingPlacement):
             then(result)
             return
-        deadline = self.now + router_client.COORDINATOR_TIMEOUT_SECONDS
+        deadline = self.now + router_client.PEER_TIMEOUT_SECONDS
 
         def poll():
             try:
