--- a/tests/test_fleet_state_updater.py
+++ b/tests/test_fleet_state_updater.py
@@ -12,7 +12,9 @@
 from catkintrail.adapters import router_client
 from catkintrail.core import request_router
 from catkintrail.core import store_views
+from catkintrail.platform import store
 from catkintrail.ports import fleet_state_source
+from tests import platform_standins
 from tests import relaying as builders
 
 
@@ -96,7 +98,7 @@
         return fleet_state_source.TargetUpdate(self._events(), revision)
 
 
-class FleetStateUpdaterTests(testtools.TestCase):
+class UpdaterTestCase(testtools.TestCase):
 
     def setUp(self):
         super().setUp()
@@ -110,7 +112,7 @@
         self.addCleanup(actor.stop)
         self.client = router_client.RouterClient(
             actor,
-            self.router.fleet_state.targets.departures,
+            self.router.notices,
             self.router.quarantine,
             time.monotonic,
         )
@@ -137,6 +139,9 @@
             time.sleep(0.02)
         self.fail(f"timed out with {self.client.status()}")
 
+
+class FleetStateUpdaterTests(UpdaterTestCase):
+
     def test_store_is_read_and_watched(self):
         self.updater.start()
         self.wait_for(lambda status: status.is_ready)
@@ -234,3 +239,46 @@
         self.wait_for(lambda status: status.has_target_list)
         self.assertIn("e-9", self.router.fleet_state.targets.targets)
         self.assertGreater(self.client.status().proof_age_seconds, 0.4)
+
+
+class RestoredStoreTests(UpdaterTestCase):
+    """A store that has come back from an older copy, and is quiet then."""
+
+    QUIET_SECONDS = 3.0
+
+    def setUp(self):
+        super().setUp()
+        self.store = platform_standins.Store()
+        self.addCleanup(self.store.close)
+        self.store.put("config", "main", platform_standins.make_spec(1))
+        self.put_target("e-1")
+        self.put_target("e-2")
+        self.updater.source = store.StoreSource(
+            store.StoreClient(self.store.address)
+        )
+
+    def put_target(self, name):
+        entry = {
+            "service": "engines",
+            "address": "10.1.0.1:80",
+            "zone": "za",
+            "slots": 8,
+            "state": "ready",
+            "born": 1_700_000_000_000,
+        }
+        self.store.put("servers", name, entry)
+
+    def usable(self):
+        return set(
+            self.router.fleet_state.targets.by_service.get("engines", {})
+        )
+
+    def test_removal_long_after_the_return_is_not_taken_for_a_lapse(self):
+        self.updater.start()
+        self.wait_for(lambda status: status.is_ready)
+        copy = self.store.copy()
+        # The new history passes the revision that was read before.
+        self.store.restore(copy, [("config", "other", {})])
+        time.sleep(self.QUIET_SECONDS)
+        self.store.remove("servers", "e-1")
+        self.wait_for(lambda _: self.usable() == {"e-2"}, 1.0)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -129,6 +129,22 @@
             0.1,
         )
 
+    def test_watch_is_not_opened_from_an_era_that_is_over(self):
+        copy = self.store.copy()
+        position = self.client.list("servers").position
+        writes = [("servers", f"i-{number}", {}) for number in range(5)]
+        self.store.restore(copy, writes)
+        self.client.list("config")
+        self.store.calls.clear()
+        self.assertRaises(
+            errors.HistoryReplacedError,
+            self.client.watch,
+            "servers",
+            position,
+            0.1,
+        )
+        self.assertEqual([], self.store.calls)
+
     def test_pages_of_different_eras_are_not_joined(self):
         self.store.page_size = 3
         handle = self.store.handle_request
