A watch is not opened from a position of an era that is over

Cause: when one loop hears of a new era, the calls of the other are ended. That counted as a failed call, after which the loop watches on from its position. The restored store had passed that revision, accepted the watch, and answered at the next change or after 20 s.

Change: a client that knows the era opens no watch from a position of another one; the loop reads everything anew at once.

--- a/catkintrail/platform/store.py
+++ b/catkintrail/platform/store.py
@@ -188,6 +188,10 @@
                 again, so that changes before the position may be unknown.
             errors.PlatformError: The response is unexpected or malformed.
         """
+        if position.era != self.era:
+            raise errors.HistoryReplacedError(
+                f"{kind}: era {self.era} follows {position.era}"
+            )
         query = urllib.parse.urlencode(
             {
                 "watch": position.revision,
