A silent target is given up only for a retry that is allowed

Cause: after 25 events the engine was silent for 1.5 s. The relay then ended the send in order to resume the stream elsewhere, asked for a retry, and got "the retry budget is exhausted", so that the caller's connection was closed. The wait is limited when the request is sent, the budget is known only when it ends. The wait for the first event of a repeatable request had the same fault.

Change: before a wait for a silent target ends early, the retry is taken from the budget. If none is left, the wait goes on, and asks again every quarter of a second, until the deadline. The placement of the retry is not counted again.

The new test of test_relay_processes failed before (status 502 instead of a whole stream from an engine with pauses of 1.8 s, no retry allowed). Conclusion: fixed for the budget. A retry for which no target is free still ends the wait.

--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -202,6 +202,10 @@
             return refusal
         return self._place_or_ask(request)
 
+    def acquire_retry(self, service: str) -> bool:
+        """Takes a retry from the budget of a service, if one is left."""
+        return self._router.acquire_retry(service, self._clock())
+
     def give_up_waiting(self, key: str) -> PlacementResult | None:
         """Places a request that has waited too long for a peer.
 
--- a/catkintrail/adapters/router_client.py
+++ b/catkintrail/adapters/router_client.py
@@ -74,6 +74,11 @@
             result = future.get(timeout=CALL_TIMEOUT_SECONDS)
             return result or pending.result.get(timeout=0)
 
+    def acquire_retry(self, service: str) -> bool:
+        """Takes a retry from the budget of a service, if one is left."""
+        future = self.proxy.acquire_retry(service)
+        return future.get(timeout=CALL_TIMEOUT_SECONDS)
+
     def record_first_token(
         self, key: str, measured_ms: float, predicted_ms: float
     ) -> None:
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -79,6 +79,7 @@
         elapsed_ms: Time since the request arrived.
         tried: Names of the targets of earlier attempts.
         is_retry: Whether the request was sent to a target before.
+        is_counted: Whether the retry was taken from the budget already.
     """
 
     key: str
@@ -88,6 +89,7 @@
     elapsed_ms: float
     tried: frozenset[str]
     is_retry: bool
+    is_counted: bool = False
 
 
 class Placement(NamedTuple):
@@ -243,10 +245,12 @@
         self, request: PlacementRequest, now: float
     ) -> verdicts.Refusal | None:
         """Counts a send; refuses a retry that exceeds the retry budget."""
-        budget = self._retry_budget(request.admission.service)
+        if request.is_counted:
+            return None
+        service = request.admission.service
         if not request.is_retry:
-            budget.record_first_send(now)
-        elif not budget.try_acquire(self.fleet_state.peers.max_alive, now):
+            self._retry_budget(service).record_first_send(now)
+        elif not self.acquire_retry(service, now):
             return _refuse(
                 verdicts.Reason.OVERLOADED,
                 "the retry budget is exhausted",
@@ -254,6 +258,17 @@
             )
         return None
 
+    def acquire_retry(self, service: str, now: float) -> bool:
+        """Takes a retry from the budget of a service, if one is left.
+
+        Args:
+            service: Name of the service.
+            now: Time in seconds.
+        """
+        return self._retry_budget(service).try_acquire(
+            self.fleet_state.peers.max_alive, now
+        )
+
     def place_locally(
         self, request: PlacementRequest, now: float
     ) -> Placement | verdicts.Refusal:
--- a/catkintrail/platform/engines.py
+++ b/catkintrail/platform/engines.py
@@ -100,6 +100,7 @@
         request: relaying.TargetRequest,
         caller: relaying.Caller,
         until: float,
+        extend: relaying.Extension,
     ) -> "EngineResponse":
         """Sends a request and waits for the head of its response.
 
@@ -108,6 +109,8 @@
             request: The request to send.
             caller: Cancels the wait when the caller disconnects.
             until: When to give up, in seconds.
+            extend: Asked before this wait, or one for a part of the body, is
+                given up.
 
         Raises:
             errors.TargetError: No valid response arrived, or it states that the
@@ -117,24 +120,28 @@
         while (idle_connection := self._pop_idle(target)) is not None:
             try:
                 return self._exchange(
-                    target, request, idle_connection, True, caller, until
+                    EngineResponse(
+                        self, target, request, idle_connection, True, extend
+                    ),
+                    caller,
+                    until,
                 )
             except _StaleConnectionError:
                 # No byte of the request was sent.
                 continue
         connection = self._connect(target, until)
-        return self._exchange(target, request, connection, False, caller, until)
+        return self._exchange(
+            EngineResponse(self, target, request, connection, False, extend),
+            caller,
+            until,
+        )
 
     def _exchange(
         self,
-        target: target_records.Target,
-        request: relaying.TargetRequest,
-        connection: socket.socket,
-        is_reused: bool,
+        response: "EngineResponse",
         caller: relaying.Caller,
         until: float,
     ) -> "EngineResponse":
-        response = EngineResponse(self, target, request, connection, is_reused)
         caller.set_disconnect_callback(response.interrupt)
         try:
             response.exchange_heads(until)
@@ -271,6 +278,7 @@
         request: relaying.TargetRequest,
         connection: socket.socket,
         is_reused: bool,
+        extend: relaying.Extension,
     ) -> None:
         self.client = client
         self.target = target
@@ -289,6 +297,7 @@
         self._is_closed = False
         self._is_ended_by_target = False
         self._sent_at = 0.0
+        self._extend = extend
 
     def exchange_heads(self, until: float) -> None:
         """Sends the request and reads the head of its response.
@@ -452,19 +461,9 @@
                     )
                 if event is not h11.NEED_DATA:
                     return event
-                remaining = until - self.client.clock()
-                if remaining <= 0:
-                    raise self._make_timeout_error(
-                        "the target did not respond in time"
-                    )
-                self._socket.settimeout(max(MIN_TIMEOUT_SECONDS, remaining))
-                data = self._socket.recv(RECEIVE_BYTES)
+                data = self._receive(until)
                 self._is_ended_by_target = not data
                 self._http.receive_data(data)
-        except TimeoutError as error:
-            raise self._make_timeout_error(
-                "the target did not respond in time"
-            ) from error
         except OSError as error:
             self._is_ended_by_target = True
             raise self._make_failure(
@@ -475,6 +474,22 @@
                 f"the response is malformed: {error}"
             ) from error
 
+    def _receive(self, until: float) -> bytes:
+        """Returns the next bytes; asks for more time before it gives up."""
+        while True:
+            remaining = until - self.client.clock()
+            if remaining <= 0:
+                until = self._extend()
+                remaining = until - self.client.clock()
+            if remaining <= 0:
+                raise self._make_timeout_error(
+                    "the target did not respond in time"
+                )
+            self._socket.settimeout(max(MIN_TIMEOUT_SECONDS, remaining))
+            # A time-out is checked by the clock of the client.
+            with contextlib.suppress(TimeoutError):
+                return self._socket.recv(RECEIVE_BYTES)
+
     def _store_head(self, event: h11.Response) -> None:
         self.status = event.status_code
         pairs = [
--- a/catkintrail/ports/relaying.py
+++ b/catkintrail/ports/relaying.py
@@ -13,6 +13,7 @@
     "Caller",
     "ResponseWriter",
     "CallerRequest",
+    "Extension",
     "MemoryLeases",
     "RelayMetrics",
     "StatementRecorder",
@@ -28,6 +29,11 @@
 ]
 
 
+# Returns until when to wait for a silent target once more, in seconds; a time
+# that has passed if the wait is to be given up.
+Extension = Callable[[], float]
+
+
 class CallerRequest(NamedTuple):
     """A caller's request with its complete body.
 
@@ -210,6 +216,7 @@
         request: TargetRequest,
         caller: Caller,
         until: float,
+        extend: Extension,
     ) -> TargetResponse:
         """Sends a request and waits for the head of its response.
 
@@ -218,6 +225,8 @@
             request: The request to send.
             caller: Cancels the wait when the caller disconnects.
             until: When to give up, in seconds.
+            extend: Asked before this wait, or one for a part of the body, is
+                given up.
 
         Raises:
             errors.TargetError: No valid response was received, or it states
@@ -268,6 +277,12 @@
             is_silent: Whether the target did not respond in time.
         """
 
+    def acquire_retry(self, service: str) -> bool:
+        """Takes a retry from the budget of a service; returns whether it may.
+
+        The placement of the retry has to state that it is counted.
+        """
+
     def find_quarantine(self, parts: tuple[str, ...]) -> float | None:
         """Returns for how many seconds a prompt is quarantined.
 
--- a/catkintrail/relay.py
+++ b/catkintrail/relay.py
@@ -23,6 +23,8 @@
 # Time reserved for delivering the final response before the route's timeout or
 # the caller's deadline.
 RESPONSE_MARGIN_SECONDS = 0.04
+# How often it is checked whether a silent target may be given up.
+RETRY_CHECK_SECONDS = 0.25
 # A request with less time left than this is refused instead of sent.
 MIN_REMAINING_SECONDS = 0.02
 # A response that ended after at most this many events broke off at its start.
@@ -160,9 +162,28 @@
                 elapsed_ms,
                 frozenset(progress.failed_targets),
                 progress.send_count > 0,
+                progress.has_retry,
             )
         )
 
+    def _extend_wait(
+        self,
+        admission: request_router.Admission,
+        progress: request_progress.Progress,
+    ) -> float:
+        """Returns until when to wait for a silent target once more.
+
+        A target is given up for another one only if the retry is allowed;
+        otherwise its answer, however late, is all that the caller can get.
+        """
+        now = self.clock()
+        if now >= progress.deadline:
+            return now
+        if self.router.acquire_retry(admission.service):
+            progress.has_retry = True
+            return now
+        return min(progress.deadline, now + RETRY_CHECK_SECONDS)
+
     def _check_quarantine(
         self, progress: request_progress.Progress
     ) -> Refusal | None:
@@ -426,7 +447,11 @@
         )
         try:
             response = self.targets.send(
-                placement.target, send, caller, head_deadline
+                placement.target,
+                send,
+                caller,
+                head_deadline,
+                lambda: self._extend_wait(admission, progress),
             )
         except errors.TargetError as error:
             # A connection that was not established does not count as a send.
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -127,6 +127,7 @@
             test_platform_engines.make_request(),
             caller_watch.CallerConnection(),
             time.monotonic() + 30.0,
+            time.monotonic,
         )
 
     def read_all(self, server):
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -1,5 +1,6 @@
 """Tests of the engine client against scripted servers."""
 
+import contextlib
 import socket
 import threading
 import time
@@ -132,12 +133,13 @@
         self.server = server
         self.target = builders.make_target("e-1", address=server.address)
 
-    def send(self, request_id="r1", wait=1.0, **changes):
+    def send(self, request_id="r1", wait=1.0, extend=time.monotonic, **changes):
         return self.client.send(
             self.target,
             make_request(request_id, **changes),
             self.caller,
             time.monotonic() + wait,
+            extend,
         )
 
     def read_all(self, response, wait=1.0):
@@ -304,6 +306,31 @@
             self.assertEqual(2.0, self.find(), value)
 
 
+class ExtensionTests(EngineClientTestCase):
+    """Waits for silent targets that go on because nothing else is possible."""
+
+    def serve_slowly(self):
+        def respond(connection):
+            # The client may have given up.
+            with contextlib.suppress(OSError):
+                for part in (make_response()[:-2], b"ok"):
+                    time.sleep(0.3)
+                    connection.sendall(part)
+            connection.close()
+
+        self.serve(respond)
+
+    def test_head_and_body_are_awaited_while_the_time_is_extended(self):
+        self.serve_slowly()
+        response = self.send(wait=0.1, extend=lambda: time.monotonic() + 0.1)
+        self.assertEqual(b"ok", self.read_all(response, wait=0.1))
+
+    def test_wait_ends_when_the_time_is_not_extended(self):
+        self.serve_slowly()
+        error = self.assert_send_fails(MAY_HAVE_RUN, wait=0.1)
+        self.assertTrue(error.is_silent)
+
+
 class RequestTests(EngineClientTestCase):
 
     def test_hop_by_hop_and_reserved_headers_are_not_forwarded(self):
@@ -560,7 +587,9 @@
         self.client.clock = lambda: now[0]
         self.serve(make_response(), make_response(request_id="r2"))
         request = make_request(deadline=99.0, valid_until=99.0)
-        response = self.client.send(self.target, request, self.caller, 5.0)
+        response = self.client.send(
+            self.target, request, self.caller, 5.0, self.client.clock
+        )
         while response.read(5.0):
             pass
         response.close()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -87,8 +87,9 @@
         self.script = list(script)
         self.sends = []
 
-    def send(self, target, request, caller, until):
+    def send(self, target, request, caller, until, extend):
         self.sends.append((target, request, until))
+        self.extend = extend
         step = self.script.pop(0)
         if callable(step):
             step = step()
@@ -155,6 +156,9 @@
             key, target, is_success, is_target_fault, is_silent, self.clock()
         )
 
+    def acquire_retry(self, service):
+        return self.router.acquire_retry(service, self.clock())
+
     def find_quarantine(self, parts):
         until = self.router.quarantine.find(parts, self.clock())
         return None if until is None else until - self.clock()
@@ -570,3 +574,43 @@
         self.serve()
         self.assertEqual(503, self.reply.status)
         self.assertEqual(100.0, self.now)
+
+
+class ExtensionTests(RelayTestCase):
+    """Silent targets are given up only for a retry that is allowed."""
+
+    def exhaust_budget(self):
+        while self.router.acquire_retry("engines", self.now):
+            pass
+
+    def be_silent(self, seconds, times):
+        """Returns a script entry for a target that is silent."""
+
+        def wait():
+            self.now += seconds
+            times.append(self.targets.extend() - self.now)
+            return target_error(MAY_HAVE_RUN, is_silent=True)
+
+        return wait
+
+    def test_retry_that_is_allowed_is_counted_once(self):
+        times = []
+        budget = self.router._retry_budget("engines")
+        self.serve(
+            self.be_silent(1.0, times),
+            FakeTargetResponse(200, [event(0), event(1)]),
+        )
+        self.assertEqual(([0.0], 1), (times, len(budget._retries)))
+        self.assertEqual(event(0) + event(1), self.reply.body)
+
+    def test_wait_is_extended_while_no_retry_is_allowed(self):
+        times = []
+        self.exhaust_budget()
+        self.serve(self.be_silent(1.0, times))
+        self.assertGreater(times[0], 0.0)
+
+    def test_wait_ends_at_the_deadline(self):
+        times = []
+        self.exhaust_budget()
+        self.serve(self.be_silent(10.0, times))
+        self.assertEqual([0.0], times)
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -31,14 +31,19 @@
         process: The process of the instance.
     """
 
-    def __init__(self, ip, ports, store):
+    def __init__(self, ip, ports, store, retry_extra=100):
         self.ip = ip
         self.ports = ports
         self.folder = tempfile.TemporaryDirectory()
         path = pathlib.Path(self.folder.name)
         (path / "settings.toml").write_text(
             platform_standins.make_settings(
-                f"i-{ip}", ip, ports, ("127.0.0.1", "127.0.0.2"), store
+                f"i-{ip}",
+                ip,
+                ports,
+                ("127.0.0.1", "127.0.0.2"),
+                store,
+                extra=retry_extra,
             )
         )
         self.log = open(path / "log", "w+", encoding="utf-8")
@@ -154,8 +159,8 @@
         self.store.put("servers", name, engine.entry())
         return engine
 
-    def start(self, ip):
-        relay = RelayProcess(ip, self.ports, self.store.address)
+    def start(self, ip, **options):
+        relay = RelayProcess(ip, self.ports, self.store.address, **options)
         self.addCleanup(relay.close)
         self.assertTrue(wait_until(relay.is_ready), "not ready")
         return relay
@@ -360,6 +365,16 @@
             )
         )
 
+    def test_silent_target_is_not_left_while_no_retry_is_allowed(self):
+        relay = self.start("127.0.0.2", retry_extra=0)
+        for engine in self.engines:
+            engine.event_gap_seconds = 1.8
+        status, received = relay.request("/ask/a", "r1")
+        self.assertEqual(200, status)
+        self.assertIn(b"id: 2\n", received)
+        self.assertTrue(received.endswith(b"0\r\n\r\n"))
+        self.assertEqual(1, sum(len(e.runs) for e in self.engines))
+
     def test_metrics_are_served(self):
         self.relay.request("/ask/a", "r1")
         url = f"http://127.0.0.1:{self.ports['control']}/metrics"
