Soak: targets name limits, and a check that all instances keep them

Beside the new kind `target_limit`, an instance of which lasts 8 s and more, the check counts what reaches a target in any 4 s from instances that it has told. A permit query of a limit that has just ended is encoded as such.

--- a/catkintrail/messages.py
+++ b/catkintrail/messages.py
@@ -637,7 +637,7 @@
         target: Name of the target.
         born: Start time of the target in Unix milliseconds.
         availability_zone: Availability zone of the target.
-        requests_per_second: The limit.
+        requests_per_second: The limit; None if it has just ended.
         age_ms: Time since the target has stated it.
         asker: IP address of the instance that gets the answer; "" for the
             sender.
@@ -647,7 +647,7 @@
     target: str
     born: int
     availability_zone: str
-    requests_per_second: float
+    requests_per_second: float | None
     age_ms: float
     asker: str
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -32,6 +32,13 @@
 # Extra time to apply a configuration after a fault of the store.
 STORE_FAULT_EXTRA_SECONDS = 5.0
 DRAIN_SECONDS = 2.0
+CONTACT_SECONDS = 3.0
+# A target with a limit may get in a window this multiple of what the limit
+# allows, and some more, from instances that were told some time before.
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
+LIMIT_NOTICE_SECONDS = 0.5
 MEMORY_FREE_SECONDS = 4.0
 # Limit for a reservation that no request has used.
 UNUSED_RESERVATION_SECONDS = 9.0
@@ -292,6 +299,43 @@
             )
 
 
+def check_limits_of_targets(history: History) -> Findings:
+    """Instances that know a target's limit keep it, all together."""
+    lag = max(history.lag_seconds, default=0.0)
+    instance_of = {sent.request_id: sent.instance for sent in history.sent}
+    for limited in history.limited_times:
+        told_at: dict[str, float] = {}
+        for request_id, target, at in history.limits_stated:
+            if (
+                target == limited.target
+                and limited.started_at <= at <= limited.ended_at
+            ):
+                told_at.setdefault(instance_of.get(request_id, ""), at)
+        start = min(told_at.values(), default=0.0) + CONTACT_SECONDS
+        counted = []
+        for arrival in history.arrivals:
+            instance = instance_of.get(arrival.request_id, "")
+            at = arrival.arrived_at
+            if (
+                arrival.target == limited.target
+                and start <= at <= limited.ended_at
+                and at > told_at.get(instance, at) + LIMIT_NOTICE_SECONDS
+                and not history.has_fault(
+                    (instance, limited.target), at - FAULT_EFFECT_SECONDS, at
+                )
+            ):
+                counted.append(at)
+        allowed = LIMIT_WINDOW_SECONDS * limited.requests_per_second
+        allowed = LIMIT_FACTOR * allowed + LIMIT_EXTRA
+        for at in counted:
+            end = at + LIMIT_WINDOW_SECONDS - lag
+            count = sum(at <= other < end for other in counted)
+            if count > allowed:
+                yield limited.target, (
+                    f"{count} requests in a window, {allowed:.1f} are allowed"
+                )
+
+
 def check_memory_is_returned(history: History) -> Findings:
     """Reserved memory is freed in time and used by one request at once."""
     for use in history.reservations:
@@ -474,6 +518,7 @@
     check_configuration_in_time,
     check_leaving_targets,
     check_stated_leaving,
+    check_limits_of_targets,
     check_memory_is_returned,
     check_repeats_stay_in_budget,
     check_number_of_sends,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -33,6 +33,9 @@
 # service; these last longer.
 SERVICE_WIDE_FRACTION = 0.4
 SERVICE_WIDE_DURATION_FACTOR = 2.0
+# Requests a second.
+TARGET_LIMITS = (0.2, 1.0, 5.0)
+MIN_LIMIT_SECONDS = 8.0
 # After a restore: time without answers, and time until all is written again.
 MAX_RESTORE_DOWN_SECONDS = 1.5
 MAX_REWRITE_SECONDS = 2.0
@@ -247,6 +250,9 @@
         if target is None:
             return
         chosen = [target]
+        if name == "limit":
+            await self._limit_target(target, fault.seconds, rng)
+            return
         if name in ("crash", "drain", "lapse", "reuse"):
             self._faulted.add(target.name)
             await {
@@ -279,6 +285,20 @@
                     affected.behaviour = targets.Behaviour.SOUND
         self._faulted -= {affected.name for affected in chosen}
 
+    async def _limit_target(
+        self, target: targets.Target, seconds: float, rng: random.Random
+    ) -> None:
+        """Makes a target name a limit, long enough for the limit to count."""
+        target.limit = rng.choice(TARGET_LIMITS)
+        started_at = time.monotonic()
+        await asyncio.sleep(MIN_LIMIT_SECONDS + seconds)
+        self._history.limited_times.append(
+            run_history.LimitedTime(
+                target.name, target.limit, started_at, time.monotonic()
+            )
+        )
+        target.limit = None
+
     async def add_target(
         self, service: str, zone: str, proxy: proxies.Proxy | None = None
     ) -> None:
--- a/soak/history.py
+++ b/soak/history.py
@@ -151,6 +151,22 @@
     ended_at: float
 
 
+class LimitedTime(NamedTuple):
+    """A time in which a target names a limit of requests.
+
+    Attributes:
+        target: Name of the target.
+        requests_per_second: The limit.
+        started_at: Start, in seconds.
+        ended_at: End, in seconds.
+    """
+
+    target: str
+    requests_per_second: float
+    started_at: float
+    ended_at: float
+
+
 class History(NamedTuple):
     """All records of a run.
 
@@ -171,6 +187,9 @@
             name.
         leaving_stated: Request id and target of each response in which a
             target stated that it leaves, and when the response began.
+        limits_stated: Request id and target of each response that named a
+            limit, and when the response began.
+        limited_times: The times in which targets named limits.
         stops: For each stop: name of the instance, time of SIGTERM, time at
             which the process ended; 0.0 until then.
         unexpected_exits: Names of instances whose process exited without being
@@ -191,6 +210,8 @@
     key_revoked_at: dict[str, float]
     target_left_at: dict[str, float]
     leaving_stated: list[tuple[str, str, float]]
+    limits_stated: list[tuple[str, str, float]]
+    limited_times: list[LimitedTime]
     stops: list[tuple[str, float, float]]
     unexpected_exits: list[str]
     faults_ended_at: list[float]
@@ -210,4 +231,22 @@
 
 def make_history() -> History:
     """Returns an empty history."""
-    return History([], [], [], [], [], [], {}, [], {}, {}, [], [], [], [], [])
+    return History(
+        sent=[],
+        arrivals=[],
+        executions=[],
+        reservations=[],
+        probes=[],
+        fault_intervals=[],
+        key_added_at={},
+        desk_timeouts=[],
+        key_revoked_at={},
+        target_left_at={},
+        leaving_stated=[],
+        limits_stated=[],
+        limited_times=[],
+        stops=[],
+        unexpected_exits=[],
+        faults_ended_at=[],
+        lag_seconds=[],
+    )
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -27,7 +27,7 @@
     link_delay link_reset link_silent link_one_way
     """.split())
 # Drawn separately, so that the other faults of a seed do not depend on them.
-RARE_KINDS = ("store_restore",)
+RARE_KINDS = ("store_restore", "target_limit")
 MEAN_RARE_FAULT_GAP_SECONDS = 12.0
 
 
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -97,6 +97,8 @@
         proxy: Proxy through which instances reach the target.
         is_leaving: Whether the target is to be removed; store entries made then
             have the state "draining".
+        limit: Requests a second that responses name as the limit; None for
+            none.
         is_running: Whether the target accepts connections.
         running_ids: Ids of the requests in execution.
         started_at_ms: Start in the store entry, in milliseconds of Unix time.
@@ -113,6 +115,7 @@
         self.behaviour = Behaviour.SOUND
         self.proxy: proxies.Proxy | None = None
         self.is_leaving = False
+        self.limit: float | None = None
         self.is_running = False
         self.running_ids: set[str] = set()
         self.started_at_ms = int(time.time() * 1000)
@@ -210,6 +213,11 @@
             self.fleet.history.leaving_stated.append(
                 (request_id, self.name, time.monotonic())
             )
+        if self.limit is not None:
+            response_headers["Server-Limit"] = str(self.limit)
+            self.fleet.history.limits_stated.append(
+                (request_id, self.name, time.monotonic())
+            )
         expected = headers.get("expect-instance", self.name)
         unusable_helper = self._find_unusable_helper(headers.get("helpers", ""))
         is_full = len(self.running_ids) >= SLOTS + MAX_QUEUED_REQUESTS
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -227,6 +227,25 @@
         self.history.leaving_stated.append(("r-1", "e-1", 97.0))
         self.assert_violations("stated leaving")
 
+    def add_limited_arrivals(self, count):
+        """Adds requests in 3 s at a target that names a limit of 1 a second."""
+        self.history.limited_times.append(
+            run_history.LimitedTime("e-1", 1.0, 90.0, 100.0)
+        )
+        self.history.limits_stated.append(("r-0", "e-1", 90.0))
+        for number in range(count):
+            self.add_sent(request_id=f"r-{number}")
+            at = 95.0 + 3.0 * number / count
+            self.add_arrival(request_id=f"r-{number}", arrived_at=at)
+
+    def test_requests_within_the_limit_of_a_target(self):
+        self.add_limited_arrivals(11)
+        self.assert_violations()
+
+    def test_requests_beyond_the_limit_of_a_target(self):
+        self.add_limited_arrivals(12)
+        self.assert_violations("limits of targets")
+
     def test_memory_held_too_long(self):
         use = run_history.ReservationUse("e-1", "m", 1.0, 2.0, 7.0, False)
         self.history.reservations.append(use)
