--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -229,6 +229,9 @@
     ) -> Placement | verdicts.Refusal:
         """Chooses the targets of a request and records the attempt.
 
+        Only the load that this instance knows is taken into account, and no
+        permits are obtained for targets with a limit.
+
         Args:
             request: The request.
             now: Time in seconds.
@@ -239,7 +242,8 @@
         refusal = self.count_send(request, now)
         if refusal is not None:
             return refusal
-        return self.place_locally(request, now)
+        answer = self.chooser.answer_query(self.make_query(request), now)
+        return self.finish_placement(request, answer, now)
 
     def count_send(
         self, request: PlacementRequest, now: float
@@ -269,15 +273,6 @@
             self.fleet_state.peers.max_alive, now
         )
 
-    def place_locally(
-        self, request: PlacementRequest, now: float
-    ) -> Placement | verdicts.Refusal:
-        """Places a request from the load that this instance knows."""
-        query = self.make_query(request)
-        return self.finish_placement(
-            request, self.chooser.answer_query(query, now), now
-        )
-
     def make_query(self, request: PlacementRequest) -> messages.PlacementQuery:
         """Returns the question that a request puts to a coordinator."""
         route = request.admission.route
--- a/tests/test_fleet_peers.py
+++ b/tests/test_fleet_peers.py
@@ -108,3 +108,33 @@
         for _ in range(4):
             peers.choose_heartbeat_recipients(0.0, random.Random(1))
         self.assertEqual(0, peers.watch_rank())
+
+
+class PermitIssuerTests(testtools.TestCase):
+    """Which instance issues the permits of a zone's targets."""
+
+    def silence(self, peers, numbers):
+        """Makes some peers miss their heartbeats, while the others answer."""
+        for _ in range(fleet_peers.MISSED_HEARTBEATS_UNTIL_DOWN):
+            peers.choose_heartbeat_recipients(0.0, random.Random(1))
+            for number in set(range(6)) - set(numbers):
+                deliver_message(peers, number)
+
+    def test_first_coordinator_of_the_zone(self):
+        peers = make_fleet(6)
+        issuers = {zone: peers.permit_issuer(zone) for zone in ZONES}
+        self.assertEqual(
+            {"za": "10.0.0.100", "zb": address(1), "zc": address(2)}, issuers
+        )
+        self.assertEqual(1.0, peers.reachable_zone_share())
+
+    def test_next_one_replaces_an_issuer_that_is_down(self):
+        peers = make_fleet(6)
+        self.silence(peers, {1})
+        self.assertEqual(address(4), peers.permit_issuer("zb"))
+
+    def test_zone_that_cannot_be_reached_has_a_share_only(self):
+        peers = make_fleet(6)
+        self.silence(peers, {1, 4})
+        self.assertEqual("10.0.0.100", peers.permit_issuer("zb"))
+        self.assertAlmostEqual(2 / 3, peers.reachable_zone_share())
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -86,6 +86,7 @@
         self.clock = clock
         self.script = list(script)
         self.sends = []
+        self.extend = None
 
     def send(self, target, request, caller, until, extend):
         self.sends.append((target, request, until))
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -375,6 +375,43 @@
         self.assertTrue(received.endswith(b"0\r\n\r\n"))
         self.assertEqual(1, sum(len(e.runs) for e in self.engines))
 
+    def change_idle_time(self, version, milliseconds):
+        spec = platform_standins.make_spec(version)
+        spec["limits"]["idle-timeout-ms"] = milliseconds
+        self.store.put("config", "main", spec)
+
+    def test_changes_of_the_idle_time_cut_no_stream(self):
+        for engine in self.engines:
+            engine.events = 6
+            engine.event_gap_seconds = 0.8
+        connection = self.relay.send("/ask/a", "r1")
+        for number, milliseconds in enumerate((500, 30_000, 300, 15_000)):
+            self.change_idle_time(number + 2, milliseconds)
+            time.sleep(0.9)
+        received = read_all(connection)
+        self.assertIn(b"id: 5\n", received)
+        self.assertTrue(received.endswith(b"0\r\n\r\n"))
+
+    def test_kept_connection_serves_requests_while_the_idle_time_changes(self):
+        connection = self.relay.connect()
+        self.addCleanup(connection.close)
+        connection.settimeout(5.0)
+        for number, milliseconds in enumerate((2_000, 30_000, 2_000, 15_000)):
+            connection.sendall(
+                f"POST /book/a HTTP/1.1\r\nHost: wells.example\r\n"
+                f"Attempt-Id: r{number}\r\nDeadline-Ms: 1500\r\n"
+                "Authorization: Token key-1\r\n"
+                "Content-Length: 0\r\n\r\n".encode()
+            )
+            received = b""
+            while not received.endswith(b"booked"):
+                part = connection.recv(65536)
+                self.assertNotEqual(b"", part)
+                received += part
+            self.change_idle_time(number + 2, milliseconds)
+            # Callers reuse connections for four fifths of the idle time.
+            time.sleep(1.5)
+
     def test_metrics_are_served(self):
         self.relay.request("/ask/a", "r1")
         url = f"http://127.0.0.1:{self.ports['control']}/metrics"
