Waits for silent targets are not extended while memory is reserved

Not shown by a trace.

Change: such a wait ends as before; the others are logged (wait_extended). The new test failed before (a wait of 0.25 s, memory held).

--- a/catkintrail/relay.py
+++ b/catkintrail/relay.py
@@ -170,18 +170,27 @@
         self,
         admission: request_router.Admission,
         progress: request_progress.Progress,
+        has_reserved_memory: bool,
     ) -> float:
         """Returns until when to wait for a silent target once more.
 
         A target is given up for another one only if the retry is allowed;
         otherwise its answer, however late, is all that the caller can get.
+        Memory is not kept reserved on helpers for a target that may be gone.
         """
         now = self.clock()
-        if now >= progress.deadline:
+        if now >= progress.deadline or has_reserved_memory:
             return now
         if self.router.acquire_retry(admission.service):
             progress.has_retry = True
             return now
+        _LOG.info(
+            "wait_extended",
+            extra={
+                "request_id": progress.request.request_id,
+                "last_event": progress.sequence.last,
+            },
+        )
         return min(progress.deadline, now + RETRY_CHECK_SECONDS)
 
     def _check_quarantine(
@@ -451,7 +460,7 @@
                 send,
                 caller,
                 head_deadline,
-                lambda: self._extend_wait(admission, progress),
+                lambda: self._extend_wait(admission, progress, bool(leases)),
             )
         except errors.TargetError as error:
             # A connection that was not established does not count as a send.
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -610,6 +610,13 @@
         self.serve(self.be_silent(1.0, times))
         self.assertGreater(times[0], 0.0)
 
+    def test_memory_is_not_kept_reserved_for_a_silent_target(self):
+        times = []
+        self.exhaust_budget()
+        self.serve(self.be_silent(1.0, times), prompt_tokens=500_000)
+        self.assertNotEqual((), self.targets.sends[0][1].helpers)
+        self.assertEqual(([0.0], []), (times, self.leases.held))
+
     def test_wait_ends_at_the_deadline(self):
         times = []
         self.exhaust_budget()
