--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -156,6 +156,8 @@
         calls: Paths of the requests received.
         oldest_revision: Watches from older revisions fail with status 410.
         page_size: Maximum number of objects in a page of a list.
+        silent_kinds: Kinds of the calls that are taken and never answered, also
+            when the kind is no longer in the set.
         era: Value of the `Store-Era` header; rises when a copy is restored.
         address: `IP:port` of the store.
     """
@@ -165,12 +167,14 @@
         self.calls = []
         self.oldest_revision = 0
         self.page_size = 500
+        self.silent_kinds = frozenset()
         self.era = 1
         self._revision = 1
         self._objects = {}
         self._written = {}
         self._changes = []
         self._changed = threading.Condition(threading.RLock())
+        self._closed = threading.Event()
         store = self
 
         class Handler(_Handler):
@@ -250,6 +254,10 @@
         path, _, query = handler.path.partition("?")
         arguments = dict(urllib.parse.parse_qsl(query))
         parts = path.split("/")[3:]
+        if parts[0] in self.silent_kinds:
+            self._closed.wait()
+            handler.close_connection = True
+            return
         if "watch" in arguments:
             status, body = self._watch(
                 parts[0],
@@ -297,6 +305,7 @@
                 self._changed.wait(remaining)
 
     def close(self):
+        self._closed.set()
         self.server.shutdown()
         self.server.server_close()
 
--- a/tests/test_fleet_state_updater.py
+++ b/tests/test_fleet_state_updater.py
@@ -244,10 +244,8 @@
         self.assertGreater(self.client.status().proof_age_seconds, 0.4)
 
 
-class RestoredStoreTests(UpdaterTestCase):
-    """A store that has come back from an older copy, and is quiet then."""
-
-    QUIET_SECONDS = 3.0
+class StoreStandinTestCase(UpdaterTestCase):
+    """An updater that reads a stand-in of the platform's store."""
 
     def setUp(self):
         super().setUp()
@@ -260,13 +258,13 @@
             store.StoreClient(self.store.address)
         )
 
-    def put_target(self, name):
+    def put_target(self, name, state="ready"):
         entry = {
             "service": "engines",
             "address": "10.1.0.1:80",
             "zone": "za",
             "slots": 8,
-            "state": "ready",
+            "state": state,
             "born": 1_700_000_000_000,
         }
         self.store.put("servers", name, entry)
@@ -276,6 +274,51 @@
             self.router.fleet_state.targets.by_service.get("engines", {})
         )
 
+
+class SilentStoreTests(StoreStandinTestCase):
+    """A store that takes calls and never answers them, for some time."""
+
+    # As stated by the users.
+    DRAIN_SECONDS = 2.0
+    CONTACT_SECONDS = 3.0
+    # The watch of the targets is opened within this time after a change.
+    PAUSE_SECONDS = 0.6
+    ALL_KINDS = frozenset({"config", "servers"})
+
+    def be_silent(self, kinds, seconds):
+        """Lets the watch of the targets be opened in a silence."""
+        self.updater.start()
+        self.wait_for(lambda status: status.is_ready)
+        self.put_target("e-3")
+        self.wait_for(lambda _: "e-3" in self.usable())
+        self.store.silent_kinds = kinds
+        time.sleep(seconds)
+        self.store.silent_kinds = frozenset()
+
+    def test_leaving_after_a_long_silence_is_known_in_time(self):
+        self.be_silent(self.ALL_KINDS, 3.3)
+        time.sleep(self.CONTACT_SECONDS)
+        self.put_target("e-1", "draining")
+        self.wait_for(lambda _: "e-1" not in self.usable(), self.DRAIN_SECONDS)
+
+    def test_leaving_after_a_short_silence_is_known_in_time(self):
+        self.be_silent(self.ALL_KINDS, self.PAUSE_SECONDS)
+        time.sleep(self.CONTACT_SECONDS)
+        self.put_target("e-1", "draining")
+        self.wait_for(lambda _: "e-1" not in self.usable(), self.DRAIN_SECONDS)
+
+    def test_leaving_after_a_silence_about_targets_only_is_known_in_time(self):
+        self.be_silent(frozenset({"servers"}), self.PAUSE_SECONDS)
+        time.sleep(self.CONTACT_SECONDS)
+        self.put_target("e-1", "draining")
+        self.wait_for(lambda _: "e-1" not in self.usable(), self.DRAIN_SECONDS)
+
+
+class RestoredStoreTests(StoreStandinTestCase):
+    """A store that has come back from an older copy, and is quiet then."""
+
+    QUIET_SECONDS = 3.0
+
     def test_removal_long_after_the_return_is_not_taken_for_a_lapse(self):
         self.updater.start()
         self.wait_for(lambda status: status.is_ready)
