The age of the known targets is measured and logged

The logs could not tell whether a change of a target had not been heard, had been skipped or had not been applied: nothing said how old the knowledge was.

Each answer of the store states the revision of the whole store. An answer about the configuration therefore shows whether the known targets are complete, unless changes of the configuration account for the difference. The age reaches instances that do not watch with the answers to heartbeats.

--- a/catkintrail/adapters/metrics.py
+++ b/catkintrail/adapters/metrics.py
@@ -79,6 +79,10 @@
         aioprometheus.Gauge,
         "Version of the configuration in force.",
     ),
+    "catkintrail_targets_age_seconds": (
+        aioprometheus.Gauge,
+        "Time since the known targets had all changes of the store.",
+    ),
     "catkintrail_proof_age_seconds": (
         aioprometheus.Gauge,
         "Age of the proof that no newer configuration was in force.",
--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -92,6 +92,10 @@
         is_watcher: Whether the instance watches the store for its zone.
         newer_peer: Address of a peer with newer state; "" for none.
         slow_targets: Number of targets that are suspected of being slow.
+        targets_age_seconds: Seconds since the known targets had all changes
+            that the store had.
+        newest_targets_position: Newest position at which a peer knows the
+            targets.
     """
 
     is_ready: bool
@@ -105,6 +109,8 @@
     is_watcher: bool
     newer_peer: str
     slow_targets: int
+    targets_age_seconds: float
+    newest_targets_position: store_views.Position
 
 
 class PendingPlacement(NamedTuple):
@@ -447,6 +453,16 @@
         if source == STORE_SOURCE:
             self._broadcast_store_changes(changes)
 
+    def confirm_targets(
+        self, position: store_views.Position, complete_at: float
+    ) -> None:
+        """Records that the store had no newer change of the targets."""
+        self._router.fleet_state.confirm_targets(position, complete_at)
+
+    def advance_targets(self, position: store_views.Position) -> None:
+        """Records that no change of the targets precedes a later position."""
+        self._router.fleet_state.advance_targets(position)
+
     def record_store_state(self, is_up: bool) -> None:
         """Records whether the store responded."""
         self._router.fleet_state.record_store_state(is_up, self._clock())
@@ -617,6 +633,8 @@
             router.fleet_state.is_watcher(),
             router.fleet_state.newer_peer,
             len(self._suspects),
+            now - router.fleet_state.targets_complete_at,
+            router.fleet_state.newest_targets_position,
         )
 
     def clear_newer_peer(self, address: str) -> None:
--- a/catkintrail/core/fleet_state.py
+++ b/catkintrail/core/fleet_state.py
@@ -37,6 +37,10 @@
         configuration: The newest known configuration.
         targets: The known targets.
         targets_position: Position of the store that the targets reflect.
+        targets_complete_at: Latest time at which the known targets had all
+            changes that the store had.
+        newest_targets_position: Newest position at which a peer knows the
+            targets.
         has_target_list: Whether a complete list of targets has been received.
         peers: The other instances.
         is_store_up: Whether the store responded to the last call.
@@ -59,6 +63,8 @@
         self.configuration = store_views.ConfigurationView()
         self.targets = store_views.TargetView()
         self.targets_position = store_views.NO_POSITION
+        self.targets_complete_at = float("-inf")
+        self.newest_targets_position = store_views.NO_POSITION
         self.has_target_list = False
         self.peers = fleet_peers.FleetPeers(
             settings.address,
@@ -115,6 +121,29 @@
         changes = self.targets.replace_all(listed, self._lapse_grace_end(), now)
         return self._record_leaving(changes, now)
 
+    def confirm_targets(
+        self, position: store_views.Position, complete_at: float
+    ) -> None:
+        """Records that the store had no newer change of the targets.
+
+        Ignored unless the known targets reflect the position.
+
+        Args:
+            position: Position of the store.
+            complete_at: Time at which the store had that position, in seconds.
+        """
+        if (
+            position.era == self.targets_position.era
+            and position <= self.targets_position
+        ):
+            self.targets_complete_at = max(
+                self.targets_complete_at, complete_at
+            )
+
+    def advance_targets(self, position: store_views.Position) -> None:
+        """Records that no change of the targets precedes a later position."""
+        self.targets_position = max(self.targets_position, position)
+
     def is_older_list(self, position: store_views.Position) -> bool:
         """Returns whether a list is older than the known targets."""
         return self.has_target_list and position < self.targets_position
@@ -248,6 +277,10 @@
             age if self.configuration.table is not None else -1.0,
             tuple(addresses),
             self.peers.standing(),
+            self.targets_position,
+            (now - self.targets_complete_at) * 1000.0
+            if self.has_target_list
+            else -1.0,
         )
 
     def handle_heartbeat(
@@ -314,6 +347,14 @@
             self.configuration.confirm(
                 answer.version, sent_at - answer.proof_age_ms / 1000.0
             )
+        position = store_views.Position(*answer.targets_position)
+        self.newest_targets_position = max(
+            self.newest_targets_position, position
+        )
+        if sent_at is not None and answer.targets_age_ms >= 0:
+            self.confirm_targets(
+                position, sent_at - answer.targets_age_ms / 1000.0
+            )
         return peer_change
 
     def handle_fleet_news(
@@ -336,6 +377,9 @@
             if 0 <= known_era < position.era:
                 self.record_store_restored(position.era, now)
             self.targets_position = max(self.targets_position, position)
+            self.newest_targets_position = max(
+                self.newest_targets_position, position
+            )
         changes = []
         for target in news.targets:
             changes += self.targets.put(target, now)
--- a/catkintrail/core/store_views.py
+++ b/catkintrail/core/store_views.py
@@ -3,7 +3,7 @@
 Times come from a clock that also advances while the machine is suspended.
 """
 
-from typing import NamedTuple
+from typing import Iterable, NamedTuple
 
 import xxhash
 
@@ -18,6 +18,7 @@
     "REMOVAL_EVENTS",
     "TargetView",
     "TargetChange",
+    "are_all_known",
 ]
 
 # Events after which a target is no longer listed.
@@ -48,6 +49,22 @@
 NO_POSITION = Position(-1, -1)
 
 
+def are_all_known(
+    start: Position, end: Position, revisions: Iterable[int]
+) -> bool:
+    """Returns whether known changes are all that the store had in a while.
+
+    Each change raises the revision of the store by one or more.
+
+    Args:
+        start: Position before the changes.
+        end: Position after the changes.
+        revisions: Revisions of the known changes.
+    """
+    known = {r for r in revisions if start.revision < r <= end.revision}
+    return start.era == end.era and end.revision - start.revision <= len(known)
+
+
 class ConfigurationView:
     """The newest known configuration and the age of this knowledge.
 
--- a/catkintrail/fleet_state_updater.py
+++ b/catkintrail/fleet_state_updater.py
@@ -6,16 +6,18 @@
 the store or a peer themselves only if their state is stale.
 """
 
+import contextlib
 import itertools
 import logging
 import random
 import threading
-from typing import Any, Callable, NamedTuple
+from typing import Any, Callable, Iterator, NamedTuple
 
 from catkintrail import errors
 from catkintrail.adapters import router_actor
 from catkintrail.adapters import router_client
 from catkintrail.core import store_views
+from catkintrail.core import watch_progress
 from catkintrail.ports import fleet_state_source
 
 __all__ = ["FleetStateUpdater"]
@@ -92,6 +94,7 @@
 
     Attributes:
         position: Where to watch from next; None to read everything again.
+        mark: What `position` is compared with, see core.watch_progress.
         pause_seconds: Pause before the next call.
         apply: Passes the result to the router. It is called after the store
             was recorded as available, because the meaning of removals depends
@@ -99,6 +102,7 @@
     """
 
     position: store_views.Position | None
+    mark: Any
     pause_seconds: float
     apply: Callable[[], None]
 
@@ -132,6 +136,12 @@
         self.is_store_up: bool | None = None
         self._stop = threading.Event()
         self._lock = threading.Lock()
+        # Guarded by the lock.
+        self._progress = {
+            subject: watch_progress.WatchProgress()
+            for subject in fleet_state_source.SUBJECTS
+        }
+        self._are_targets_stale = False
 
     def start(self) -> None:
         """Starts the threads."""
@@ -161,10 +171,12 @@
                 self._stop.wait(BACKOFF_LIMIT_SECONDS)
 
     def _watch_configuration(self) -> None:
-        self._run_watch("configuration", self._fetch_configuration)
+        self._run_watch(
+            fleet_state_source.CONFIGURATION, self._fetch_configuration
+        )
 
     def _watch_targets(self) -> None:
-        self._run_watch("targets", self._fetch_targets)
+        self._run_watch(fleet_state_source.TARGETS, self._fetch_targets)
 
     def _run_watch(
         self,
@@ -174,19 +186,22 @@
         """Reads the store, then watches it while this instance has to watch.
 
         Args:
-            subject: What is watched, for the log.
+            subject: What is watched: an item of fleet_state_source.SUBJECTS.
             fetch: Reads everything if its argument is None, otherwise watches
                 for changes after that position.
         """
         backoff = _Backoff(self.rng)
         rereads = _Backoff(self.rng)
+        progress = self._progress[subject]
         position = None
         while not self._stop.is_set():
             if not self._check_watch_role():
                 position = None
                 continue
+            called_at = self.clock()
             try:
-                result = fetch(position)
+                with self._recorded_call(subject):
+                    result = fetch(position)
             except errors.HistoryExpiredError as error:
                 self._log_history_expired(subject, error)
                 position = None
@@ -195,6 +210,15 @@
                 self._stop.wait(rereads.next())
                 continue
             except errors.PlatformError as error:
+                _LOG.info(
+                    "watch_ended",
+                    extra={
+                        "subject": subject,
+                        "position": position,
+                        "elapsed_ms": round((self.clock() - called_at) * 1000),
+                        "reason": str(error),
+                    },
+                )
                 self._record_store_state(False, error)
                 self._stop.wait(backoff.next())
                 continue
@@ -208,9 +232,23 @@
             else:
                 rereads.reset()
             result.apply()
+            with self._lock:
+                progress.advance(result.mark, position is None)
             position = result.position
             self._stop.wait(result.pause_seconds)
 
+    @contextlib.contextmanager
+    def _recorded_call(self, subject: str) -> Iterator[None]:
+        """Records that a call for a subject is in progress."""
+        progress = self._progress[subject]
+        with self._lock:
+            progress.begin_call(self.clock())
+        try:
+            yield
+        finally:
+            with self._lock:
+                progress.end_call()
+
     def _fetch_configuration(
         self, position: store_views.Position | None
     ) -> _FetchResult:
@@ -219,7 +257,9 @@
             update = self.source.read_configuration(READ_TIMEOUTS_SECONDS[-1])
             if update.configuration is None:
                 # Nothing is published yet.
-                return _FetchResult(None, BACKOFF_LIMIT_SECONDS, lambda: None)
+                return _FetchResult(
+                    None, None, BACKOFF_LIMIT_SECONDS, lambda: None
+                )
         else:
             watch_seconds = self._configuration_watch_seconds()
             update = self.source.watch_configuration(position, watch_seconds)
@@ -229,8 +269,13 @@
                     0.0, waited_seconds - WATCH_UNCERTAINTY_SECONDS
                 )
         is_changed = update.configuration is not None
+        self._compare_targets(update, proven_at)
+        version = self._progress[fleet_state_source.CONFIGURATION].mark
+        if update.configuration is not None:
+            version = update.configuration.version
         return _FetchResult(
             update.position,
+            version,
             CONFIGURATION_PAUSE_SECONDS if is_changed else 0.0,
             lambda: self.router.proxy.update_configuration.defer(
                 update.configuration, proven_at, router_actor.STORE_SOURCE
@@ -241,20 +286,54 @@
         self, position: store_views.Position | None
     ) -> _FetchResult:
         proxy = self.router.proxy
+        called_at = self.clock()
         if position is None:
             update = self.source.list_targets()
             apply = proxy.replace_targets
         else:
             update = self.source.watch_targets(position, WATCH_SECONDS)
             apply = proxy.apply_target_events
+
+        def apply_update() -> None:
+            apply.defer(
+                update.events, update.position, router_actor.STORE_SOURCE
+            )
+            proxy.confirm_targets.defer(update.position, called_at)
+
         return _FetchResult(
+            update.position,
             update.position,
             TARGETS_PAUSE_SECONDS if update.events else 0.0,
-            lambda: apply.defer(
-                update.events, update.position, router_actor.STORE_SOURCE
-            ),
+            apply_update,
         )
 
+    def _compare_targets(
+        self, update: fleet_state_source.ConfigurationUpdate, at: float
+    ) -> None:
+        """Compares the known targets with a response about the configuration.
+
+        Args:
+            update: The response, whose position is that of the whole store.
+            at: Time at which the store had that position, in seconds.
+        """
+        progress = self._progress[fleet_state_source.TARGETS]
+        with self._lock:
+            known = progress.mark
+            if known is None:
+                return
+            is_advanced = update.position > known and (
+                store_views.are_all_known(
+                    known, update.position, update.revisions
+                )
+            )
+            if is_advanced:
+                progress.advance(update.position)
+            else:
+                progress.observe(update.position, self.clock())
+        if is_advanced:
+            self.router.proxy.advance_targets.defer(update.position)
+        self.router.proxy.confirm_targets.defer(update.position, at)
+
     def _check_watch_role(self) -> bool:
         """Returns whether this instance has to watch; pauses first if not.
 
@@ -281,6 +360,7 @@
         backoff = _Backoff(self.rng)
         while not self._stop.wait(CHECK_SECONDS):
             status = self.router.status()
+            self._log_targets_age(status)
             if status.newer_peer:
                 self.router.proxy.clear_newer_peer.defer(status.newer_peer)
                 if self._query_peer(status.newer_peer, status):
@@ -302,6 +382,20 @@
                 if not is_read and status.is_watcher:
                     self._query_peers(status)
 
+    def _log_targets_age(self, status: router_actor.RouterStatus) -> None:
+        """Logs when the age of the known targets passes its bound."""
+        are_stale = (
+            status.has_target_list
+            and status.targets_age_seconds > STALE_PROOF_SECONDS
+        )
+        if are_stale is not self._are_targets_stale:
+            self._are_targets_stale = are_stale
+            _LOG.log(
+                logging.WARNING if are_stale else logging.INFO,
+                "targets_stale" if are_stale else "targets_fresh",
+                extra={"age_ms": round(status.targets_age_seconds * 1000.0)},
+            )
+
     def _is_stale(self, status: router_actor.RouterStatus) -> bool:
         """Returns whether the known state is old or incomplete."""
         max_age_seconds = STALE_PROOF_SECONDS
@@ -321,6 +415,7 @@
             self._record_store_state(False, error)
             return False
         self._record_store_state(True)
+        self._compare_targets(update, sent_at)
         if update.configuration is not None:
             self.router.proxy.update_configuration.defer(
                 update.configuration, sent_at, router_actor.STORE_SOURCE
--- a/catkintrail/messages.py
+++ b/catkintrail/messages.py
@@ -535,6 +535,10 @@
         addresses: Addresses of some live peers; first, the coordinators of the
             receiver's zone as far as the sender knows them.
         standing: The sender's processing power and knowledge of the fleet.
+        targets_position: Era and revision of the store that the targets known
+            to the instance reflect.
+        targets_age_ms: Time since these were known to be all changes of
+            targets; -1 where unknown.
     """
 
     sender: str
@@ -545,6 +549,8 @@
     proof_age_ms: float
     addresses: tuple[str, ...]
     standing: Standing
+    targets_position: tuple[int, int] = (-1, -1)
+    targets_age_ms: float = -1.0
 
 
 class FleetNews(NamedTuple):
--- a/catkintrail/platform/store.py
+++ b/catkintrail/platform/store.py
@@ -3,7 +3,7 @@
 import logging
 import socket
 import threading
-from typing import Any, Callable, NamedTuple
+from typing import Any, Callable, Iterator, NamedTuple
 import urllib.parse
 
 import msgspec
@@ -328,7 +328,9 @@
         result = self.client.watch(CONFIGURATION_KIND, position, wait_seconds)
         objects = [c.content for c in result.changes if not c.is_removed]
         return fleet_state_source.ConfigurationUpdate(
-            _newest_configuration(objects), result.position
+            _newest_configuration(objects),
+            result.position,
+            tuple(_decode_revisions(objects)),
         )
 
     def list_targets(self) -> fleet_state_source.TargetUpdate:
@@ -374,6 +376,17 @@
     return newest
 
 
+def _decode_revisions(objects: list[Any]) -> Iterator[int]:
+    """Yields the revisions that objects state."""
+    for item in objects:
+        try:
+            revision = item["metadata"]["revision"]
+        except (KeyError, TypeError):
+            continue
+        if isinstance(revision, int) and not isinstance(revision, bool):
+            yield revision
+
+
 def _decode_target_event(
     item: Any, is_removed: bool
 ) -> fleet_state_source.TargetEvent | None:
--- a/catkintrail/ports/fleet_state_source.py
+++ b/catkintrail/ports/fleet_state_source.py
@@ -7,13 +7,22 @@
 from catkintrail.core import targets as target_records
 
 __all__ = [
+    "CONFIGURATION",
     "FleetStateSource",
+    "SUBJECTS",
+    "TARGETS",
     "ConfigurationUpdate",
     "TargetEvent",
     "TargetUpdate",
 ]
 
 
+# What is read and watched.
+CONFIGURATION = "configuration"
+TARGETS = "targets"
+SUBJECTS = (CONFIGURATION, TARGETS)
+
+
 class ConfigurationUpdate(NamedTuple):
     """Result of a read or watch of the configuration.
 
@@ -21,10 +30,13 @@
         configuration: The newest configuration; None if there is none or a
             watch found no change.
         position: Where to watch from.
+        revisions: Revisions of the changes that a watch found, as far as they
+            are stated.
     """
 
     configuration: route_table.Configuration | None
     position: store_views.Position
+    revisions: tuple[int, ...] = ()
 
 
 class TargetEvent(NamedTuple):
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -323,6 +323,7 @@
             "catkintrail_requests_in_flight": self.callers.in_flight,
             "catkintrail_configuration_version": status.version,
             "catkintrail_proof_age_seconds": status.proof_age_seconds,
+            "catkintrail_targets_age_seconds": status.targets_age_seconds,
             "catkintrail_peers": len(status.peers),
             "catkintrail_known_attempts": status.attempts,
             "catkintrail_slow_targets": status.slow_targets,
--- a/tests/test_fleet_state_updater.py
+++ b/tests/test_fleet_state_updater.py
@@ -72,21 +72,23 @@
     def read_configuration(self, timeout_seconds):
         self._check("read", timeout_seconds)
         return fleet_state_source.ConfigurationUpdate(
-            self._configuration(), self.version
+            self._configuration(), store_views.Position(1, self.version)
         )
 
-    def watch_configuration(self, revision, wait_seconds):
+    def watch_configuration(self, position, wait_seconds):
         self._check("watch", wait_seconds + 1.5)
         if self.loses_history:
             self.loses_history = False
             raise errors.HistoryExpiredError("gone")
         with self.changed:
-            if self.version == revision:
+            if self.version == position.revision:
                 self.changed.wait(min(wait_seconds, 0.2))
-            is_changed = self.version != revision
+            is_changed = self.version != position.revision
             configuration = self._configuration() if is_changed else None
             return fleet_state_source.ConfigurationUpdate(
-                configuration, self.version
+                configuration,
+                store_views.Position(1, self.version),
+                (self.version,) if is_changed else (),
             )
 
     def list_targets(self):
