A watch of the store that misses known changes is ended

Cause: a silent store takes a call and never answers it, also when it is back. Each instance waited for such a watch of the targets until its time-out, 21.5 s after it was opened. The log line of the failed watch, added before, says so: targets, elapsed 21,501 ms, from the position of before the silence. So no change was skipped (hypothesis 2), and none was read and not applied (hypothesis 3), except at the end: the time-out was taken for an outage, and removals were held for 2 s as entries that lapsed in it.

Class: a call that may never be answered is waited for. The fix is a rule for all watches: another source that is ahead of a watch for longer than an answer takes ends it, and the subject is read anew. For the targets the sources are the revision in each answer about the configuration, one a second in each zone, and the positions of peers; for the configuration, the newest known version. After an outage, watches that were opened before the first answer end at once. A call that fails is no outage if a later one was answered.

--- a/catkintrail/core/watch_progress.py
+++ b/catkintrail/core/watch_progress.py
@@ -77,6 +77,10 @@
             self._newest = mark
             self._newest_at = now
 
+    def is_calling_since(self, time: float) -> bool:
+        """Returns whether a call made before a time is in progress."""
+        return self._is_calling and self._called_at < time
+
     def is_call_lost(self, now: float) -> bool:
         """Returns whether the call in progress should have ended by now."""
         if not self._is_calling or self._behind_since is None:
--- a/catkintrail/fleet_state_updater.py
+++ b/catkintrail/fleet_state_updater.py
@@ -141,6 +141,10 @@
             subject: watch_progress.WatchProgress()
             for subject in fleet_state_source.SUBJECTS
         }
+        # Subjects whose watch was ended by this instance, and whether all of the
+        # subject has to be read anew.
+        self._ended: dict[str, bool] = {}
+        self._last_success_called_at = float("-inf")
         self._are_targets_stale = False
 
     def start(self) -> None:
@@ -219,10 +223,15 @@
                         "reason": str(error),
                     },
                 )
-                self._record_store_state(False, error)
-                self._stop.wait(backoff.next())
+                with self._lock:
+                    must_reread = self._ended.get(subject)
+                if must_reread is None:
+                    self._record_failure(called_at, error)
+                    self._stop.wait(backoff.next())
+                elif must_reread:
+                    position = None
                 continue
-            self._record_store_state(True)
+            self._record_success(called_at)
             backoff.reset()
             if position is None:
                 _LOG.info(
@@ -242,6 +251,7 @@
         """Records that a call for a subject is in progress."""
         progress = self._progress[subject]
         with self._lock:
+            self._ended.pop(subject, None)
             progress.begin_call(self.clock())
         try:
             yield
@@ -361,6 +371,7 @@
         while not self._stop.wait(CHECK_SECONDS):
             status = self.router.status()
             self._log_targets_age(status)
+            self._end_lost_watches(status)
             if status.newer_peer:
                 self.router.proxy.clear_newer_peer.defer(status.newer_peer)
                 if self._query_peer(status.newer_peer, status):
@@ -382,6 +393,28 @@
                 if not is_read and status.is_watcher:
                     self._query_peers(status)
 
+    def _end_lost_watches(self, status: router_actor.RouterStatus) -> None:
+        """Ends watches that miss changes which are known from elsewhere."""
+        now = self.clock()
+        marks = {
+            fleet_state_source.CONFIGURATION: status.version,
+            fleet_state_source.TARGETS: status.newest_targets_position,
+        }
+        for subject, progress in self._progress.items():
+            with self._lock:
+                progress.observe(marks[subject], now)
+                if progress.is_call_lost(now):
+                    self._end_watch(subject, "changes are missing", True)
+
+    def _end_watch(self, subject: str, reason: str, must_reread: bool) -> None:
+        """Ends a watch in progress; the lock must be held."""
+        if subject not in self._ended:
+            _LOG.warning(
+                "watch_lost", extra={"subject": subject, "reason": reason}
+            )
+            self._ended[subject] = must_reread
+            self.source.end_watch(subject)
+
     def _log_targets_age(self, status: router_actor.RouterStatus) -> None:
         """Logs when the age of the known targets passes its bound."""
         are_stale = (
@@ -412,9 +445,9 @@
         try:
             update = self.source.read_configuration(timeout_seconds)
         except errors.PlatformError as error:
-            self._record_store_state(False, error)
+            self._record_failure(sent_at, error)
             return False
-        self._record_store_state(True)
+        self._record_success(sent_at)
         self._compare_targets(update, sent_at)
         if update.configuration is not None:
             self.router.proxy.update_configuration.defer(
@@ -465,12 +498,32 @@
             "history_gone", extra={"subject": subject, "reason": str(error)}
         )
 
-    def _record_store_state(self, is_up: bool, error: Any = None) -> None:
+    def _record_success(self, called_at: float) -> None:
+        """Records that the store answered a call.
+
+        After an outage, earlier calls may never be answered and are ended.
+        """
+        with self._lock:
+            self._last_success_called_at = max(
+                self._last_success_called_at, called_at
+            )
+            was_up = self.is_store_up
+            self.is_store_up = True
+            if was_up is False:
+                for subject, progress in self._progress.items():
+                    if progress.is_calling_since(called_at):
+                        self._end_watch(subject, "the store is back", False)
+        if was_up is not True:
+            self.router.proxy.record_store_state.defer(True)
+            _LOG.info("store_regained")
+
+    def _record_failure(self, called_at: float, error: Exception) -> None:
+        """Records that a call failed, unless a later call was answered."""
         with self._lock:
-            is_changed = self.is_store_up is not is_up
-            self.is_store_up = is_up
-        if is_changed:
-            self.router.proxy.record_store_state.defer(is_up)
-            level = logging.INFO if is_up else logging.WARNING
-            event = "store_regained" if is_up else "store_lost"
-            _LOG.log(level, event, extra={"reason": str(error or "")})
+            if called_at < self._last_success_called_at:
+                return
+            was_up = self.is_store_up
+            self.is_store_up = False
+        if was_up is not False:
+            self.router.proxy.record_store_state.defer(False)
+            _LOG.warning("store_lost", extra={"reason": str(error)})
--- a/catkintrail/platform/store.py
+++ b/catkintrail/platform/store.py
@@ -40,6 +40,10 @@
 CONFIGURATION_NAME = "main"
 TARGET_KIND = "servers"
 
+_KIND_BY_SUBJECT = {
+    fleet_state_source.CONFIGURATION: CONFIGURATION_KIND,
+    fleet_state_source.TARGETS: TARGET_KIND,
+}
 _SOCKET_OPTIONS = connections.HTTPConnection.default_socket_options + [
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS),
@@ -94,7 +98,8 @@
     """HTTP client for the platform's object API.
 
     Each method may raise errors.PlatformUnavailableError. When the store comes
-    back from an older copy, the calls in progress end.
+    back from an older copy, the calls in progress end. Watches have connections
+    of their own, so that those of one kind can be ended.
 
     Attributes:
         call_count: Number of calls made.
@@ -102,29 +107,27 @@
             older copy; -1 if the store has not stated it.
         on_restored: Called with the new era when the store is first seen to
             have come back from an older copy.
-        http: Pool of connections to the store.
+        http: Pool of connections to the store for reads.
+        watch_pools: Pools of connections for watches, by kind of the objects.
     """
 
     def __init__(self, address: str) -> None:
-        host, _, port = address.rpartition(":")
         self.call_count = 0
         self.era = -1
         self.on_restored: Callable[[int], None] = lambda era: None
         self._older_responses = 0
         self._states_era = False
         self._lock = threading.Lock()
-        self.http = bounded_http.BoundedPool(
-            host,
-            int(port),
-            maxsize=MAX_CONNECTIONS,
-            retries=False,
-            socket_options=_SOCKET_OPTIONS,
-        )
+        self.http = _make_pool(address)
+        self.watch_pools = {
+            kind: _make_pool(address)
+            for kind in (CONFIGURATION_KIND, TARGET_KIND)
+        }
 
     def read(self, kind: str, name: str) -> Any | None:
         """Returns an object; None if it does not exist."""
         path = f"{_kind_path(kind)}/{urllib.parse.quote(name, safe='')}"
-        response = self._get(path, RESPONSE_TIMEOUT_SECONDS)
+        response = self._get(self.http, path, RESPONSE_TIMEOUT_SECONDS)
         if response.status == 404:
             return None
         return response.content
@@ -148,7 +151,7 @@
         query = ""
         era = None
         for _ in range(MAX_PAGES):
-            response = self._get(path + query, timeout_seconds)
+            response = self._get(self.http, path + query, timeout_seconds)
             if response.status != 200:
                 raise errors.PlatformError(f"{path}: status {response.status}")
             if era not in (None, response.era):
@@ -202,7 +205,11 @@
             }
         )
         path = f"{_kind_path(kind)}?{query}"
-        response = self._get(path, wait_seconds + WATCH_SLACK_SECONDS)
+        response = self._get(
+            self.watch_pools.get(kind, self.http),
+            path,
+            wait_seconds + WATCH_SLACK_SECONDS,
+        )
         if response.era != position.era:
             raise errors.HistoryReplacedError(
                 f"{kind}: era {response.era} follows {position.era}"
@@ -224,10 +231,19 @@
         except (KeyError, TypeError, ValueError) as error:
             raise errors.PlatformError(f"{path}: {error!r}") from error
 
-    def _get(self, path: str, timeout_seconds: float) -> _Response:
+    def end_watch(self, kind: str) -> None:
+        """Makes a watch in progress in another thread fail at once."""
+        self.watch_pools[kind].end_calls()
+
+    def _get(
+        self,
+        pool: bounded_http.BoundedPool,
+        path: str,
+        timeout_seconds: float,
+    ) -> _Response:
         self.call_count += 1
         try:
-            response = self.http.request(
+            response = pool.request(
                 "GET",
                 path,
                 timeout=urllib3.Timeout(
@@ -286,7 +302,8 @@
                 extra={"era": stated, "replaced_era": known},
             )
             self.on_restored(stated)
-            self.http.end_calls()
+            for pool in (self.http, *self.watch_pools.values()):
+                pool.end_calls()
         return stated
 
 
@@ -333,6 +350,10 @@
             tuple(_decode_revisions(objects)),
         )
 
+    def end_watch(self, subject: str) -> None:
+        """Makes a watch of a subject in another thread fail at once."""
+        self.client.end_watch(_KIND_BY_SUBJECT[subject])
+
     def list_targets(self) -> fleet_state_source.TargetUpdate:
         """Returns all current targets."""
         listing = self.client.list(TARGET_KIND)
@@ -406,5 +427,16 @@
     return fleet_state_source.TargetEvent(name, target, False)
 
 
+def _make_pool(address: str) -> bounded_http.BoundedPool:
+    host, _, port = address.rpartition(":")
+    return bounded_http.BoundedPool(
+        host,
+        int(port),
+        maxsize=MAX_CONNECTIONS,
+        retries=False,
+        socket_options=_SOCKET_OPTIONS,
+    )
+
+
 def _kind_path(kind: str) -> str:
     return f"/api/objects/{kind}"
--- a/catkintrail/ports/fleet_state_source.py
+++ b/catkintrail/ports/fleet_state_source.py
@@ -93,6 +93,13 @@
     ) -> ConfigurationUpdate:
         """Waits for a change of the configuration after a position."""
 
+    def end_watch(self, subject: str) -> None:
+        """Makes a watch in progress in another thread fail at once.
+
+        Args:
+            subject: What is watched: an item of SUBJECTS.
+        """
+
     def list_targets(self) -> TargetUpdate:
         """Returns all current targets."""
 
--- a/tests/test_fleet_state_updater.py
+++ b/tests/test_fleet_state_updater.py
@@ -27,6 +27,7 @@
         version: Version of the configuration.
         names: Names of the targets.
         calls: Kinds of the calls that were made.
+        ended: Subjects whose watches were ended.
         loses_history: Whether the next watch of the configuration finds its
             history gone.
         changed: Notified when the configuration or the targets change.
@@ -38,6 +39,7 @@
         self.version = 1
         self.names = ["e-1"]
         self.calls = []
+        self.ended = []
         self.loses_history = False
         self.changed = threading.Condition()
 
@@ -50,6 +52,9 @@
     def set_restore_callback(self, callback):
         pass
 
+    def end_watch(self, subject):
+        self.ended.append(subject)
+
     def _check(self, kind, timeout_seconds=1.5):
         self.calls.append(kind)
         if self.is_silent:
