A new proof holder ends its long watch of the configuration

When the proof holder of a zone is gone, the next instance takes its duty over, but waited for its own watch of up to 20 s first. Until then it proved the configuration by reads, twice a second and only once the proof was stale, and had no position of the store to compare the known targets with in the meantime.

The long watch is ended and opened anew with the short wait. The test failed before: no short watch within a second.

--- a/catkintrail/fleet_state_updater.py
+++ b/catkintrail/fleet_state_updater.py
@@ -145,6 +145,8 @@
         # subject has to be read anew.
         self._ended: dict[str, bool] = {}
         self._last_success_called_at = float("-inf")
+        # Longest wait of the last watch of the configuration.
+        self._watch_seconds = 0.0
         self._are_targets_stale = False
 
     def start(self) -> None:
@@ -272,6 +274,7 @@
                 )
         else:
             watch_seconds = self._configuration_watch_seconds()
+            self._watch_seconds = watch_seconds
             update = self.source.watch_configuration(position, watch_seconds)
             if update.configuration is None:
                 waited_seconds = min(watch_seconds, self.clock() - sent_at)
@@ -405,6 +408,19 @@
                 progress.observe(marks[subject], now)
                 if progress.is_call_lost(now):
                     self._end_watch(subject, "changes are missing", True)
+        with self._lock:
+            if (
+                status.is_proof_holder
+                and self._watch_seconds > PROOF_WATCH_SECONDS
+                and self._progress[
+                    fleet_state_source.CONFIGURATION
+                ].is_calling_since(now)
+            ):
+                self._end_watch(
+                    fleet_state_source.CONFIGURATION,
+                    "this instance holds the proof now",
+                    False,
+                )
 
     def _end_watch(self, subject: str, reason: str, must_reread: bool) -> None:
         """Ends a watch in progress; the lock must be held."""
--- a/tests/test_fleet_state_updater.py
+++ b/tests/test_fleet_state_updater.py
@@ -321,6 +321,23 @@
         self.wait_for(lambda _: "e-1" not in self.usable(), self.DRAIN_SECONDS)
 
 
+class ProofHolderTests(StoreStandinTestCase):
+
+    def count_short_watches(self):
+        return sum("wait-ms=1000" in path for path in self.store.calls)
+
+    def test_new_proof_holder_does_not_wait_for_its_long_watch(self):
+        is_holder = False
+        self.router.fleet_state.is_proof_holder = lambda: is_holder
+        self.updater.start()
+        self.wait_for(lambda status: status.is_ready)
+        time.sleep(0.5)
+        self.assertEqual(0, self.count_short_watches())
+        is_holder = True
+        self.wait_for(lambda _: self.count_short_watches(), 1.0)
+        self.assertTrue(self.updater.is_store_up)
+
+
 class RestoredStoreTests(StoreStandinTestCase):
     """A store that has come back from an older copy, and is quiet then."""
 
