--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -330,6 +330,8 @@
         ends_inside_event: Whether truncated streams end inside an event.
         crashing_part: Part of a prompt; when the engine begins to write an
             answer on it, all of its connections end.
+        crashing_body: Body of requests that end all connections of the target
+            when it begins to run them; b"" for none.
         crashes: Number of crashes.
         runs: Request id and organisation of each request that was run, in
             order.
@@ -352,6 +354,7 @@
         self.is_unframed = False
         self.ends_inside_event = False
         self.crashing_part = ""
+        self.crashing_body = b""
         self.crashes = 0
         self.runs = []
         self.orders = []
@@ -405,14 +408,18 @@
         self.active += 1
         try:
             time.sleep(self.delay)
+            is_crash = bool(body) and body == self.crashing_body
             if self.service == "engines":
-                self._stream(handler, headers)
+                self._stream(handler, headers, is_crash)
+            elif is_crash:
+                self.crashes += 1
+                handler.close_connection = True
             else:
                 handler.reply(200, b"booked", headers)
         finally:
             self.active -= 1
 
-    def _stream(self, handler, headers):
+    def _stream(self, handler, headers, is_crash):
         handler.send_response(200)
         for name, value in headers:
             handler.send_header(name, value)
@@ -422,6 +429,8 @@
         handler.end_headers()
         parts = handler.headers.get("Prompt-Prefix", "")
         if self.crashing_part and f"{self.crashing_part}:" in parts:
+            is_crash = True
+        if is_crash:
             self.crashes += 1
             handler.close_connection = True
             return
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -70,7 +70,13 @@
         return socket.create_connection((self.ip, self.ports["front"]), 5.0)
 
     def send(
-        self, path, request_id, key="key-1", tokens="1000,100", prefix="a:1000"
+        self,
+        path,
+        request_id,
+        key="key-1",
+        tokens="1000,100",
+        prefix="a:1000",
+        body="hi",
     ):
         connection = self.connect()
         connection.settimeout(10.0)
@@ -79,7 +85,8 @@
             f"Attempt-Id: {request_id}\r\nAuthorization: Token {key}\r\n"
             f"Token-Counts: {tokens}\r\nDeadline-Ms: 9000\r\n"
             f"Prompt-Prefix: {prefix}\r\n"
-            "Connection: close\r\nContent-Length: 2\r\n\r\nhi".encode()
+            "Connection: close\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
         )
         return connection
 
@@ -474,6 +481,75 @@
             self.assertEqual(200, self.request(number, "common", "other"))
 
 
+class CrashingRequestTests(testtools.TestCase):
+    """Requests that crash each target that runs them, and come again."""
+
+    TARGETS = 8
+    CONTACT_SECONDS = 3.0
+    MAX_CRASHES_AFTER_CONTACT = 3
+
+    def setUp(self):
+        super().setUp()
+        names = platform_standins.PORT_NAMES
+        self.ports = dict(zip(names, processes.free_ports(len(names))))
+        self.store = platform_standins.Store()
+        self.addCleanup(self.store.close)
+        self.store.put("config", "main", platform_standins.make_spec(1))
+        self.targets = []
+        for number in range(self.TARGETS):
+            for service in ("engines", "desk"):
+                target = platform_standins.Engine(
+                    f"{service}-{number}", service
+                )
+                target.crashing_body = b"bad"
+                self.addCleanup(target.close)
+                self.store.put("servers", target.name, target.entry())
+                self.targets.append(target)
+        self.relays = []
+        for ip in ("127.0.0.1", "127.0.0.2"):
+            relay = RelayProcess(ip, self.ports, self.store.address)
+            self.addCleanup(relay.close)
+            self.relays.append(relay)
+        for relay in self.relays:
+            self.assertTrue(wait_until(relay.is_ready), "not ready")
+
+    def request(self, number, path, body):
+        relay = self.relays[number % len(self.relays)]
+        return relay.request(
+            path, f"r{number}", prefix=f"common:100,own{number}:9", body=body
+        )
+
+    def count_crashes(self):
+        return sum(target.crashes for target in self.targets)
+
+    def check_bad_requests(self, path):
+        statuses = []
+        for number in range(0, 24, 2):
+            self.request(number, path, "bad")
+            # The other instance serves sound requests with the same parts.
+            statuses.append(self.request(number + 1, path, f"n{number}")[0])
+        time.sleep(self.CONTACT_SECONDS)
+        before = self.count_crashes()
+        for number in range(100, 116):
+            last = self.request(number, path, "bad")
+            statuses.append(self.request(number, path, f"n{number}")[0])
+        self.assertLessEqual(
+            self.count_crashes() - before, self.MAX_CRASHES_AFTER_CONTACT
+        )
+        self.assertEqual({200}, set(statuses))
+        return last
+
+    def test_stream_that_crashes_engines_reaches_few_of_them(self):
+        status, response = self.check_bad_requests("/ask/a")
+        self.assertEqual(503, status)
+        self.assertIn(b"quarantined", response)
+
+    def test_call_that_crashes_services_reaches_few_of_them(self):
+        status, response = self.check_bad_requests("/book/a")
+        self.assertEqual(503, status)
+        self.assertIn(b"quarantined", response)
+
+
 class LimitTests(testtools.TestCase):
     """Targets that name a limit of requests for all instances together."""
 
