The quarantine is named after requests, not prompts

No change of behaviour. core/request_quarantine, the log events request_crash, request_quarantined and request_released, and the gauge catkintrail_quarantined_requests take the place of the names with prompt, since calls of services will be quarantined as well.

--- a/catkintrail/adapters/metrics.py
+++ b/catkintrail/adapters/metrics.py
@@ -95,7 +95,7 @@
         aioprometheus.Gauge,
         "Attempts known at targets, own ones and peers'.",
     ),
-    "catkintrail_quarantined_prompts": (
+    "catkintrail_quarantined_requests": (
         aioprometheus.Gauge,
         "Combinations of prompt parts that are kept away from engines, since"
         " they crash them.",
--- a/catkintrail/adapters/quarantine_exchange.py
+++ b/catkintrail/adapters/quarantine_exchange.py
@@ -1,6 +1,6 @@
 """Exchange between instances about prompts that crash engines.
 
-All instances hear of each crash and decide alike; see core.prompt_quarantine.
+All instances hear of each crash and decide alike; see core.request_quarantine.
 In a large fleet the coordinators pass news on.
 """
 
@@ -9,7 +9,7 @@
 
 from catkintrail import messages
 from catkintrail.adapters import fleet_broadcast
-from catkintrail.core import prompt_quarantine
+from catkintrail.core import request_quarantine
 from catkintrail.core import request_router
 
 __all__ = ["QuarantineExchange"]
@@ -35,7 +35,7 @@
         self._send = send
 
     def record_crash(
-        self, crash: prompt_quarantine.EngineCrash, now: float
+        self, crash: request_quarantine.EngineCrash, now: float
     ) -> None:
         """Records a response that broke off at its start; tells the fleet."""
         _log_crash(crash)
@@ -71,7 +71,7 @@
     def _snapshot(
         self,
         now: float,
-        max_age_seconds: float = prompt_quarantine.EVIDENCE_SECONDS,
+        max_age_seconds: float = request_quarantine.EVIDENCE_SECONDS,
     ) -> list[messages.QuarantineNews]:
         """Returns messages with what is known of quarantines."""
         quarantine = self._router.quarantine
@@ -94,8 +94,8 @@
         self,
         now: float,
         crashes: tuple[messages.CrashReport, ...] = (),
-        added: tuple[prompt_quarantine.Parts, ...] = (),
-        released: Iterable[prompt_quarantine.Parts] = (),
+        added: tuple[request_quarantine.Parts, ...] = (),
+        released: Iterable[request_quarantine.Parts] = (),
     ) -> messages.QuarantineNews:
         quarantined = self._router.quarantine.quarantined
         return messages.QuarantineNews(
@@ -125,7 +125,7 @@
         )
         added = []
         for report in news.crashes:
-            crash = prompt_quarantine.EngineCrash(*report[:3])
+            crash = request_quarantine.EngineCrash(*report[:3])
             at = now - report.age_ms / 1000.0
             added += quarantine.record_crash(crash, at)
         refuted = []
@@ -151,9 +151,9 @@
             self._spread(news)
 
 
-def _log_crash(crash: prompt_quarantine.EngineCrash) -> None:
+def _log_crash(crash: request_quarantine.EngineCrash) -> None:
     _LOG.warning(
-        "prompt_crash",
+        "request_crash",
         extra={
             "target": crash.target,
             "prompt_parts": crash.parts,
@@ -162,20 +162,20 @@
 
 
 def _log_quarantines(
-    combinations: Iterable[prompt_quarantine.Parts], source: str
+    combinations: Iterable[request_quarantine.Parts], source: str
 ) -> None:
     for parts in combinations:
         _LOG.warning(
-            "prompt_quarantined",
+            "request_quarantined",
             extra={"prompt_parts": sorted(parts), "source": source},
         )
 
 
 def _log_releases(
-    combinations: Iterable[prompt_quarantine.Parts], source: str
+    combinations: Iterable[request_quarantine.Parts], source: str
 ) -> None:
     for parts in combinations:
         _LOG.warning(
-            "prompt_released",
+            "request_released",
             extra={"prompt_parts": sorted(parts), "source": source},
         )
--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -16,7 +16,7 @@
 from catkintrail.adapters import limit_exchange
 from catkintrail.adapters import permit_exchange
 from catkintrail.adapters import quarantine_exchange
-from catkintrail.core import prompt_quarantine
+from catkintrail.core import request_quarantine
 from catkintrail.core import request_router
 from catkintrail.core import route_table
 from catkintrail.core import store_views
@@ -348,11 +348,13 @@
             _log_ejection(target, is_silent, self._router.settings.name)
         self._broadcast_load(update)
 
-    def record_prompt_crash(self, crash: prompt_quarantine.EngineCrash) -> None:
+    def record_request_crash(
+        self, crash: request_quarantine.EngineCrash
+    ) -> None:
         """Records a response that broke off at its start; tells the fleet."""
         self._quarantine_exchange.record_crash(crash, self._clock())
 
-    def record_prompt_proof(self, parts: tuple[str, ...]) -> None:
+    def record_request_proof(self, parts: tuple[str, ...]) -> None:
         """Records that an answer was written on a prompt."""
         self._quarantine_exchange.record_proof(parts, self._clock())
 
--- a/catkintrail/adapters/router_client.py
+++ b/catkintrail/adapters/router_client.py
@@ -6,7 +6,7 @@
 
 from catkintrail import verdict as verdicts
 from catkintrail.adapters import router_actor
-from catkintrail.core import prompt_quarantine
+from catkintrail.core import request_quarantine
 from catkintrail.core import request_router
 from catkintrail.core import target_notices
 from catkintrail.core import targets as target_records
@@ -37,7 +37,7 @@
         self,
         actor_ref: pykka.ActorRef,
         notices: target_notices.TargetNotices,
-        quarantine: prompt_quarantine.PromptQuarantine,
+        quarantine: request_quarantine.RequestQuarantine,
         clock: Callable[[], float],
     ) -> None:
         self.proxy = actor_ref.proxy()
@@ -104,16 +104,16 @@
         until = self.quarantine.find(parts, now)
         return None if until is None else until - now
 
-    def record_prompt_crash(
+    def record_request_crash(
         self, target: target_records.Target, parts: tuple[str, ...]
     ) -> None:
         """Records that a target broke off a response right after its start."""
-        crash = prompt_quarantine.EngineCrash(target.name, target.born, parts)
-        self.proxy.record_prompt_crash.defer(crash)
+        crash = request_quarantine.EngineCrash(target.name, target.born, parts)
+        self.proxy.record_request_crash.defer(crash)
 
-    def record_prompt_proof(self, parts: tuple[str, ...]) -> None:
+    def record_request_proof(self, parts: tuple[str, ...]) -> None:
         """Records that a target has written an answer on a prompt."""
-        self.proxy.record_prompt_proof.defer(parts)
+        self.proxy.record_request_proof.defer(parts)
 
     def find_obstacle(
         self, target: target_records.Target, permits: tuple[str, ...]
--- a/catkintrail/core/prompt_quarantine.py
+++ b/catkintrail/core/request_quarantine.py
@@ -15,7 +15,7 @@
 
 from typing import Iterable, NamedTuple
 
-__all__ = ["EngineCrash", "PromptQuarantine"]
+__all__ = ["EngineCrash", "RequestQuarantine"]
 
 # Crashes after which parts that no engine has written on are quarantined.
 CRASHES_OF_UNPROVEN_PARTS = 3
@@ -54,7 +54,7 @@
     parts: Parts
 
 
-class PromptQuarantine:
+class RequestQuarantine:
     """The quarantined combinations of parts, and the evidence against parts.
 
     A prompt is quarantined if it has all parts of a combination. Parts that
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -13,7 +13,7 @@
 from catkintrail.core import fleet_load
 from catkintrail.core import fleet_state
 from catkintrail.core import load_reports
-from catkintrail.core import prompt_quarantine
+from catkintrail.core import request_quarantine
 from catkintrail.core import route_table
 from catkintrail.core import service_retry_budget
 from catkintrail.core import store_views
@@ -166,7 +166,7 @@
             self.health,
             self.notices,
         )
-        self.quarantine = prompt_quarantine.PromptQuarantine()
+        self.quarantine = request_quarantine.RequestQuarantine()
         self._retry_budgets: dict[
             str, service_retry_budget.ServiceRetryBudget
         ] = {}
--- a/catkintrail/messages.py
+++ b/catkintrail/messages.py
@@ -572,7 +572,7 @@
 
 
 class CrashReport(NamedTuple):
-    """A crash of an engine; see core.prompt_quarantine.EngineCrash.
+    """A crash of an engine; see core.request_quarantine.EngineCrash.
 
     Attributes:
         age_ms: Time since the crash.
--- a/catkintrail/ports/relaying.py
+++ b/catkintrail/ports/relaying.py
@@ -293,12 +293,12 @@
             Time in seconds; None if the prompt is not quarantined.
         """
 
-    def record_prompt_crash(
+    def record_request_crash(
         self, target: target_records.Target, parts: tuple[str, ...]
     ) -> None:
         """Records that a target broke off a response right after its start."""
 
-    def record_prompt_proof(self, parts: tuple[str, ...]) -> None:
+    def record_request_proof(self, parts: tuple[str, ...]) -> None:
         """Records that a target has written an answer on a prompt."""
 
     def find_obstacle(
--- a/catkintrail/relay.py
+++ b/catkintrail/relay.py
@@ -401,7 +401,7 @@
             and error.is_broken_off
             and progress.send_events <= MAX_STARTING_EVENTS
         ):
-            self.router.record_prompt_crash(placement.target, parts)
+            self.router.record_request_crash(placement.target, parts)
 
     def _record_proof(
         self, progress: request_progress.Progress, is_success: bool
@@ -409,7 +409,7 @@
         """Records that an engine has written an answer on the prompt."""
         parts = progress.request.prompt_parts
         if parts and (is_success or progress.send_events >= PROVING_EVENTS):
-            self.router.record_prompt_proof(parts)
+            self.router.record_request_proof(parts)
 
     def _exchange(
         self,
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -327,7 +327,7 @@
             "catkintrail_peers": len(status.peers),
             "catkintrail_known_attempts": status.attempts,
             "catkintrail_slow_targets": status.slow_targets,
-            "catkintrail_quarantined_prompts": len(
+            "catkintrail_quarantined_requests": len(
                 self.router.quarantine.quarantined
             ),
             "catkintrail_store_calls": self.store.call_count,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -8,7 +8,7 @@
 from catkintrail import relay
 from catkintrail import verdict as verdicts
 from catkintrail.core import memory_lease
-from catkintrail.core import prompt_quarantine
+from catkintrail.core import request_quarantine
 from catkintrail.ports import relaying
 from tests import relaying as builders
 
@@ -164,11 +164,11 @@
         until = self.router.quarantine.find(parts, self.clock())
         return None if until is None else until - self.clock()
 
-    def record_prompt_crash(self, target, parts):
-        crash = prompt_quarantine.EngineCrash(target.name, target.born, parts)
+    def record_request_crash(self, target, parts):
+        crash = request_quarantine.EngineCrash(target.name, target.born, parts)
         self.router.quarantine.record_crash(crash, self.clock())
 
-    def record_prompt_proof(self, parts):
+    def record_request_proof(self, parts):
         self.router.quarantine.record_proof(parts, self.clock())
 
     def find_obstacle(self, target, permits):
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -6,23 +6,23 @@
 from hypothesis import strategies as st
 import testtools
 
-from catkintrail.core import prompt_quarantine
+from catkintrail.core import request_quarantine
 from tests import relaying as builders
 from tests import virtual_fleet
 
-LIMIT = prompt_quarantine.CRASHES_OF_UNPROVEN_PARTS
+LIMIT = request_quarantine.CRASHES_OF_UNPROVEN_PARTS
 
 
 class QuarantineTestCase(testtools.TestCase):
 
     def setUp(self):
         super().setUp()
-        self.quarantine = prompt_quarantine.PromptQuarantine()
+        self.quarantine = request_quarantine.RequestQuarantine()
         self.engines = 0
 
     def crash(self, now, *parts, target=None):
         self.engines += 1
-        crash = prompt_quarantine.EngineCrash(
+        crash = request_quarantine.EngineCrash(
             target or f"e-{self.engines}", 1, parts
         )
         return self.quarantine.record_crash(crash, now)
@@ -70,7 +70,7 @@
 
     def test_part_that_turns_bad_after_it_was_proven(self):
         self.quarantine.record_proof(("p",), 99.0)
-        for number in range(prompt_quarantine.CRASHES_OF_PROVEN_PARTS):
+        for number in range(request_quarantine.CRASHES_OF_PROVEN_PARTS):
             self.assertFalse(self.is_quarantined(200.0, "p"))
             self.crash(100.0 + number, "p")
         self.assertTrue(self.is_quarantined(200.0, "p"))
@@ -113,7 +113,7 @@
 
     def test_quarantine_ends_by_itself_and_one_crash_renews_it(self):
         self.convict(100.0)
-        later = 101.0 + prompt_quarantine.QUARANTINE_SECONDS
+        later = 101.0 + request_quarantine.QUARANTINE_SECONDS
         self.assertFalse(self.is_quarantined(later, "bad"))
         self.quarantine.expire(later)
         self.crash(later, "bad", "new")
@@ -147,18 +147,18 @@
 class BoundTests(QuarantineTestCase):
 
     def test_memory_is_bounded(self):
-        for number in range(3 * prompt_quarantine.MAX_CRASHES):
+        for number in range(3 * request_quarantine.MAX_CRASHES):
             self.crash(100.0 + number, f"p{number}", f"q{number // 3}")
         self.assertLessEqual(
-            len(self.quarantine.quarantined), prompt_quarantine.MAX_QUARANTINES
+            len(self.quarantine.quarantined), request_quarantine.MAX_QUARANTINES
         )
         self.assertEqual(
-            prompt_quarantine.MAX_CRASHES, len(self.quarantine.crashes(900.0))
+            request_quarantine.MAX_CRASHES, len(self.quarantine.crashes(900.0))
         )
-        for number in range(prompt_quarantine.MAX_PROVEN_PARTS + 9):
+        for number in range(request_quarantine.MAX_PROVEN_PARTS + 9):
             self.quarantine.record_proof((f"r{number}",), 100.0)
         self.assertLessEqual(
-            len(self.quarantine._proven_at), prompt_quarantine.MAX_PROVEN_PARTS
+            len(self.quarantine._proven_at), request_quarantine.MAX_PROVEN_PARTS
         )
 
     @given(
@@ -172,7 +172,7 @@
         )
     )
     def test_proven_parts_are_not_quarantined_by_few_crashes(self, events):
-        quarantine = prompt_quarantine.PromptQuarantine()
+        quarantine = request_quarantine.RequestQuarantine()
         proven = set()
         crashes = 0
         for number, (engine, parts, is_proof) in enumerate(events):
@@ -183,11 +183,11 @@
                 quarantine.record_proof(parts, now)
             else:
                 crashes += 1
-                crash = prompt_quarantine.EngineCrash(
+                crash = request_quarantine.EngineCrash(
                     f"e-{engine}", number, tuple(parts)
                 )
                 quarantine.record_crash(crash, now)
-            if crashes < prompt_quarantine.CRASHES_OF_PROVEN_PARTS:
+            if crashes < request_quarantine.CRASHES_OF_PROVEN_PARTS:
                 for part in proven:
                     self.assertIsNone(quarantine.find((part,), now))
 
@@ -242,7 +242,7 @@
             self.refused += 1
             return
         actor = self.fleet.actors[address]
-        self.fleet.at(self.RUN_SECONDS, actor.record_prompt_proof, parts)
+        self.fleet.at(self.RUN_SECONDS, actor.record_request_proof, parts)
 
     def send_bad(self, number, sends=2):
         address = self.rng.choice(sorted(self.fleet.actors))
@@ -253,10 +253,10 @@
 
         def end_engine():
             self.crashes.append(self.fleet.now)
-            crash = prompt_quarantine.EngineCrash(
+            crash = request_quarantine.EngineCrash(
                 f"e-{len(self.crashes)}", 1, parts
             )
-            self.fleet.actors[address].record_prompt_crash(crash)
+            self.fleet.actors[address].record_request_crash(crash)
             if sends > 1:
                 self.send_bad(number, sends - 1)
 
@@ -303,8 +303,8 @@
         fleet.run(6.0)
         for number in range(LIMIT + 1):
             address = ("10.0.0.1", "10.1.0.1")[number % 2]
-            crash = prompt_quarantine.EngineCrash(f"e-{number}", 1, ("bad",))
-            fleet.actors[address].record_prompt_crash(crash)
+            crash = request_quarantine.EngineCrash(f"e-{number}", 1, ("bad",))
+            fleet.actors[address].record_request_crash(crash)
             fleet.run(0.5)
         for address in fleet.actors:
             self.assertEqual({}, fleet.router(address).quarantine.quarantined)
