Property test of proven parts counts the crashes of each part

The count is kept for each part now; the check is the same for every part that has a proof, and also made at each step for parts whose own count is below the limit while another's is not, which the old count left out.

--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -173,22 +173,21 @@
     )
     def test_proven_parts_are_not_quarantined_by_few_crashes(self, events):
         quarantine = request_quarantine.RequestQuarantine()
-        proven = set()
-        crashes = 0
+        crashes = {}
         for number, (engine, parts, is_proof) in enumerate(events):
             now = 100.0 + number
             if is_proof:
-                proven |= parts
-                crashes = 0
+                crashes.update(dict.fromkeys(parts, 0))
                 quarantine.record_proof(parts, now)
             else:
-                crashes += 1
+                for part in parts & crashes.keys():
+                    crashes[part] += 1
                 crash = request_quarantine.EngineCrash(
                     f"e-{engine}", number, tuple(parts)
                 )
                 quarantine.record_crash(crash, now)
-            if crashes < request_quarantine.CRASHES_OF_PROVEN_PARTS:
-                for part in proven:
+            for part, count in crashes.items():
+                if count < request_quarantine.CRASHES_OF_PROVEN_PARTS:
                     self.assertIsNone(quarantine.find((part,), now))
 
 
