--- a/catkintrail/core/watch_progress.py
+++ b/catkintrail/core/watch_progress.py
@@ -20,8 +20,9 @@
     """How far the watch of one subject has come. Not thread-safe.
 
     Attributes:
-        mark: Position or version up to which the watch has returned all changes;
-            None before the first answer. Later ones compare as greater.
+        mark: Position or version up to which the watch has returned all
+            changes; None before the first answer. Later ones compare as
+            greater.
     """
 
     def __init__(self) -> None:
--- a/catkintrail/fleet_state_updater.py
+++ b/catkintrail/fleet_state_updater.py
@@ -141,8 +141,8 @@
             subject: watch_progress.WatchProgress()
             for subject in fleet_state_source.SUBJECTS
         }
-        # Subjects whose watch was ended by this instance, and whether all of the
-        # subject has to be read anew.
+        # Subjects whose watch was ended by this instance, and whether all of
+        # the subject has to be read anew.
         self._ended: dict[str, bool] = {}
         self._last_success_called_at = float("-inf")
         # Longest wait of the last watch of the configuration.
