--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,6 +9,7 @@
 from typing import Iterator
 
 from soak import callers
+from soak import checks
 from soak import history as run_history
 from soak import instances as instance_processes
 from soak import operator as operators
@@ -24,6 +25,11 @@
 # The store drops the entry of a target that has been silent for this time.
 ENTRY_EXPIRY_SECONDS = 3.0
 DRAIN_SECONDS = 2.0
+# A target leaves this long after a silence of the store, when the silence no
+# longer excuses that instances do not know it.
+LEAVING_DELAY_SECONDS = checks.FAULT_EFFECT_SECONDS + 0.5
+# A target leaves at most this long before a silence of the store.
+MAX_SILENCE_DELAY_SECONDS = 1.0
 STORE = "store"
 BURST_RATE_FACTOR = 3.0
 # Store faults last longer, since instances accept known keys without the store
@@ -185,6 +191,9 @@
         if name == "restore":
             await self._restore_store(fault.seconds, rng)
             return
+        if name == "lose":
+            await self._silence_store(fault.seconds, rng)
+            return
         chosen = self._instances
         if rng.random() < 0.5:
             chosen = rng.sample(chosen, rng.randint(1, len(chosen)))
@@ -206,6 +215,42 @@
                 for instance in chosen:
                     instance.store_proxy.set_mode(proxies.Mode.PASS)
 
+    async def _silence_store(self, seconds: float, rng: random.Random) -> None:
+        """Lets calls to the store be lost; targets leave around that time.
+
+        Calls of some instances, or about one subject only, may be lost.
+        """
+        chosen = self._instances
+        if rng.random() < 0.5:
+            chosen = rng.sample(chosen, rng.randint(1, len(chosen)))
+        lost = rng.choice((b"/api/objects/", b"/servers", b"/config"))
+        subjects = [instance.name for instance in chosen]
+        if len(chosen) == len(self._instances):
+            subjects = [STORE]
+        async with asyncio.TaskGroup() as leavings:
+            for at in (0.0, seconds * rng.random(), seconds):
+                leavings.create_task(self._retire_later(at, rng))
+            # The watches that end with the first leaving are opened anew.
+            await asyncio.sleep(rng.uniform(0.0, MAX_SILENCE_DELAY_SECONDS))
+            with self._recorded_fault("store lose", *subjects):
+                for instance in chosen:
+                    instance.store_proxy.loses = lambda request: lost in request
+                    instance.store_proxy.set_mode(proxies.Mode.LOSE)
+                await asyncio.sleep(seconds)
+                for instance in chosen:
+                    instance.store_proxy.set_mode(proxies.Mode.PASS)
+            await self._retire_later(LEAVING_DELAY_SECONDS, rng)
+
+    async def _retire_later(self, seconds: float, rng: random.Random) -> None:
+        await asyncio.sleep(seconds)
+        target = self._choose_target(rng)
+        if target is not None:
+            self._faulted.add(target.name)
+            # Only the store tells of it.
+            target.states_leaving = False
+            await self._retire_target(target, is_announced=rng.random() < 0.5)
+            self._faulted.discard(target.name)
+
     async def _restore_store(
         self, age_seconds: float, rng: random.Random
     ) -> None:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -29,6 +29,9 @@
 # Drawn separately, so that the other faults of a seed do not depend on them.
 RARE_KINDS = ("store_restore", "target_limit")
 MEAN_RARE_FAULT_GAP_SECONDS = 12.0
+# Drawn separately from all others.
+SILENCE_KINDS = ("store_lose",)
+MEAN_SILENCE_GAP_SECONDS = 10.0
 
 
 class Fault(NamedTuple):
@@ -36,7 +39,7 @@
 
     Attributes:
         start_seconds: Seconds from the start of the load.
-        kind: One of KINDS or RARE_KINDS.
+        kind: One of KINDS, RARE_KINDS or SILENCE_KINDS.
         seconds: Duration, for kinds that last.
         random_seed: Seed of the random choices of the fault, such as its
             subjects.
@@ -75,19 +78,37 @@
         # Some faults start at the same time as the one before.
         if rng.random() > 0.2:
             start_seconds += rng.expovariate(1 / MEAN_FAULT_GAP_SECONDS)
-    return sorted(faults + _make_rare_faults(seed, seconds))
+    return sorted(
+        faults
+        + _draw_faults(
+            random.Random(f"rare {seed}"),
+            seconds,
+            RARE_KINDS,
+            MEAN_RARE_FAULT_GAP_SECONDS,
+        )
+        + _draw_faults(
+            random.Random(f"silence {seed}"),
+            seconds,
+            SILENCE_KINDS,
+            MEAN_SILENCE_GAP_SECONDS,
+        )
+    )
 
 
-def _make_rare_faults(seed: int, seconds: float) -> list[Fault]:
-    rng = random.Random(f"rare {seed}")
+def _draw_faults(
+    rng: random.Random,
+    seconds: float,
+    kinds: tuple[str, ...],
+    mean_gap_seconds: float,
+) -> list[Fault]:
     faults = []
     start_seconds = FIRST_FAULT_SECONDS
     while True:
-        start_seconds += rng.expovariate(1 / MEAN_RARE_FAULT_GAP_SECONDS)
+        start_seconds += rng.expovariate(1 / mean_gap_seconds)
         if start_seconds >= seconds:
             return faults
         duration = rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
-        kind = rng.choice(RARE_KINDS)
+        kind = rng.choice(kinds)
         faults.append(
             Fault(start_seconds, kind, duration, rng.randrange(1 << 30))
         )
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -20,6 +20,9 @@
     ONE_WAY = "one_way"
     # Open and new connections are reset.
     REFUSE = "refuse"
+    # Requests are lost, and so are the responses of their connections, also
+    # later ones.
+    LOSE = "lose"
 
 
 class Proxy:
@@ -30,6 +33,7 @@
         address: Host and port on which the proxy listens, as "HOST:PORT".
         mode: Current mode; changed by `set_mode`.
         delay_seconds: Delay of each piece of data in the mode DELAY.
+        loses: Returns whether a request is lost in the mode LOSE.
     """
 
     def __init__(self, upstream: Callable[[], tuple[str, int]]) -> None:
@@ -37,6 +41,7 @@
         self.address = ""
         self.mode = Mode.PASS
         self.delay_seconds = 0.0
+        self.loses: Callable[[bytes], bool] = lambda request: True
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._mode_changed = asyncio.Event()
@@ -99,6 +104,15 @@
     ) -> None:
         try:
             while data := await reader.read(RECEIVE_BYTES):
+                if (
+                    self.mode is Mode.LOSE
+                    and not is_response
+                    and self.loses(data)
+                ):
+                    # Keeps the connection open until the caller closes it.
+                    while await reader.read(RECEIVE_BYTES):
+                        pass
+                    return
                 await self._wait_to_pass(is_response)
                 writer.write(data)
                 await writer.drain()
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -97,6 +97,7 @@
         proxy: Proxy through which instances reach the target.
         is_leaving: Whether the target is to be removed; store entries made then
             have the state "draining".
+        states_leaving: Whether responses then state the leaving.
         limit: Requests a second that responses name as the limit; None for
             none.
         is_running: Whether the target accepts connections.
@@ -115,6 +116,7 @@
         self.behaviour = Behaviour.SOUND
         self.proxy: proxies.Proxy | None = None
         self.is_leaving = False
+        self.states_leaving = True
         self.limit: float | None = None
         self.is_running = False
         self.running_ids: set[str] = set()
@@ -208,7 +210,7 @@
         headers = request.headers
         request_id = headers.get("attempt-id", "")
         response_headers = {"Attempt-Id": request_id}
-        if self.is_leaving:
+        if self.is_leaving and self.states_leaving:
             response_headers["Server-Leaving"] = "1"
             self.fleet.history.leaving_stated.append(
                 (request_id, self.name, time.monotonic())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,6 +24,9 @@
     plan.Fault(12.4, "settings_change", 1.0, 0),
 )
 REGRESSION_INSTANCES = 4
+# Calls of all instances about the targets are lost for a while; targets leave
+# before, meanwhile and after.
+SILENCES = (plan.Fault(3.0, "store_lose", 3.3, 0),)
 SHORT_SECONDS = 8.0
 SHORT_INSTANCES = 3
 
@@ -36,7 +39,8 @@
 
     def test_plan_has_every_kind(self):
         kinds = {fault.kind for fault in plan.make_plan(1, 120.0)}
-        self.assertEqual(set(plan.KINDS) | set(plan.RARE_KINDS), kinds)
+        expected = {*plan.KINDS, *plan.RARE_KINDS, *plan.SILENCE_KINDS}
+        self.assertEqual(expected, kinds)
 
 
 def make_sent(request_id="r-1", route="ask", **changes):
@@ -318,3 +322,6 @@
     def test_faults_of_earlier_violations(self):
         seconds = REGRESSIONS[-1].start_seconds + 2.0
         self.run_soak(1, seconds, REGRESSION_INSTANCES, REGRESSIONS)
+
+    def test_leavings_after_a_silence_of_the_store(self):
+        self.run_soak(0, 14.0, REGRESSION_INSTANCES, SILENCES)
