An exception in one call no longer stops the router's actor

The process stayed, served nothing, followed nothing and looked alive. An entry with a number of slots beyond 64 bits did that, as it cannot be passed on.

The exception is logged as call_failed and the next call is handled.

--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -4,6 +4,7 @@
 """
 
 import logging
+import types
 from typing import Callable, NamedTuple
 
 import pykka
@@ -189,6 +190,21 @@
         self._suspects: dict[str, float] = {}
         self._coordinator_pauses: dict[str, float] = {}
 
+    def _handle_failure(
+        self,
+        exception_type: type[BaseException] | None,
+        exception_value: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Logs an exception in a call of which nobody awaits the result.
+
+        Pykka would stop the actor, and the instance would serve nothing more.
+        """
+        _LOG.error(
+            "call_failed",
+            exc_info=(exception_type, exception_value, traceback),
+        )
+
     def admit(
         self, host: str, path: str, api_key: str
     ) -> request_router.Admission | verdicts.Refusal:
