--- a/catkintrail/adapters/platform_client.py
+++ b/catkintrail/adapters/platform_client.py
@@ -128,7 +128,7 @@
 
 def _read_version(response: urllib3.BaseHTTPResponse) -> int:
     text = response.headers.get("ETag", "")
-    if not text.isdigit():
+    if not text.isascii() or not text.isdigit():
         raise errors.PlatformUnavailableError(
             "response of the platform has no version"
         )
--- a/catkintrail/adapters/target_client.py
+++ b/catkintrail/adapters/target_client.py
@@ -239,7 +239,7 @@
     if len(body) > MAX_RESPONSE_BYTES:
         raise _may_have_run_error("response is too long")
     length = response.headers.get("Content-Length", "")
-    if length.isdigit():
+    if length.isascii() and length.isdigit():
         if len(body) < int(length):
             raise _may_have_run_error(
                 "response is shorter than its Content-Length"
--- a/catkintrail/core/event_stream.py
+++ b/catkintrail/core/event_stream.py
@@ -7,6 +7,7 @@
 __all__ = ["Event", "EventReader", "EventSequence"]
 
 MAX_EVENT_BYTES = 1 << 20
+MAX_ID_DIGITS = 18
 # Consecutive events without an id. A target in trouble may send bytes without
 # end that look like such events.
 MAX_UNNUMBERED_EVENTS = 64
@@ -107,6 +108,7 @@
 def _event_number(data: bytes) -> int:
     for line in data.splitlines():
         name, _, value = line.partition(b":")
-        if name == b"id" and value.strip().isdigit():
+        value = value.strip()
+        if name == b"id" and value.isdigit() and len(value) <= MAX_ID_DIGITS:
             return int(value)
     return -1
--- a/catkintrail/platform/callers.py
+++ b/catkintrail/platform/callers.py
@@ -409,8 +409,8 @@
     request: _Request, received_at: float
 ) -> relaying.CallerRequest:
     headers = request.inheaders
-    deadline = _get_header(request, wire.DEADLINE_MS)
-    deadline_ms = float(deadline) if deadline.isdigit() else DEFAULT_DEADLINE_MS
+    deadline = wire.decode_count(_get_header(request, wire.DEADLINE_MS))
+    deadline_ms = DEFAULT_DEADLINE_MS if deadline is None else float(deadline)
     request.conn.set_read_timeout(deadline_ms / 1000.0)
     body = b""
     if request.chunked_read:
@@ -427,7 +427,7 @@
     prompt, output = wire.decode_token_counts(
         _get_header(request, wire.TOKEN_COUNTS)
     )
-    last_event = _get_header(request, wire.LAST_EVENT_ID)
+    last_event = wire.decode_count(_get_header(request, wire.LAST_EVENT_ID))
     return relaying.CallerRequest(
         request_id,
         request.method.decode("latin-1"),
@@ -439,7 +439,7 @@
         deadline_ms,
         prompt,
         output,
-        int(last_event) if last_event.isdigit() else -1,
+        -1 if last_event is None else last_event,
         received_at,
         wire.decode_prompt_parts(_get_header(request, wire.PROMPT_PREFIX)),
     )
--- a/catkintrail/platform/engines.py
+++ b/catkintrail/platform/engines.py
@@ -240,7 +240,8 @@
                 verdicts.Verdict.NOT_RUN,
                 is_silent=True,
             ) from error
-        except OSError as error:
+        except (OSError, ValueError) as error:
+            # A host name may have a form that cannot be looked up.
             raise errors.TargetError(
                 f"cannot connect to {target.address}: {error}",
                 verdicts.Verdict.NOT_RUN,
@@ -567,8 +568,9 @@
     def _idle_seconds(self) -> float:
         for part in self.headers_by_name.get("keep-alive", "").split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.strip().isdigit():
-                return int(value) - KEEP_ALIVE_MARGIN_SECONDS
+            seconds = wire.decode_count(value)
+            if name.lower() == "timeout" and seconds is not None:
+                return seconds - KEEP_ALIVE_MARGIN_SECONDS
         return DEFAULT_KEEP_ALIVE_SECONDS
 
     def _make_failure(self, message: str) -> errors.TargetError:
--- a/catkintrail/platform/wire.py
+++ b/catkintrail/platform/wire.py
@@ -1,6 +1,7 @@
 """Decodes the platform's headers and objects into catkintrail's types."""
 
 import math
+import re
 from typing import Any, Mapping
 
 from catkintrail import errors
@@ -31,6 +32,7 @@
     "TOKEN_COUNTS",
     "decode_api_key",
     "decode_configuration",
+    "decode_count",
     "decode_era",
     "decode_prompt_parts",
     "decode_limit",
@@ -97,10 +99,18 @@
 )
 
 API_KEY_SCHEME = "token"
-MAX_ERA_DIGITS = 18
+MAX_COUNT_DIGITS = 18
+MAX_PORT = 65_535
+MAX_SLOTS = 1_000_000
+# Messages between instances have integers of 64 bits.
+MAX_TIME_MS = 1 << 62
 MAX_PROMPT_PARTS = 64
 MAX_PROMPT_PART_CHARACTERS = 64
 
+# A host name or an IP address. Labels have at most 63 characters (RFC 1035).
+_HOST = re.compile(
+    r"\[[0-9A-Fa-f:.]{2,45}\]|[0-9A-Za-z-]{1,63}(\.[0-9A-Za-z-]{1,63}){0,15}"
+)
 _ROUTE_KINDS = {
     "idempotent": route_table.RouteKind.IDEMPOTENT,
     "non_idempotent": route_table.RouteKind.NON_IDEMPOTENT,
@@ -183,12 +193,18 @@
     )
 
 
-def decode_era(text: str) -> int:
-    """Decodes a `Store-Era` header; returns -1 if it is malformed."""
+def decode_count(text: str) -> int | None:
+    """Decodes a decimal number of a header; returns None if it is malformed."""
     text = text.strip()
-    if text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS:
+    if text.isascii() and text.isdigit() and len(text) <= MAX_COUNT_DIGITS:
         return int(text)
-    return -1
+    return None
+
+
+def decode_era(text: str) -> int:
+    """Decodes a `Store-Era` header; returns -1 if it is malformed."""
+    era = decode_count(text)
+    return -1 if era is None else era
 
 
 def decode_token_counts(text: str) -> tuple[int, int]:
@@ -198,10 +214,10 @@
         Number of prompt tokens and limit of output tokens; both 0 if the header
         is malformed.
     """
-    prompt, _, output = text.partition(",")
-    if prompt.strip().isdigit() and output.strip().isdigit():
-        return int(prompt), int(output)
-    return 0, 0
+    counts = [decode_count(part) for part in text.split(",", 1)]
+    if len(counts) < 2 or None in counts:
+        return 0, 0
+    return counts[0], counts[1]
 
 
 def decode_target(record: Any) -> target_records.Target | None:
@@ -227,16 +243,31 @@
         return None
     if not all(isinstance(value, str) for value in values[:4]):
         return None
-    host, _, port = values[2].rpartition(":")
-    if not host or not port.isdigit() or not name:
+    if not name or not _is_address(values[2]):
         return None
-    if not isinstance(values[4], int) or isinstance(values[4], bool):
+    if not _is_count(values[4], MAX_SLOTS):
         return None
-    if not isinstance(born, int):
+    if not _is_count(born, MAX_TIME_MS):
         born = 0
     return target_records.Target(*values, is_leaving, born)
 
 
+def _is_address(text: str) -> bool:
+    """Returns whether a text is a host and a port that can be connected to."""
+    host, _, port = text.rpartition(":")
+    number = decode_count(port)
+    return (
+        _HOST.fullmatch(host) is not None
+        and number is not None
+        and 0 < number <= MAX_PORT
+    )
+
+
+def _is_count(value: Any, maximum: int) -> bool:
+    is_integer = isinstance(value, int) and not isinstance(value, bool)
+    return is_integer and 0 <= value <= maximum
+
+
 def decode_configuration(spec: Any) -> route_table.Configuration:
     """Decodes the operator's configuration.
 
@@ -254,7 +285,13 @@
             _decode_organisations(spec.get("tenants")),
             _decode_limits(spec.get("limits") or {}),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+    ) as error:
         raise errors.CheckError(
             "configuration", [errors.Mistake("", repr(error))]
         ) from error
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -286,6 +286,7 @@
             urllib3.exceptions.HTTPError,
             OSError,
             msgspec.DecodeError,
+            RecursionError,
             zlib.error,
         ) as error:
             raise errors.PlatformUnavailableError(
@@ -306,7 +307,9 @@
 
     def _handle_state(self, request: wsgi.Request) -> wsgi.Response:
         known = request.query.get("have", "")
-        known_version = int(known) if known.isdigit() else -1
+        known_version = wire.decode_count(known)
+        if known_version is None:
+            known_version = -1
         state = self.router.peer_state(known_version)
         body = zlib.compress(msgspec.json.encode(state), STATE_COMPRESSION)
         headers = [
