An entry of the store that cannot be read costs that entry only

One value that msgspec rejects (a number beyond a float or of 5,000 digits, half of a surrogate pair, bytes that are not UTF-8, 5,000 nested lists) made the page undecodable, so that each reading failed as if the store were away; the nested one raised RecursionError, which ended the loop again and again.

A page that cannot be decoded as a whole is split at its brackets and commas, and its values are decoded one by one; those that cannot be read count as missing. This happens after a failure only. Five tests with a table of malformed values, in lists, watches, configurations and an instance that follows the store, failed before; further ones try arbitrary bytes.

--- a/catkintrail/platform/store.py
+++ b/catkintrail/platform/store.py
@@ -6,7 +6,6 @@
 from typing import Any, Callable, Iterator, NamedTuple
 import urllib.parse
 
-import msgspec
 import urllib3
 from urllib3 import connection as connections
 
@@ -14,6 +13,7 @@
 from catkintrail.adapters import bounded_http
 from catkintrail.core import route_table
 from catkintrail.core import store_views
+from catkintrail.platform import lenient_json
 from catkintrail.platform import wire
 from catkintrail.ports import fleet_state_source
 
@@ -262,8 +262,8 @@
         if response.status != 200:
             return _Response(response.status, None, era)
         try:
-            return _Response(200, msgspec.json.decode(response.data), era)
-        except msgspec.DecodeError as error:
+            return _Response(200, lenient_json.decode(response.data), era)
+        except ValueError as error:
             raise errors.PlatformUnavailableError(
                 f"cannot decode a response of the store: {error}"
             ) from error
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -156,6 +156,7 @@
         calls: Paths of the requests received.
         oldest_revision: Watches from older revisions fail with status 410.
         page_size: Maximum number of objects in a page of a list.
+        odd_values: Bytes that responses have in place of these JSON strings.
         silent_kinds: Kinds of the calls that are taken and never answered, also
             when the kind is no longer in the set.
         era: Value of the `Store-Era` header; rises when a copy is restored.
@@ -167,6 +168,7 @@
         self.calls = []
         self.oldest_revision = 0
         self.page_size = 500
+        self.odd_values = {}
         self.silent_kinds = frozenset()
         self.era = 1
         self._revision = 1
@@ -269,7 +271,10 @@
         if status == 0:
             handler.close_connection = True
             return
-        handler.reply(status, json.dumps(body).encode(), headers)
+        data = json.dumps(body).encode()
+        for text, odd in self.odd_values.items():
+            data = data.replace(json.dumps(text).encode(), odd)
+        handler.reply(status, data, headers)
 
     def _list(self, kind, after):
         with self._changed:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -11,9 +11,25 @@
 from catkintrail import errors
 from catkintrail import messages
 from catkintrail.core import event_stream
+from catkintrail.platform import lenient_json
+from catkintrail.platform import store
 from catkintrail.platform import wire
 from tests import platform_standins
-
+from tests import test_fleet_state_updater as updater_tests
+
+DEEP = b"[" * 5_000 + b"]" * 5_000
+# Values of an entry's field that no page may be lost for.
+ODD_BYTES = {
+    "a number too large for a float": b"1e999",
+    "a number of 5,000 digits": b"9" * 5_000,
+    "bytes that are not UTF-8": b'"\xff\xfe"',
+    "half of a surrogate pair": b'"\\ud800"',
+    "nested lists": DEEP,
+    "nested objects": b'{"a":' * 5_000 + b"1" + b"}" * 5_000,
+    "not a number": b"NaN",
+    "a control character": b'"\x01"',
+    "a leading zero": b"08",
+}
 ENTRY = {
     "service": "engines",
     "address": "10.1.0.1:80",
@@ -51,6 +67,92 @@
 )
 
 
+class PageTests(testtools.TestCase):
+
+    def setUp(self):
+        super().setUp()
+        self.store = platform_standins.Store()
+        self.addCleanup(self.store.close)
+        self.source = store.StoreSource(store.StoreClient(self.store.address))
+
+    def targets_of(self, update):
+        return {event.name: event.target for event in update.events}
+
+    def test_odd_entry_costs_a_list_that_entry_only(self):
+        self.store.put("servers", "e-1", ENTRY)
+        self.store.put("servers", "odd", {**ENTRY, "slots": "@odd"})
+        self.store.put("servers", "z-2", ENTRY)
+        for name, odd in ODD_BYTES.items():
+            self.store.odd_values = {"@odd": odd}
+            found = self.targets_of(self.source.list_targets())
+            self.assertIsNone(found["odd"], name)
+            self.assertEqual("e-1", found["e-1"].name)
+            self.assertEqual("z-2", found["z-2"].name)
+
+    def test_odd_entry_costs_a_watch_that_entry_only(self):
+        position = self.source.list_targets().position
+        self.store.put("servers", "odd", {**ENTRY, "slots": "@odd"})
+        self.store.put("servers", "e-1", ENTRY)
+        for name, odd in ODD_BYTES.items():
+            self.store.odd_values = {"@odd": odd}
+            update = self.source.watch_targets(position, 1.0)
+            found = self.targets_of(update)
+            self.assertIsNone(found["odd"], name)
+            self.assertEqual("e-1", found["e-1"].name)
+            self.assertEqual(
+                position.revision + 2, update.position.revision, name
+            )
+
+    def test_odd_object_hides_no_configuration(self):
+        spec = platform_standins.make_spec(7)
+        self.store.put("config", "main", spec)
+        self.store.put("config", "other", {"version": "@odd"})
+        for name, odd in ODD_BYTES.items():
+            self.store.odd_values = {"@odd": odd}
+            update = self.source.read_configuration()
+            self.assertEqual(7, update.configuration.version, name)
+
+    def test_odd_configuration_is_no_configuration(self):
+        self.store.put(
+            "config",
+            "main",
+            {**platform_standins.make_spec(7), "version": "@odd"},
+        )
+        for name, odd in ODD_BYTES.items():
+            self.store.odd_values = {"@odd": odd}
+            update = self.source.read_configuration()
+            self.assertIsNone(update.configuration, name)
+
+    def test_page_that_is_no_json_is_an_outage(self):
+        for data in (
+            b"",
+            b"{",
+            b"]",
+            b'{"items": [',
+            b'{"items": [1}',
+            b"\xff",
+        ):
+            self.assertRaises(ValueError, lenient_json.decode, data)
+
+    @settings(max_examples=300)
+    @given(st.binary(max_size=200))
+    def test_any_bytes_are_decoded_or_refused(self, data):
+        try:
+            lenient_json.decode(data)
+        except ValueError:
+            pass
+
+    @settings(max_examples=200)
+    @given(st.binary(max_size=60))
+    def test_odd_bytes_in_an_entry_end_in_known_errors(self, odd):
+        self.store.odd_values = {"@odd": odd}
+        self.store.put("servers", "odd", {**ENTRY, "slots": "@odd"})
+        try:
+            self.source.list_targets()
+        except errors.PlatformError:
+            pass
+
+
 class TargetEntryTests(testtools.TestCase):
 
     def test_odd_fields_name_no_target(self):
@@ -117,3 +219,19 @@
         data = b"id: " + b"9" * 5_000 + b"\ndata: x\n\n"
         event = event_stream.EventReader().feed(data)[0]
         self.assertEqual(-1, event.number)
+
+
+class FollowingTests(updater_tests.StoreStandinTestCase):
+    """An instance goes on following the store beside odd entries."""
+
+    def test_later_changes_are_known(self):
+        for odd in ODD_BYTES.values():
+            self.store.odd_values = {"@odd": odd}
+        self.updater.start()
+        self.wait_for(lambda status: status.is_ready)
+        self.store.put("servers", "e-1", {**ENTRY, "slots": "@odd"})
+        self.wait_for(lambda _: self.usable() == {"e-2"}, 2.0)
+        for number, (field, value) in enumerate(ODD_FIELDS):
+            self.store.put("servers", f"odd-{number}", {**ENTRY, field: value})
+        self.put_target("e-3")
+        self.wait_for(lambda _: self.usable() == {"e-2", "e-3"}, 2.0)
