An error after a stream that broke off does not become part of it

It could happen here, though not with a 4xx or 5xx, whose answers abort the stream: a signed answer with status 200 was taken for the rest of the stream whatever it was.

The rest of a stream has the media type of its beginning, and no event without an id before its first one with an id; comments are skipped there. Otherwise the send has failed. An empty rest of the right type still ends the stream, as its last event may have been the one before the break.

--- a/catkintrail/core/event_stream.py
+++ b/catkintrail/core/event_stream.py
@@ -64,6 +64,15 @@
     def __init__(self, last: int = -1) -> None:
         self.last = last
         self._unnumbered = 0
+        self._is_resuming = False
+
+    def resume(self) -> None:
+        """Records that another attempt goes on with the answer.
+
+        Until its first event with an id, it may have comments only, which are
+        skipped; anything else may be an error.
+        """
+        self._is_resuming = True
 
     def accept(self, event: Event) -> bool:
         """Processes the next event.
@@ -74,15 +83,19 @@
             False if the event repeats an accepted one and must be skipped.
 
         Raises:
-            errors.FrameError: At least one event before this one is missing, or
-                too many events without an id follow each other.
+            errors.FrameError: At least one event before this one is missing,
+                too many events without an id follow each other, or one begins a
+                resumed stream.
         """
         if event.number < 0:
             self._unnumbered += 1
             if self._unnumbered > MAX_UNNUMBERED_EVENTS:
                 raise errors.FrameError("events without ids do not end")
-            return True
+            if self._is_resuming and not _is_comment(event.data):
+                raise errors.FrameError("a resumed stream begins without an id")
+            return not self._is_resuming
         self._unnumbered = 0
+        self._is_resuming = False
         if self.last >= 0:
             if event.number <= self.last:
                 return False
@@ -105,6 +118,12 @@
     return min(ends, default=-1)
 
 
+def _is_comment(data: bytes) -> bool:
+    return all(
+        line.startswith(b":") for line in data.splitlines() if line.strip()
+    )
+
+
 def _event_number(data: bytes) -> int:
     for line in data.splitlines():
         name, _, value = line.partition(b":")
--- a/catkintrail/request_progress.py
+++ b/catkintrail/request_progress.py
@@ -25,6 +25,7 @@
         failed_targets: Names of targets that failed the request.
         sequence: Drops repeated events of the stream and detects missing ones.
         has_started: Whether a part of a stream was forwarded.
+        content_type: Media type of the stream; "" if none was stated.
         first_event_at: When the first event arrived, in seconds; 0.0 before.
         last_event_at: When the last events were forwarded; 0.0 before the
             first.
@@ -51,6 +52,7 @@
         self.failed_targets: set[str] = set()
         self.sequence = event_stream.EventSequence(request.last_event)
         self.has_started = False
+        self.content_type = ""
         self.first_event_at = 0.0
         self.last_event_at = 0.0
         self.longest_gap_seconds = 0.0
--- a/catkintrail/response_forwarder.py
+++ b/catkintrail/response_forwarder.py
@@ -157,6 +157,14 @@
         Raises:
             errors.TargetError: The stream is cut, stalled or malformed.
         """
+        content_type = _find_content_type(response.headers)
+        if progress.has_started:
+            if content_type != progress.content_type:
+                raise errors.TargetError(
+                    "the target did not resume the stream", Verdict.MAY_HAVE_RUN
+                )
+            progress.sequence.resume()
+        progress.content_type = content_type
         reader = event_stream.EventReader()
         stall_seconds = (
             STALL_TIMEOUT_FRACTION
@@ -217,3 +225,11 @@
         if not progress.first_event_at:
             progress.first_event_at = now
             self.metrics.record_first_event(now - progress.request.received_at)
+
+
+def _find_content_type(headers: tuple[tuple[str, str], ...]) -> str:
+    """Returns the media type that a head states, without parameters."""
+    for name, value in headers:
+        if name.lower() == "content-type":
+            return value.partition(";")[0].strip().lower()
+    return ""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -14,6 +14,7 @@
 
 NOT_RUN = verdicts.Verdict.NOT_RUN
 MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
+EVENT_STREAM = "text/event-stream"
 SIGNATURE_HEADERS = (("Engine-Stamp", "s"), ("Attempt-Id", "r1"))
 
 
@@ -461,6 +462,52 @@
         self.assertEqual(event(0) + event(1), self.reply.body)
         self.assertGreater(self.targets.sends[1][1].valid_until, self.now)
 
+    def test_error_after_a_cut_stream_is_not_part_of_it(self):
+        text = b"the engine failed\n\n"
+        event_headers = (*SIGNATURE_HEADERS, ("Content-Type", EVENT_STREAM))
+        text_headers = (*SIGNATURE_HEADERS, ("Content-Type", "text/plain"))
+        for answer in (
+            FakeTargetResponse(500, [text]),
+            FakeTargetResponse(503, [text], is_signed=False),
+            FakeTargetResponse(400, [text]),
+            FakeTargetResponse(404, [event(1)]),
+            FakeTargetResponse(204, []),
+            FakeTargetResponse(200, [text], is_signed=False),
+            FakeTargetResponse(200, [text], text_headers),
+            FakeTargetResponse(200, [], text_headers),
+            FakeTargetResponse(200, [text], event_headers),
+            FakeTargetResponse(200, [text, event(1)], text_headers),
+            FakeTargetResponse(200, [b"data: error\n\n"], event_headers),
+        ):
+            self.reply = FakeResponseWriter()
+            name = (answer.status, answer.headers, list(answer.parts))
+            self.serve(
+                FakeTargetResponse(
+                    200,
+                    [event(0), event(1)[:6], target_error(MAY_HAVE_RUN)],
+                    event_headers,
+                ),
+                answer,
+            )
+            self.assertEqual(event(0), self.reply.body, name)
+            self.assertTrue(self.reply.is_aborted, name)
+
+    def test_stream_cut_after_its_last_event_is_ended_by_a_resume(self):
+        self.serve(
+            FakeTargetResponse(200, [event(0), target_error(MAY_HAVE_RUN)]),
+            FakeTargetResponse(200, []),
+        )
+        self.assertEqual(event(0), self.reply.body)
+        self.assertFalse(self.reply.is_aborted)
+
+    def test_comments_in_a_resumed_stream_are_no_error(self):
+        self.serve(
+            FakeTargetResponse(200, [event(0), target_error(MAY_HAVE_RUN)]),
+            FakeTargetResponse(200, [b": wait\n\n", event(1)]),
+        )
+        self.assertEqual(event(0) + event(1), self.reply.body)
+        self.assertFalse(self.reply.is_aborted)
+
     def test_stream_that_ends_within_an_event_is_resumed(self):
         self.serve(
             FakeTargetResponse(200, [event(0), b"id: 1\n"]),
