A refusal without an id on a reused connection is no promise

Refusals with the id of another request were skipped already, and the connection of a refusal is closed, so that one of the same request cannot come again on it.

On a connection that has carried an earlier request such a head counts as 'may have run'. The test with 503, 429 and 421 failed before; three more show that own refusals, skipped ones and closed connections stay as they are. Orders to engines have no ids at all; an earlier answer to one could still be taken for a later.

--- a/catkintrail/platform/engines.py
+++ b/catkintrail/platform/engines.py
@@ -340,6 +340,18 @@
             # A late response to an earlier request.
             self._skip_response(until)
 
+    @property
+    def is_own(self) -> bool:
+        """Whether the received head answers this request.
+
+        On a connection that has carried an earlier request, a head without an
+        id may be a response to that one, written once more.
+        """
+        request_id = self.headers_by_name.get(wire.ATTEMPT_ID)
+        if request_id is None:
+            return not self.is_reused
+        return request_id == self.request.request_id
+
     def read(self, until: float) -> bytes:
         """Returns the next bytes of the body; b"" when it is complete."""
         while not self._is_complete:
@@ -530,8 +542,7 @@
                 "limit_unreadable",
                 extra={"target": self.target.name, "limit": text},
             )
-        request_id = headers.get(wire.ATTEMPT_ID, self.request.request_id)
-        if request_id != self.request.request_id:
+        if not self.is_own:
             # A late response, whose limit may have been replaced since.
             statement = statement._replace(
                 requests_per_second=None, ends_limit=False
@@ -596,11 +607,13 @@
 
     Raises:
         errors.TargetError: The response states that the request was not run,
-            lacks its id, or has a content encoding.
+            lacks its id, or has a content encoding. A refusal without an id is
+            taken as the target's own only on a new connection.
     """
     headers_by_name = response.headers_by_name
     address = response.target.address
-    if wire.NOT_EXECUTED in headers_by_name or response.status == 421:
+    is_refusal = wire.NOT_EXECUTED in headers_by_name or response.status == 421
+    if is_refusal and response.is_own:
         raise errors.TargetError(
             f"{address} did not run the request: {response.status}"
             f" {headers_by_name.get(AT_SERVER, '')}".rstrip(),
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -570,6 +570,59 @@
         self.assertTrue(response.is_reused)
         self.assertEqual(b"own", self.read_all(response))
 
+    REFUSALS = (
+        (b"503 Service Unavailable", b"Not-Executed: 1\r\n"),
+        (b"429 Too Many Requests", b"Not-Executed: 1\r\n"),
+        (b"421 Misdirected Request", b""),
+    )
+
+    def make_refusal(self, status, header, request_id=b""):
+        own = b"Attempt-Id: " + request_id + b"\r\n" if request_id else b""
+        return (
+            b"HTTP/1.1 "
+            + status
+            + b"\r\n"
+            + own
+            + header
+            + b"Content-Length: 0\r\n\r\n"
+        )
+
+    def test_earlier_refusal_without_an_id_is_no_promise(self):
+        # It may be one of an earlier request; this one may run.
+        for status, header in self.REFUSALS:
+            self.serve(make_response(), self.make_refusal(status, header))
+            self.read_all(self.send())
+            error = self.assertRaises(errors.TargetError, self.send, "r2")
+            self.assertEqual(MAY_HAVE_RUN, error.verdict, status)
+            self.assertFalse(error.is_leaving)
+
+    def test_earlier_refusal_of_another_request_is_skipped(self):
+        for status, header in self.REFUSALS:
+            self.serve(
+                make_response(),
+                self.make_refusal(status, header, b"r0")
+                + make_response(b"own", request_id="r2"),
+            )
+            self.read_all(self.send())
+            self.assertEqual(b"own", self.read_all(self.send("r2")), status)
+
+    def test_connection_of_a_refusal_is_not_reused(self):
+        for status, header in self.REFUSALS:
+            refusal = self.make_refusal(status, header, b"r1")
+            self.serve(refusal + refusal, make_response(b"own"))
+            error = self.assertRaises(errors.TargetError, self.send)
+            self.assertEqual(NOT_RUN, error.verdict)
+            self.assertEqual(b"own", self.read_all(self.send()))
+
+    def test_own_refusal_on_a_reused_connection_is_a_promise(self):
+        for status, header in self.REFUSALS:
+            self.serve(
+                make_response(), self.make_refusal(status, header, b"r2")
+            )
+            self.read_all(self.send())
+            error = self.assertRaises(errors.TargetError, self.send, "r2")
+            self.assertEqual(NOT_RUN, error.verdict, status)
+
     def test_connection_of_an_unframed_response_is_not_reused(self):
         self.serve(
             send_then(
