--- a/catkintrail/adapters/loops.py
+++ b/catkintrail/adapters/loops.py
@@ -26,7 +26,7 @@
 
 _LOG = logging.getLogger("catkintrail.platform")
 
-WATCH_TIMEOUT_SECONDS = 10.0
+WATCH_TIMEOUT_SECONDS = 4.0
 TARGET_LIST_INTERVAL_SECONDS = 1.0
 LOAD_INTERVAL_SECONDS = 2.0
 # Bounds the traffic of load reports regardless of the number of owned targets.
