--- a/catkintrail/platform/lenient_json.py
+++ b/catkintrail/platform/lenient_json.py
@@ -1,7 +1,7 @@
 """Decoding of JSON of which some values cannot be read.
 
-Several writers share the store. A value that one of them has left malformed must
-not hide those of the others in the same response.
+Several writers share the store. A value that one of them has left malformed
+must not hide those of the others in the same response.
 """
 
 import re
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -147,7 +147,8 @@
         self.assertEqual(0, result.returncode)
 
 
-class RelayProcessTests(testtools.TestCase):
+class RelayProcessTestCase(testtools.TestCase):
+    """Instances, a stand-in of the store, and stand-ins of targets."""
 
     def setUp(self):
         super().setUp()
@@ -155,10 +156,7 @@
         self.ports = dict(zip(names, processes.free_ports(len(names))))
         self.store = platform_standins.Store()
         self.addCleanup(self.store.close)
-        self.engines = [self.add_engine(f"e-{n}") for n in range(2)]
-        self.plain_service = self.add_engine("d-0", "desk")
         self.store.put("config", "main", platform_standins.make_spec(1))
-        self.relay = self.start("127.0.0.1")
 
     def add_engine(self, name, service="engines"):
         engine = platform_standins.Engine(name, service)
@@ -166,11 +164,28 @@
         self.store.put("servers", name, engine.entry())
         return engine
 
+    def start_all(self, *ips, **options):
+        """Starts instances at the same time."""
+        relays = []
+        for ip in ips:
+            relay = RelayProcess(ip, self.ports, self.store.address, **options)
+            self.addCleanup(relay.close)
+            relays.append(relay)
+        for relay in relays:
+            self.assertTrue(wait_until(relay.is_ready), "not ready")
+        return relays
+
     def start(self, ip, **options):
-        relay = RelayProcess(ip, self.ports, self.store.address, **options)
-        self.addCleanup(relay.close)
-        self.assertTrue(wait_until(relay.is_ready), "not ready")
-        return relay
+        return self.start_all(ip, **options)[0]
+
+
+class RelayProcessTests(RelayProcessTestCase):
+
+    def setUp(self):
+        super().setUp()
+        self.engines = [self.add_engine(f"e-{n}") for n in range(2)]
+        self.plain_service = self.add_engine("d-0", "desk")
+        self.relay = self.start("127.0.0.1")
 
     def test_responses_of_engines_and_services_reach_callers(self):
         status, received = self.relay.request("/ask/a", "r1")
@@ -428,7 +443,7 @@
         self.assertIn("catkintrail_first_token_seconds", text)
 
 
-class CrashingPromptTests(testtools.TestCase):
+class CrashingPromptTests(RelayProcessTestCase):
     """Prompts with one part that crashes each engine that writes on it."""
 
     ENGINES = 8
@@ -437,25 +452,10 @@
 
     def setUp(self):
         super().setUp()
-        names = platform_standins.PORT_NAMES
-        self.ports = dict(zip(names, processes.free_ports(len(names))))
-        self.store = platform_standins.Store()
-        self.addCleanup(self.store.close)
-        self.store.put("config", "main", platform_standins.make_spec(1))
-        self.engines = []
-        for number in range(self.ENGINES):
-            engine = platform_standins.Engine(f"e-{number}")
+        self.engines = [self.add_engine(f"e-{n}") for n in range(self.ENGINES)]
+        for engine in self.engines:
             engine.crashing_part = "bad"
-            self.addCleanup(engine.close)
-            self.store.put("servers", engine.name, engine.entry())
-            self.engines.append(engine)
-        self.relays = []
-        for ip in ("127.0.0.1", "127.0.0.2"):
-            relay = RelayProcess(ip, self.ports, self.store.address)
-            self.addCleanup(relay.close)
-            self.relays.append(relay)
-        for relay in self.relays:
-            self.assertTrue(wait_until(relay.is_ready), "not ready")
+        self.relays = self.start_all("127.0.0.1", "127.0.0.2")
 
     def count_crashes(self):
         return sum(engine.crashes for engine in self.engines)
@@ -483,7 +483,7 @@
             self.assertEqual(200, self.request(number, "common", "other"))
 
 
-class CrashingRequestTests(testtools.TestCase):
+class CrashingRequestTests(RelayProcessTestCase):
     """Requests that crash each target that runs them, and come again."""
 
     TARGETS = 8
@@ -492,28 +492,14 @@
 
     def setUp(self):
         super().setUp()
-        names = platform_standins.PORT_NAMES
-        self.ports = dict(zip(names, processes.free_ports(len(names))))
-        self.store = platform_standins.Store()
-        self.addCleanup(self.store.close)
-        self.store.put("config", "main", platform_standins.make_spec(1))
-        self.targets = []
-        for number in range(self.TARGETS):
-            for service in ("engines", "desk"):
-                target = platform_standins.Engine(
-                    f"{service}-{number}", service
-                )
-                target.crashing_body = b"bad"
-                self.addCleanup(target.close)
-                self.store.put("servers", target.name, target.entry())
-                self.targets.append(target)
-        self.relays = []
-        for ip in ("127.0.0.1", "127.0.0.2"):
-            relay = RelayProcess(ip, self.ports, self.store.address)
-            self.addCleanup(relay.close)
-            self.relays.append(relay)
-        for relay in self.relays:
-            self.assertTrue(wait_until(relay.is_ready), "not ready")
+        self.targets = [
+            self.add_engine(f"{service}-{number}", service)
+            for number in range(self.TARGETS)
+            for service in ("engines", "desk")
+        ]
+        for target in self.targets:
+            target.crashing_body = b"bad"
+        self.relays = self.start_all("127.0.0.1", "127.0.0.2")
 
     def request(self, number, path, body):
         relay = self.relays[number % len(self.relays)]
@@ -553,7 +539,7 @@
         self.assertIn(b"quarantined", response)
 
 
-class LimitTests(testtools.TestCase):
+class LimitTests(RelayProcessTestCase):
     """Targets that name a limit of requests for all instances together."""
 
     LIMIT_PER_SECOND = 1.0
@@ -563,24 +549,8 @@
 
     def setUp(self):
         super().setUp()
-        names = platform_standins.PORT_NAMES
-        self.ports = dict(zip(names, processes.free_ports(len(names))))
-        self.store = platform_standins.Store()
-        self.addCleanup(self.store.close)
-        self.store.put("config", "main", platform_standins.make_spec(1))
-        self.engines = []
-        for number in range(2):
-            engine = platform_standins.Engine(f"e-{number}")
-            self.addCleanup(engine.close)
-            self.store.put("servers", engine.name, engine.entry())
-            self.engines.append(engine)
-        self.relays = []
-        for ip in ("127.0.0.1", "127.0.0.2", "127.0.0.3"):
-            relay = RelayProcess(ip, self.ports, self.store.address)
-            self.addCleanup(relay.close)
-            self.relays.append(relay)
-        for relay in self.relays:
-            self.assertTrue(wait_until(relay.is_ready), "not ready")
+        self.engines = [self.add_engine(f"e-{n}") for n in range(2)]
+        self.relays = self.start_all("127.0.0.1", "127.0.0.2", "127.0.0.3")
 
     def request_for(self, seconds):
         """Sends requests to all instances in turn; returns their statuses."""
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -157,7 +157,7 @@
                 self.crash(
                     100.0 + number + second,
                     self.name(b"%d" % number),
-                    "common%d" % number,
+                    f"common{number}",
                     "bad",
                 )
         self.assertTrue(self.is_quarantined(104.0, self.name(b"n"), "bad"))
