Soak: a request meant for another target is no use of the one it reached

The instance had not used e-21, and requests that get 421 do not count by the users' rule.

The check leaves out arrivals that name another target; refused ones that name this one still count, and the check of what has run is as before.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -288,6 +288,9 @@
     for request_id, target, at in history.leaving_stated:
         stated_at.setdefault((instance_of.get(request_id, ""), target), at)
     for arrival in history.arrivals:
+        if arrival.expected_target != arrival.target:
+            # The instance meant the target that had this address before.
+            continue
         instance = instance_of.get(arrival.request_id, "")
         at = stated_at.get((instance, arrival.target), float("inf"))
         late_by = sent_at.get(arrival.request_id, 0.0) - at - DRAIN_SECONDS
--- a/soak/history.py
+++ b/soak/history.py
@@ -70,6 +70,7 @@
         body: Request body.
         has_key: Whether the request contained the caller's key.
         deadline_ms: Remaining time given in the request; infinite if none.
+        expected_target: Name of the target that the instance has addressed.
     """
 
     request_id: str
@@ -82,6 +83,7 @@
     body: bytes
     has_key: bool
     deadline_ms: float
+    expected_target: str
 
 
 class Execution(NamedTuple):
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -259,6 +259,7 @@
                 request.body,
                 "authorization" in headers,
                 float(headers.get("deadline-ms", "inf")),
+                headers.get("expect-instance", self.name),
             )
         )
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -79,6 +79,7 @@
         b"body",
         False,
         8_900.0,
+        "e-1",
     )
     return arrival._replace(**changes)
 
@@ -231,6 +232,15 @@
         self.history.leaving_stated.append(("r-1", "e-1", 97.0))
         self.assert_violations("stated leaving")
 
+    def test_request_to_a_target_that_had_the_address_before(self):
+        self.add_sent()
+        self.add_arrival(has_run=False, expected_target="d-5")
+        self.history.leaving_stated.append(("r-1", "e-1", 97.0))
+        self.assertNotIn(
+            "stated leaving",
+            [v.check_name for v in checks.find_violations(self.history)],
+        )
+
     def add_limited_arrivals(self, count):
         """Adds requests in 3 s at a target that names a limit of 1 a second."""
         self.history.limited_times.append(
