--- a/soak/faults.py
+++ b/soak/faults.py
@@ -334,6 +334,9 @@
         self, target: targets.Target, seconds: float, rng: random.Random
     ) -> None:
         """Makes a target name a limit, long enough for the limit to count."""
+        if target.limit is not None:
+            # An earlier fault, which is still going on, ends the limit.
+            return
         target.limit = rng.choice(TARGET_LIMITS)
         started_at = time.monotonic()
         await asyncio.sleep(MIN_LIMIT_SECONDS + seconds)
