One place each for peers' positions and the end of a long watch

No change of behaviour. handle_fleet_news repeated what advance_targets does, and the newest position of peers was raised in two places. _end_lost_watches also ended the long watch of a new proof holder, which is a function of its own now. The docstring of a fetch's mark says what it is.

--- a/catkintrail/core/fleet_state.py
+++ b/catkintrail/core/fleet_state.py
@@ -348,9 +348,7 @@
                 answer.version, sent_at - answer.proof_age_ms / 1000.0
             )
         position = store_views.Position(*answer.targets_position)
-        self.newest_targets_position = max(
-            self.newest_targets_position, position
-        )
+        self._record_peer_position(position)
         if sent_at is not None and answer.targets_age_ms >= 0:
             self.confirm_targets(
                 position, sent_at - answer.targets_age_ms / 1000.0
@@ -376,10 +374,8 @@
             known_era = max(self.targets_position.era, self.store_era)
             if 0 <= known_era < position.era:
                 self.record_store_restored(position.era, now)
-            self.targets_position = max(self.targets_position, position)
-            self.newest_targets_position = max(
-                self.newest_targets_position, position
-            )
+            self.advance_targets(position)
+            self._record_peer_position(position)
         changes = []
         for target in news.targets:
             changes += self.targets.put(target, now)
@@ -428,6 +424,11 @@
         if version > self.configuration.version:
             self.newer_peer = address
 
+    def _record_peer_position(self, position: store_views.Position) -> None:
+        self.newest_targets_position = max(
+            self.newest_targets_position, position
+        )
+
     def _check_target_digest(
         self, address: str, heartbeat: messages.FleetHeartbeat, now: float
     ) -> None:
--- a/catkintrail/fleet_state_updater.py
+++ b/catkintrail/fleet_state_updater.py
@@ -94,7 +94,8 @@
 
     Attributes:
         position: Where to watch from next; None to read everything again.
-        mark: What `position` is compared with, see core.watch_progress.
+        mark: Position or version that the result reflects, to be compared with
+            what others know; see core.watch_progress.
         pause_seconds: Pause before the next call.
         apply: Passes the result to the router. It is called after the store
             was recorded as available, because the meaning of removals depends
@@ -375,6 +376,8 @@
             status = self.router.status()
             self._log_targets_age(status)
             self._end_lost_watches(status)
+            if status.is_proof_holder:
+                self._end_long_watch()
             if status.newer_peer:
                 self.router.proxy.clear_newer_peer.defer(status.newer_peer)
                 if self._query_peer(status.newer_peer, status):
@@ -408,18 +411,16 @@
                 progress.observe(marks[subject], now)
                 if progress.is_call_lost(now):
                     self._end_watch(subject, "changes are missing", True)
+
+    def _end_long_watch(self) -> None:
+        """Ends a watch that is too long for the instance that has the proof."""
+        subject = fleet_state_source.CONFIGURATION
         with self._lock:
-            if (
-                status.is_proof_holder
-                and self._watch_seconds > PROOF_WATCH_SECONDS
-                and self._progress[
-                    fleet_state_source.CONFIGURATION
-                ].is_calling_since(now)
-            ):
+            if self._watch_seconds > PROOF_WATCH_SECONDS and self._progress[
+                subject
+            ].is_calling_since(self.clock()):
                 self._end_watch(
-                    fleet_state_source.CONFIGURATION,
-                    "this instance holds the proof now",
-                    False,
+                    subject, "this instance holds the proof now", False
                 )
 
     def _end_watch(self, subject: str, reason: str, must_reread: bool) -> None:
