Each reported crash is built once

No change of behaviour. The exchange made a crash of each report twice, to look whether it is known and to record it. The names in the greedy selection of crashes no longer stand for two things.

--- a/catkintrail/adapters/quarantine_exchange.py
+++ b/catkintrail/adapters/quarantine_exchange.py
@@ -119,13 +119,11 @@
     ) -> None:
         """Applies what a peer knows of requests that crash engines."""
         quarantine = self._router.quarantine
-        is_new = any(
-            not quarantine.is_known(request_quarantine.EngineCrash(*report[:3]))
-            for report in news.crashes
-        )
+        is_new = False
         added = []
         for report in news.crashes:
             crash = request_quarantine.EngineCrash(*report[:3])
+            is_new = is_new or not quarantine.is_known(crash)
             at = now - report.age_ms / 1000.0
             added += quarantine.record_crash(crash, at)
         refuted = []
--- a/catkintrail/core/request_quarantine.py
+++ b/catkintrail/core/request_quarantine.py
@@ -410,9 +410,11 @@
     left = crashes
     while left:
         counts = collections.Counter(
-            c for crash in left for c in crash.culprits
+            name for crash in left for name in crash.culprits
         )
         culprit = max(sorted(counts), key=counts.__getitem__)
-        selected.append(next(c for c in left if culprit in c.culprits))
-        left = [c for c in left if culprit not in c.culprits]
+        selected.append(
+            next(crash for crash in left if culprit in crash.culprits)
+        )
+        left = [crash for crash in left if culprit not in crash.culprits]
     return sorted(selected)
