--- a/soak/faults.py
+++ b/soak/faults.py
@@ -194,11 +194,8 @@
         if name == "lose":
             await self._silence_store(fault.seconds, rng)
             return
-        chosen = self._instances
-        if rng.random() < 0.5:
-            chosen = rng.sample(chosen, rng.randint(1, len(chosen)))
-        subjects = [instance.name for instance in chosen]
-        if name in ("refuse", "busy") or len(chosen) == len(self._instances):
+        chosen, subjects = self._choose_callers_of_store(rng)
+        if name in ("refuse", "busy"):
             # The store cannot tell its callers apart, so it refuses all.
             subjects = [STORE]
         with self._recorded_fault(f"store {name}", *subjects):
@@ -215,18 +212,24 @@
                 for instance in chosen:
                     instance.store_proxy.set_mode(proxies.Mode.PASS)
 
+    def _choose_callers_of_store(
+        self, rng: random.Random
+    ) -> tuple[list[instance_processes.Instance], list[str]]:
+        """Returns all or some instances, and the subjects of their fault."""
+        chosen = self._instances
+        if rng.random() < 0.5:
+            chosen = rng.sample(chosen, rng.randint(1, len(chosen)))
+        if len(chosen) == len(self._instances):
+            return chosen, [STORE]
+        return chosen, [instance.name for instance in chosen]
+
     async def _silence_store(self, seconds: float, rng: random.Random) -> None:
         """Lets calls to the store be lost; targets leave around that time.
 
         Calls of some instances, or about one subject only, may be lost.
         """
-        chosen = self._instances
-        if rng.random() < 0.5:
-            chosen = rng.sample(chosen, rng.randint(1, len(chosen)))
+        chosen, subjects = self._choose_callers_of_store(rng)
         lost = rng.choice((b"/api/objects/", b"/servers", b"/config"))
-        subjects = [instance.name for instance in chosen]
-        if len(chosen) == len(self._instances):
-            subjects = [STORE]
         async with asyncio.TaskGroup() as leavings:
             for at in (0.0, seconds * rng.random(), seconds):
                 leavings.create_task(self._retire_later(at, rng))
