--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -675,6 +675,14 @@
         self.started_at = time.monotonic()
         self.in_touch_at = self.started_at + CONTACT_SECONDS
 
+    def change_settings(self, old: str, new: str) -> None:
+        """Replaces a line of the settings file, and announces it by SIGHUP."""
+        text = self._settings.read_text(encoding="utf-8")
+        new_path = self._settings.with_suffix(".new")
+        new_path.write_text(text.replace(old, new), encoding="utf-8")
+        new_path.replace(self._settings)
+        self.signal(signal.SIGHUP)
+
     def signal(self, number: int) -> None:
         """Sends a signal to the process."""
         if self.process is not None and self.process.poll() is None:
@@ -797,25 +805,9 @@
             await asyncio.sleep(READY_INTERVAL_SECONDS)
 
     async def _ask_readiness(self, instance: Instance) -> None:
-        is_ready = False
-        with contextlib.suppress(
-            OSError, TimeoutError, asyncio.IncompleteReadError
-        ):
-            async with asyncio.timeout(READY_INTERVAL_SECONDS):
-                reader, writer = await asyncio.open_connection(*instance.ready)
-                try:
-                    writer.write(
-                        encode_head(
-                            "GET /api/ready HTTP/1.1",
-                            [("Host", "ready"), ("Connection", "close")],
-                        )
-                    )
-                    head = await read_head(reader)
-                    is_ready = head.start.split(" ")[1] == "200"
-                finally:
-                    writer.close()
-        instance.misses = 0 if is_ready else instance.misses + 1
-        if is_ready:
+        is_ready_now = await is_ready(instance.ready)
+        instance.misses = 0 if is_ready_now else instance.misses + 1
+        if is_ready_now:
             instance.is_in_rotation = True
         elif instance.misses >= READY_MISSES:
             instance.is_in_rotation = False
@@ -935,6 +927,27 @@
         }
 
 
+async def is_ready(address: tuple[str, int]) -> bool:
+    """Asks a machine whether it is ready, as the platform does."""
+    with contextlib.suppress(
+        OSError, TimeoutError, asyncio.IncompleteReadError
+    ):
+        async with asyncio.timeout(READY_INTERVAL_SECONDS):
+            reader, writer = await asyncio.open_connection(*address)
+            try:
+                writer.write(
+                    encode_head(
+                        "GET /api/ready HTTP/1.1",
+                        [("Host", "ready"), ("Connection", "close")],
+                    )
+                )
+                head = await read_head(reader)
+                return head.start.split(" ")[1] == "200"
+            finally:
+                writer.close()
+    return False
+
+
 class CannotRunError(Exception):
     """The case could not run."""
 
