--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,13 +1,13 @@
-"""What the fleet knows of a crashing prompt part is lost with its processes.
+"""Requests that wait for a permit while their machine stands still hang.
 
-Requests with one part of their prompts crash each engine that begins to write
-on it. The fleet learns that, and sends no more of them. Then all processes are
-killed at the same moment, and start again.
+All servers of a service name a limit, so that each request needs a permit, for
+which another machine is asked. A machine freezes while it serves a crowd.
 """
 
 import asyncio
 import pathlib
 import random
+import signal
 import sys
 import time
 
@@ -16,127 +16,128 @@
 # pylint: disable=wrong-import-position
 from standins import fleet as fleets
 
-ZONES = ["zone-a", "zone-a", "zone-b", "zone-b", "zone-c", "zone-c"]
-ENGINES = 21
-CRASHING_PART = "5c1e07a2"
-SHARED_PART = "91bd3f06"
-# A request with the crashing part comes this often, at any machine.
-CRASHING_INTERVAL_SECONDS = 4.5
-# Requests with that part before the processes are killed, and after.
-BEFORE = 8
-AFTER = 8
-SOUND_INTERVAL_SECONDS = 0.15
-DOWN_SECONDS = 1.0
-
-
-class _Play:
-    """One run of the case."""
-
-    def __init__(self, fleet: fleets.Fleet) -> None:
-        self.fleet = fleet
-        self.crashing_attempts: dict[str, fleets.Answer] = {}
-        self.asks: list[asyncio.Task] = []
-
-    async def ask(self, is_crashing: bool) -> None:
-        """Sends one request; no two are alike."""
-        fleet = self.fleet
-        own = f"{random.randrange(1 << 32):08x}"
-        parts = [f"{SHARED_PART}:40", f"{own}:960"]
-        if is_crashing:
-            parts.insert(1, f"{CRASHING_PART}:200")
-        instance = random.choice(fleet.in_rotation() or fleet.instances)
-        answer = await fleet.ask(
-            instance,
-            "/ask/a",
-            tokens="1200,500",
-            parts=",".join(parts),
-            body=own.encode() * 100,
-            label="crashing" if is_crashing else "sound",
-        )
-        if is_crashing:
-            self.crashing_attempts[answer.attempt] = answer
-
-    def send(self, is_crashing: bool) -> None:
-        """Sends one request without waiting for its end."""
-        loop = asyncio.get_running_loop()
-        self.asks.append(loop.create_task(self.ask(is_crashing)))
-
-    async def send_sound(self) -> None:
-        """Sends sound requests all the time."""
-        while True:
-            self.send(False)
-            await asyncio.sleep(SOUND_INTERVAL_SECONDS)
+ZONES = ["zone-a", "zone-a", "zone-b", "zone-b"]
+SERVER_ZONES = ["zone-a", "zone-b", "zone-a"]
+# Requests a second, of each server.
+LIMIT = 400
+TIMEOUT_SECONDS = 8.0
+DEADLINE_SECONDS = 10.0
+WARM_UP_REQUESTS = 60
+# Twice as many come in two waves.
+CROWD = 80
+CROWD_GAP_SECONDS = 0.06
+ROUNDS = 9
+ROUND_SECONDS = 10.0
+# The machine freezes this long after the second wave has begun to come.
+FREEZE_AFTER_SECONDS = (0.09, 0.12)
+FREEZE_SECONDS = 3.5
+METRICS_PORT = 9464
+IN_FLIGHT = "catkintrail_requests_in_flight"
+
+ROUTE = {
+    "name": "order-lookup",
+    "path-prefix": "/lookup/",
+    "kind": "idempotent",
+    "service": "desk",
+    "timeout-ms": round(TIMEOUT_SECONDS * 1000),
+    "goal-ms": 300,
+    "priority": 2,
+}
 
 
 async def play(fleet: fleets.Fleet, has_trouble: bool) -> str:
     """Plays the case; returns how the rule was broken, or ""."""
-    zones = sorted(set(ZONES))
-    engines = [("llm", zones[n % len(zones)]) for n in range(ENGINES)]
-    spec = fleets.make_spec(7, [fleets.STREAM_ROUTE], ["llm"])
-    await fleet.start(ZONES, engines, spec)
+    spec = fleets.make_spec(7, [ROUTE], ["desk"])
+    await fleet.start(ZONES, [("desk", zone) for zone in SERVER_ZONES], spec)
     for engine in fleet.engines:
-        engine.crashing_part = CRASHING_PART
-        engine.writes_head_before_crash = True
-    run = _Play(fleet)
-    sound = asyncio.get_running_loop().create_task(run.send_sound())
-    await asyncio.sleep(2.0)
-    for _ in range(BEFORE):
-        run.send(True)
-        await asyncio.sleep(CRASHING_INTERVAL_SECONDS)
-    if has_trouble:
-        fleet.record.write("all_processes_killed")
-        for instance in fleet.instances:
-            instance.kill()
-        await asyncio.sleep(DOWN_SECONDS)
-        for instance in fleet.instances:
-            instance.start()
-        fleet.record.write("all_processes_started")
-        await asyncio.sleep(CRASHING_INTERVAL_SECONDS - DOWN_SECONDS)
-    for _ in range(AFTER):
-        run.send(True)
-        await asyncio.sleep(CRASHING_INTERVAL_SECONDS)
-    sound.cancel()
-    await asyncio.gather(*run.asks)
-    return _judge(run)
-
-
-def _judge(run: _Play) -> str:
-    """Applies the rule BUDGET on parts of prompts that crash engines."""
-    fleet = run.fleet
-    crashes = sorted(at for e in fleet.engines for at in e.crashed_at)
-    fleet.record.write("crashes", count=len(crashes))
-    if len(crashes) < 5:
-        raise fleets.CannotRunError(f"{len(crashes)} crashes, not five")
-    start = crashes[4] + fleets.CONTACT_SECONDS
-    in_touch_at = {i.name: i.in_touch_at for i in fleet.instances}
-    counted = [
-        arrival
-        for engine in fleet.engines
-        for arrival in engine.arrivals
-        if arrival.attempt in run.crashing_attempts
-        and arrival.has_run
-        and arrival.at > start
-        and arrival.at
-        > in_touch_at[run.crashing_attempts[arrival.attempt].machine]
-    ]
-    for arrival in sorted(counted):
-        fleet.record.write(
-            "counted",
-            attempt=arrival.attempt,
-            engine=arrival.target,
-            arrived=round(arrival.at - fleet.record.started_at, 3),
-        )
-    if len(counted) > 3:
-        return (
-            f"BUDGET: {len(counted)} requests with the crashing part reached"
-            " engines later than contact-ms after the fifth crash, sent by"
-            " machines in touch; three may"
+        engine.limit = str(LIMIT)
+    asks: list[asyncio.Task] = []
+
+    def send(instance: fleets.Instance) -> None:
+        asks.append(
+            asyncio.get_running_loop().create_task(
+                fleet.ask(
+                    instance,
+                    "/lookup/status",
+                    method="GET",
+                    deadline_ms=round(DEADLINE_SECONDS * 1000),
+                    wait_seconds=DEADLINE_SECONDS,
+                )
+            )
         )
+
+    for _ in range(WARM_UP_REQUESTS):
+        send(random.choice(fleet.instances))
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(fleets.CONTACT_SECONDS)
+    crowded = fleet.instances[1]
+    woken_at: list[float] = []
+    for _ in range(ROUNDS):
+        round_at = time.monotonic()
+        for _ in range(CROWD):
+            send(crowded)
+        await asyncio.sleep(CROWD_GAP_SECONDS)
+        for _ in range(CROWD):
+            send(crowded)
+        await asyncio.sleep(random.uniform(*FREEZE_AFTER_SECONDS))
+        if has_trouble:
+            fleet.record.write("frozen", machine=crowded.name)
+            crowded.signal(signal.SIGSTOP)
+            await asyncio.sleep(FREEZE_SECONDS)
+            crowded.signal(signal.SIGCONT)
+            fleet.record.write("woken", machine=crowded.name)
+            woken_at.append(time.monotonic())
+        left = round_at + ROUND_SECONDS - time.monotonic()
+        await asyncio.sleep(max(0.0, left))
+    await asyncio.gather(*asks)
+    await _record_in_flight(fleet, crowded)
+    return _judge(fleet, woken_at)
+
+
+async def _record_in_flight(
+    fleet: fleets.Fleet, instance: fleets.Instance
+) -> None:
+    """Records how many requests a machine still serves after all have ended."""
+    reader, writer = await asyncio.open_connection(instance.ip, METRICS_PORT)
+    headers = [("Host", instance.ip), ("Connection", "close")]
+    writer.write(fleets.encode_head("GET /metrics HTTP/1.1", headers))
+    text = (await reader.read()).decode("utf-8")
+    writer.close()
+    lines = [line for line in text.splitlines() if IN_FLIGHT in line]
+    fleet.record.write("in_flight", machine=instance.name, metrics=lines)
+    print("\n".join(line for line in lines if not line.startswith("#")))
+
+
+def _judge(fleet: fleets.Fleet, woken_at: list[float]) -> str:
+    """Applies the rule CONFIG on requests that outlast their time-out."""
+    unanswered = [a for a in fleet.answers if a.seconds > TIMEOUT_SECONDS]
+    late = [
+        answer
+        for answer in unanswered
+        if answer.seconds > TIMEOUT_SECONDS + 0.5
+        and _is_in_touch(answer.sent_at + TIMEOUT_SECONDS + 0.5, woken_at)
+    ]
+    for answer in late:
+        fleet.record.write("never_answered", **answer._asdict())
+    text = (
+        f"{len(fleet.answers)} requests; {len(unanswered)} unanswered at their"
+        f" time-out, {len(late)} of these still so half a second later, at a"
+        " machine in touch"
+    )
+    fleet.record.write("summary", text=text)
+    print(text)
+    if late and 2 * len(late) > len(unanswered):
+        return f"CONFIG: {len(late)} of {len(unanswered)} requests"
     return ""
 
 
+def _is_in_touch(at: float, woken_at: list[float]) -> bool:
+    """Returns whether the machine was in touch at a time."""
+    return not any(
+        end - FREEZE_SECONDS - 0.5 <= at <= end + fleets.CONTACT_SECONDS
+        for end in woken_at
+    )
+
+
 if __name__ == "__main__":
-    started = time.monotonic()
-    code = fleets.run_case(pathlib.Path(__file__).resolve().parent, play)
-    print(f"{time.monotonic() - started:.0f} s")
-    sys.exit(code)
+    sys.exit(fleets.run_case(pathlib.Path(__file__).resolve().parent, play))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,9 +15,9 @@
 from standins import fleet as fleets
 
 ZONES = ["zone-a", "zone-b"]
-SECONDS = 60.0
+SECONDS = 80.0
 # Of each machine.
-ORDER_CALLERS = 18
+ORDER_CALLERS = 85
 CROWD = 30
 CROWD_INTERVAL_SECONDS = 0.75
 QUESTION_SECONDS = 0.13
@@ -47,7 +47,9 @@
 
 async def play(fleet: fleets.Fleet, has_trouble: bool) -> str:
     """Plays the case; returns how the rule was broken, or ""."""
-    spec = fleets.make_spec(7, [ORDER_ROUTE, QUESTION_ROUTE], ["desk", "records"])
+    spec = fleets.make_spec(
+        7, [ORDER_ROUTE, QUESTION_ROUTE], ["desk", "records"]
+    )
     targets = [
         (service, zone)
         for zone in ZONES
@@ -64,8 +66,8 @@
         order_path="/order/new",
         order_callers=ORDER_CALLERS,
         orders_per_connection=5,
-        order_pause_seconds=0.005,
-        connection_pause_seconds=0.05,
+        order_pause_seconds=0.0,
+        connection_pause_seconds=1.7,
         question_path="/lookup/status",
         crowd=CROWD,
         crowd_interval_seconds=CROWD_INTERVAL_SECONDS,
--- a/review/standins/callers.py
+++ b/review/standins/callers.py
@@ -169,6 +169,8 @@
             end = f"closed: {type(error).__name__}"
         seconds = round(time.monotonic() - sent_at, 4)
         machine = self.instance.name
-        line = Line(kind, attempt, machine, place, sent_at, seconds, status, end)
+        line = Line(
+            kind, attempt, machine, place, sent_at, seconds, status, end
+        )
         self.lines.append(line)
         return line
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -32,11 +32,9 @@
 
 # Figures of the sheets of the two small deployments.
 CONTACT_SECONDS = 3.0
-DRAIN_SECONDS = 2.0
 GRACE_SECONDS = 8
 HEARTBEAT_SECONDS = 1.2
 STORE_ANSWER_SECONDS = 0.004
-FREE_SECONDS = 4.0
 READY_INTERVAL_SECONDS = 1.0
 READY_MISSES = 2
 # Between a head of an answer and the crash that follows it.
@@ -200,9 +198,7 @@
 
     def __init__(
         self,
-        handler: Callable[
-            [Head, bytes, asyncio.StreamWriter], Awaitable[bool]
-        ],
+        handler: Callable[[Head, bytes, asyncio.StreamWriter], Awaitable[bool]],
     ) -> None:
         self.address = ""
         self._handler = handler
@@ -225,11 +221,6 @@
         for writer in list(self._writers):
             reset(writer)
 
-    def reset_connections(self) -> None:
-        """Resets all open connections; the port stays open."""
-        for writer in list(self._writers):
-            reset(writer)
-
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -269,16 +260,12 @@
         server: The server.
         page_size: Most objects in a page of a list.
         revision: The store's revision.
-        on_page: Called with the kind and the number of each page of a list
-            after it was read and before it is answered.
     """
 
-    def __init__(self, record: Record, page_size: int = 500) -> None:
+    def __init__(self, page_size: int = 500) -> None:
         self.server = HttpServer(self._handle)
         self.page_size = page_size
         self.revision = 1
-        self.on_page: Callable[[str, str, int], None] = lambda *_: None
-        self._record = record
         self._objects: dict[tuple[str, str], dict] = {}
         self._changes: list[tuple[int, str, dict, bool]] = []
         self._waiters: set[asyncio.Event] = set()
@@ -313,11 +300,6 @@
         self._changes.append((self.revision, kind, item, True))
         self._wake()
 
-    def get(self, kind: str, name: str) -> Any:
-        """Returns the spec of an object; None if there is none."""
-        item = self._objects.get((kind, name))
-        return None if item is None else item["spec"]
-
     def _wake(self) -> None:
         for waiter in self._waiters:
             waiter.set()
@@ -325,7 +307,6 @@
     async def _handle(
         self, head: Head, body: bytes, writer: asyncio.StreamWriter
     ) -> bool:
-        del body
         await asyncio.sleep(STORE_ANSWER_SECONDS)
         method, target, _ = head.start.split(" ")
         path, _, query = target.partition("?")
@@ -342,8 +323,8 @@
                 int(arguments.get("wait-ms", "0")) / 1000.0,
             )
         elif method == "GET":
-            status, answer = await self._list(
-                parts[0], arguments.get("after-rev", ""), head
+            status, answer = self._list(
+                parts[0], arguments.get("after-rev", "")
             )
         writer.write(
             encode_answer(
@@ -354,22 +335,17 @@
         )
         return True
 
-    async def _list(
-        self, kind: str, after: str, head: Head
-    ) -> tuple[int, dict]:
+    def _list(self, kind: str, after: str) -> tuple[int, dict]:
         items = [
             item
             for (item_kind, name), item in sorted(self._objects.items())
             if item_kind == kind and name > after
         ]
-        answer = {
+        return 200, {
             "items": items[: self.page_size],
             "has-more": len(items) > self.page_size,
             "as-of": self.revision,
         }
-        self.on_page(kind, after, len(items))
-        del head
-        return 200, answer
 
     async def _watch(
         self, kind: str, revision: int, seconds: float
@@ -459,7 +435,9 @@
     async def start(self) -> None:
         """Starts the engine and registers it."""
         await self.server.start()
-        self.name = f"i-{next(self._numbers):06x}{random.randrange(1 << 16):04x}"
+        self.name = (
+            f"i-{next(self._numbers):06x}{random.randrange(1 << 16):04x}"
+        )
         self._born = int(time.time() * 1000)
         self.is_draining = False
         self._is_up = True
@@ -486,11 +464,6 @@
             },
         )
 
-    def drain(self) -> None:
-        """Reports that the engine leaves; it serves on."""
-        self.is_draining = True
-        self.register()
-
     def _crash(self, attempt: str) -> None:
         self.crashed_at.append(time.monotonic())
         self._record.write("engine_crash", engine=self.name, attempt=attempt)
@@ -504,16 +477,14 @@
         # Three heartbeat intervals of silence remove the old entry.
         loop = asyncio.get_running_loop()
         left = 3 * HEARTBEAT_SECONDS - self.back_seconds
-        loop.call_later(
-            max(0.0, left), self._store.remove, "servers", old
-        )
+        loop.call_later(max(0.0, left), self._store.remove, "servers", old)
         await self.start()
         self._record.write("engine_back", engine=self.name, was=old)
 
     async def _handle(
         self, head: Head, body: bytes, writer: asyncio.StreamWriter
     ) -> bool:
-        method, target, _ = head.start.split(" ")
+        target = head.start.split(" ")[1]
         if target == "/health":
             status = 503 if self.is_draining else 200
             writer.write(encode_answer(status, [("Instance-Id", self.name)]))
@@ -522,10 +493,8 @@
             writer.write(encode_answer(200, [], b"{}"))
             return True
         if target == "/api/order":
-            del method
             writer.write(encode_answer(200, [], b'{"free": 100000}'))
             return True
-        del body
         return await self._run(head, writer)
 
     async def _run(self, head: Head, writer: asyncio.StreamWriter) -> bool:
@@ -538,9 +507,7 @@
         expected = head.headers.get("expect-instance", self.name)
         if expected != self.name:
             self._note(attempt, False)
-            writer.write(
-                encode_answer(421, headers + [("Not-Executed", "1")])
-            )
+            writer.write(encode_answer(421, headers + [("Not-Executed", "1")]))
             return True
         self._note(attempt, True)
         headers += [
@@ -675,14 +642,6 @@
         self.started_at = time.monotonic()
         self.in_touch_at = self.started_at + CONTACT_SECONDS
 
-    def change_settings(self, old: str, new: str) -> None:
-        """Replaces a line of the settings file, and announces it by SIGHUP."""
-        text = self._settings.read_text(encoding="utf-8")
-        new_path = self._settings.with_suffix(".new")
-        new_path.write_text(text.replace(old, new), encoding="utf-8")
-        new_path.replace(self._settings)
-        self.signal(signal.SIGHUP)
-
     def signal(self, number: int) -> None:
         """Sends a signal to the process."""
         if self.process is not None and self.process.poll() is None:
@@ -734,7 +693,7 @@
 
     def __init__(self, record: Record, page_size: int = 500) -> None:
         self.record = record
-        self.store = Store(record, page_size)
+        self.store = Store(page_size)
         self.engines: list[Engine] = []
         self.instances: list[Instance] = []
         self.answers: list[Answer] = []
@@ -1024,9 +983,7 @@
                 "health-path": "/health",
                 "max-conns": 334,
                 **(
-                    {"engine": ENGINE_FIGURES}
-                    if name.startswith("llm")
-                    else {}
+                    {"engine": ENGINE_FIGURES} if name.startswith("llm") else {}
                 ),
             }
             for name in services
