Restarted instances do not spend the retry budget twice

Callers saw services overloaded by repeats: each process that had just started took its whole share of the extra retries, though the process that it replaced had used it in the same window. Killed in series, a fleet had no bound left.

Evidence: the new test failed before. Class: state that bounds a window of time and is kept by a process that may end within it.

Why it works: what is spent in any window is spent either by processes that were running for a whole window before, each from its share, or by others, from the ratio to their own first sends alone. So the bound holds however often instances are killed. In a calm restart the ratio is left: 16 in 100 requests may be repeated for the first 10 s.

--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -142,6 +142,7 @@
         chooser: Chooses targets from this state.
         quarantine: Prompts that are kept away from engines.
         notices: What targets have stated of themselves.
+        started_at: When the process of this instance started, in seconds.
     """
 
     def __init__(
@@ -149,9 +150,11 @@
         settings: relay_settings.RelaySettings,
         incarnation: int,
         rng: random.Random,
+        started_at: float,
     ) -> None:
         self.settings = settings
         self.rng = rng
+        self.started_at = started_at
         self.fleet_state = fleet_state.FleetState(settings, incarnation, rng)
         self.load = fleet_load.FleetLoad()
         self.health = target_health.TargetHealth()
@@ -596,6 +599,7 @@
                     self.settings.retry_ratio,
                     self.settings.retry_extra,
                     self.settings.retry_window_seconds,
+                    self.started_at,
                 )
             )
         return self._retry_budgets[service]
--- a/catkintrail/core/service_retry_budget.py
+++ b/catkintrail/core/service_retry_budget.py
@@ -2,7 +2,8 @@
 
 The bound applies to all instances together. Each instance applies the ratio to
 its own first sends and takes an equal share of the extra retries, so that the
-instances need not coordinate.
+instances need not coordinate. An instance that has just started takes no share,
+because the process that it replaces may have used it in the same window.
 """
 
 import collections
@@ -25,14 +26,20 @@
         extra: Number of further retries that all instances together may send in
             a window.
         window_seconds: Length of the window.
+        started_at: When the process of this instance started, in seconds.
     """
 
     def __init__(
-        self, ratio: float, extra: float, window_seconds: float
+        self,
+        ratio: float,
+        extra: float,
+        window_seconds: float,
+        started_at: float,
     ) -> None:
         self.ratio = ratio
         self.extra = extra
         self.window_seconds = window_seconds
+        self.started_at = started_at
         self._first_sends: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
 
@@ -80,6 +87,7 @@
         for times in (self._first_sends, self._retries):
             while times and now - times[0] > self.window_seconds:
                 times.popleft()
-        return self.ratio * len(self._first_sends) + self.extra / max(
-            1, instances
-        )
+        allowed = self.ratio * len(self._first_sends)
+        if now - self.started_at >= self.window_seconds:
+            allowed += self.extra / max(1, instances)
+        return allowed
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -95,8 +95,9 @@
         self.datagrams = datagrams.DatagramTransport(
             settings.address, settings.datagram_port, self._receive_datagram
         )
+        started_at = clock.boot_seconds()
         router = request_router.RequestRouter(
-            settings, int(clock.boot_seconds() * 1000), rng
+            settings, int(started_at * 1000), rng, started_at
         )
         self.actor = router_actor.RouterActor.start(
             router, self.datagrams.send, clock.boot_seconds
--- a/tests/relaying.py
+++ b/tests/relaying.py
@@ -97,8 +97,9 @@
 
 
 def make_router(targets=(), now=100.0, configuration=None, **settings):
+    """Returns the router of an instance that has been running for a while."""
     router = request_router.RequestRouter(
-        make_settings(**settings), 1, random.Random(1)
+        make_settings(**settings), 1, random.Random(1), now - 60.0
     )
     router.fleet_state.update_configuration(
         configuration or make_configuration(), now
--- a/tests/test_fleet_state_updater.py
+++ b/tests/test_fleet_state_updater.py
@@ -114,7 +114,10 @@
         super().setUp()
         self.source = FakeSource()
         self.router = request_router.RequestRouter(
-            builders.make_settings(seeds=()), 1, random.Random(1)
+            builders.make_settings(seeds=()),
+            1,
+            random.Random(1),
+            time.monotonic(),
         )
         actor = router_actor.RouterActor.start(
             self.router, lambda addresses, message: None, time.monotonic
--- a/tests/test_request_router.py
+++ b/tests/test_request_router.py
@@ -58,7 +58,7 @@
 
     def test_request_before_first_configuration_is_refused(self):
         router = request_router.RequestRouter(
-            builders.make_settings(), 1, random.Random(1)
+            builders.make_settings(), 1, random.Random(1), 0.0
         )
         refusal = self.admit(router)
         self.assertEqual(verdicts.Reason.NOT_READY, refusal.reason)
--- a/tests/test_service_retry_budget.py
+++ b/tests/test_service_retry_budget.py
@@ -4,24 +4,28 @@
 
 from catkintrail.core import service_retry_budget
 
+RATIO = 0.2
+EXTRA = 100.0
+WINDOW_SECONDS = 10.0
+
 
 class ServiceRetryBudgetTests(testtools.TestCase):
 
     def test_retries_are_limited_to_a_share_of_first_sends(self):
-        budget = service_retry_budget.ServiceRetryBudget(0.2, 0.0, 10.0)
+        budget = service_retry_budget.ServiceRetryBudget(0.2, 0.0, 10.0, -10.0)
         for _ in range(100):
             budget.record_first_send(0.0)
         taken = sum(budget.try_acquire(1, 0.0) for _ in range(100))
         self.assertEqual(16, taken)
 
     def test_retries_are_available_again_after_the_window(self):
-        budget = service_retry_budget.ServiceRetryBudget(0.0, 10.0, 10.0)
+        budget = service_retry_budget.ServiceRetryBudget(0.0, 10.0, 10.0, -10.0)
         self.assertEqual(8, sum(budget.try_acquire(1, 0.0) for _ in range(20)))
         self.assertFalse(budget.try_acquire(1, 9.0))
         self.assertTrue(budget.try_acquire(1, 10.5))
 
     def test_early_retries_leave_part_of_the_budget(self):
-        budget = service_retry_budget.ServiceRetryBudget(0.0, 10.0, 10.0)
+        budget = service_retry_budget.ServiceRetryBudget(0.0, 10.0, 10.0, -10.0)
         early = 0
         while budget.allows_early_retry(1, 0.0):
             budget.try_acquire(1, 0.0)
@@ -35,7 +39,7 @@
     )
     def test_all_instances_together_respect_the_bound(self, instances, sends):
         budgets = [
-            service_retry_budget.ServiceRetryBudget(0.2, 100.0, 10.0)
+            service_retry_budget.ServiceRetryBudget(0.2, 100.0, 10.0, -10.0)
             for _ in range(instances)
         ]
         first_sends, retries = [], []
@@ -50,3 +54,45 @@
             window = [t for t in retries if end - 10.0 <= t <= end]
             first = [t for t in first_sends if end - 10.0 <= t <= end]
             self.assertLessEqual(len(window), 0.2 * len(first) + 100.0)
+
+
+class RestartTests(testtools.TestCase):
+
+    def count_retries(self, instances, lives_seconds):
+        """Returns the most retries of all instances in a window.
+
+        Args:
+            instances: Number of instances.
+            lives_seconds: How long each process of an instance lives; the last
+                one lives on. All want to send as many retries as they may.
+        """
+        retries = []
+        started_at = 0.0
+        for lived in (*lives_seconds, 2 * WINDOW_SECONDS):
+            for _ in range(instances):
+                budget = service_retry_budget.ServiceRetryBudget(
+                    RATIO, EXTRA, WINDOW_SECONDS, started_at
+                )
+                for tenth in range(int(lived * 10)):
+                    now = started_at + tenth / 10.0
+                    while budget.try_acquire(instances, now):
+                        retries.append(now)
+            started_at += lived
+        return max(
+            sum(start <= t <= start + WINDOW_SECONDS for t in retries)
+            for start in retries
+        )
+
+    def test_restarts_in_series_do_not_exceed_the_bound(self):
+        for instances in (1, 6, 24, 69):
+            for lived in (0.5, 4.0, 9.0, 11.0):
+                retries = self.count_retries(instances, [20.0] + [lived] * 6)
+                self.assertLessEqual(retries, EXTRA, (instances, lived))
+
+    def test_started_instance_retries_a_share_of_its_own_requests(self):
+        budget = service_retry_budget.ServiceRetryBudget(
+            RATIO, EXTRA, WINDOW_SECONDS, 0.0
+        )
+        for _ in range(100):
+            budget.record_first_send(1.0)
+        self.assertEqual(16, sum(budget.try_acquire(8, 1.0) for _ in range(99)))
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -148,6 +148,7 @@
             ),
             next(self._incarnations),
             random.Random(self._rng.random()),
+            self.now,
         )
         router.fleet_state.update_configuration(
             builders.make_configuration(), self.now
