An instance that hears few peers takes a small share of the retries

An instance that started while its zone was cut off divided the extra retries by its seeds, or by the peers it heard, and so did each other one of the zone.

Evidence: the new tests failed before (3 of 9 and 65 of 195 instances were counted as all that share the bound; a peer's knowledge of a fleet of 12 was ignored). Class: a count of what is heard, taken for a count of what exists.

The settings name the zones: one of which nothing was heard counts as large as the largest that is known. Peers' knowledge of the fleet's size counts in small fleets too.

--- a/catkintrail/core/fleet_peers.py
+++ b/catkintrail/core/fleet_peers.py
@@ -84,6 +84,8 @@
         peers: Known peers by address.
         max_alive: Largest number of instances, including this one, that were
             alive at the same time.
+        zone_count: Number of availability zones of the deployment; 0 if
+            unknown.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         own_zone: str,
         seeds: list[str],
         own_cores: float = 1.0,
+        zone_count: int = 0,
     ) -> None:
         self.own_address = own_address
         self.own_zone = own_zone
@@ -99,6 +102,7 @@
         self.seeds = [seed for seed in seeds if seed != own_address]
         self.peers: dict[str, Peer] = {}
         self.max_alive = 1 + len(self.seeds)
+        self.zone_count = zone_count
         # Derived from `peers`, until their liveness or rank changes.
         self._alive: list[Peer] | None = None
         self._rankings: dict[str, list[Peer]] = {}
@@ -175,6 +179,22 @@
         """Whether each instance communicates with only some of the others."""
         return self.max_alive >= LARGE_FLEET_SIZE
 
+    @property
+    def likely_size(self) -> int:
+        """The number of instances, including this one, that may be alive.
+
+        Zones of which no instance was heard since the start, as they are cut
+        off, are taken to be as large as the largest known zone.
+        """
+        heard = {p.availability_zone for p in self.peers.values()} - {""}
+        sizes = dict.fromkeys(heard | {self.own_zone}, 1) | self._zone_sizes
+        unheard = self.zone_count - len(sizes)
+        if unheard <= 0:
+            return self.max_alive
+        return max(
+            self.max_alive, sum(sizes.values()) + unheard * max(sizes.values())
+        )
+
     def standing(self) -> messages.Standing:
         """Returns what heartbeats and answers state of this instance."""
         return messages.Standing(
@@ -406,9 +426,7 @@
         if zone != self.own_zone and standing.coordinators:
             self._reported_coordinators[zone] = standing.coordinators
         self._update_size(zone, standing.zone_size)
-        # In a small fleet, all instances know each other.
-        if standing.fleet_size >= LARGE_FLEET_SIZE:
-            self.max_alive = max(self.max_alive, standing.fleet_size)
+        self.max_alive = max(self.max_alive, standing.fleet_size)
 
     def _update_size(self, zone: str, size: int) -> None:
         self._zone_sizes[zone] = max(size, self._zone_sizes.get(zone, 1))
--- a/catkintrail/core/fleet_state.py
+++ b/catkintrail/core/fleet_state.py
@@ -71,6 +71,7 @@
             settings.availability_zone,
             [seed.rpartition(":")[0] for seed in settings.seeds],
             settings.cores,
+            settings.zone_count,
         )
         self.is_store_up = True
         self.store_era = -1
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -273,7 +273,7 @@
             now: Time in seconds.
         """
         return self._retry_budget(service).try_acquire(
-            self.fleet_state.peers.max_alive, now
+            self.fleet_state.peers.likely_size, now
         )
 
     def make_query(self, request: PlacementRequest) -> messages.PlacementQuery:
@@ -323,7 +323,7 @@
             answer.cost,
             bool(answer.first_token_ms)
             and budget.allows_early_retry(
-                self.fleet_state.peers.max_alive, now
+                self.fleet_state.peers.likely_size, now
             ),
             answer.permits,
         )
--- a/catkintrail/platform/boot.py
+++ b/catkintrail/platform/boot.py
@@ -108,6 +108,7 @@
             retry_window_seconds=float(bounds["budget-window-s"]),
             memory_free_seconds=bounds.get("free-ms", 4000) / 1000.0,
             cores=float(limits.get("cpu-share", 1) * limits.get("cores", 1)),
+            zone_count=len(data.get("zones", ())),
         )
     except (KeyError, TypeError, ValueError, IndexError) as error:
         raise errors.CheckError(
--- a/catkintrail/relay_settings.py
+++ b/catkintrail/relay_settings.py
@@ -31,6 +31,8 @@
         memory_free_seconds: Time within which memory that no request uses any
             more has to be free again.
         cores: Processing power of the machine, in cores.
+        zone_count: Number of availability zones of the deployment; 0 if
+            unknown.
     """
 
     name: str
@@ -50,3 +52,4 @@
     retry_window_seconds: float
     memory_free_seconds: float
     cores: float = 1.0
+    zone_count: int = 0
--- a/tests/test_fleet_peers.py
+++ b/tests/test_fleet_peers.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from catkintrail import messages
 from catkintrail.core import fleet_peers
 
 ZONES = ("za", "zb", "zc")
@@ -138,3 +139,35 @@
         self.silence(peers, {1, 4})
         self.assertEqual("10.0.0.100", peers.permit_issuer("zb"))
         self.assertAlmostEqual(2 / 3, peers.reachable_zone_share())
+
+
+class FleetSizeTests(testtools.TestCase):
+
+    def start_in_cut_zone(self, zone_size, fleet_size=0):
+        """Returns the peers of an instance that hears its zone alone."""
+        peers = fleet_peers.FleetPeers(
+            "10.0.0.100", "za", ["10.0.0.1", "10.1.0.1"], zone_count=3
+        )
+        for number in range(1, zone_size):
+            peers.record_message(
+                f"10.0.0.{number}",
+                f"i-{number}",
+                "za",
+                1,
+                0.0,
+                standing=messages.Standing(1.0, zone_size, fleet_size, ()),
+            )
+        return peers
+
+    def test_start_in_cut_zone_does_not_take_shares_of_unheard_zones(self):
+        self.assertEqual(9, self.start_in_cut_zone(3).likely_size)
+        self.assertEqual(195, self.start_in_cut_zone(65).likely_size)
+
+    def test_starting_instance_learns_size_of_small_fleet_from_peers(self):
+        self.assertEqual(12, self.start_in_cut_zone(3, 12).likely_size)
+
+    def test_size_is_what_was_alive_once_all_zones_are_heard(self):
+        peers = fleet_peers.FleetPeers("10.0.0.100", "za", [], zone_count=3)
+        for number in range(7):
+            deliver_message(peers, number)
+        self.assertEqual(8, peers.likely_size)
