Metrics and refusals state how much of the retry budget is used

The logs counted sends, not the state of the budget, so that a run could not tell instances that spend too much from instances that count too little. A refused retry now says how many of how many it is, and two gauges, catkintrail_retries and catkintrail_retries_allowed, tell it for each service.

--- a/catkintrail/adapters/metrics.py
+++ b/catkintrail/adapters/metrics.py
@@ -104,6 +104,14 @@
         aioprometheus.Gauge,
         "Targets suspected of being slow.",
     ),
+    "catkintrail_retries": (
+        aioprometheus.Gauge,
+        "Retries in the window of the retry budget, by service.",
+    ),
+    "catkintrail_retries_allowed": (
+        aioprometheus.Gauge,
+        "Retries that this instance may send in that window, by service.",
+    ),
     "catkintrail_store_calls": (
         aioprometheus.Gauge,
         "Calls to the platform's store since the start.",
--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -20,6 +20,7 @@
 from catkintrail.core import request_quarantine
 from catkintrail.core import request_router
 from catkintrail.core import route_table
+from catkintrail.core import service_retry_budget
 from catkintrail.core import store_views
 from catkintrail.core import target_paths
 from catkintrail.core import targets as target_records
@@ -98,6 +99,8 @@
             that the store had.
         newest_targets_position: Newest position at which a peer knows the
             targets.
+        retry_usage: How much of its retry budget the instance has used, by
+            service.
     """
 
     is_ready: bool
@@ -113,6 +116,7 @@
     slow_targets: int
     targets_age_seconds: float
     newest_targets_position: store_views.Position
+    retry_usage: dict[str, service_retry_budget.BudgetUsage]
 
 
 class PendingPlacement(NamedTuple):
@@ -672,6 +676,7 @@
             len(self._suspects),
             now - router.fleet_state.targets_complete_at,
             router.fleet_state.newest_targets_position,
+            router.retry_usage(now),
         )
 
     def clear_newer_peer(self, address: str) -> None:
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -258,9 +258,11 @@
         if not request.is_retry:
             self._retry_budget(service).record_first_send(now)
         elif not self.acquire_retry(service, now):
+            usage = self.retry_usage(now)[service]
             return _refuse(
                 verdicts.Reason.OVERLOADED,
-                "the retry budget is exhausted",
+                "the retry budget is exhausted:"
+                f" {usage.retries} of {usage.allowed:.1f} retries",
                 target_choice.NO_TARGET_RETRY_SECONDS,
             )
         return None
@@ -276,6 +278,16 @@
             self.fleet_state.peers.likely_size, now
         )
 
+    def retry_usage(
+        self, now: float
+    ) -> dict[str, service_retry_budget.BudgetUsage]:
+        """Returns how much of the retry budget of each service is used."""
+        instances = self.fleet_state.peers.likely_size
+        return {
+            service: budget.usage(instances, now)
+            for service, budget in self._retry_budgets.items()
+        }
+
     def make_query(self, request: PlacementRequest) -> messages.PlacementQuery:
         """Returns the question that a request puts to a coordinator."""
         route = request.admission.route
--- a/catkintrail/core/service_retry_budget.py
+++ b/catkintrail/core/service_retry_budget.py
@@ -7,8 +7,9 @@
 """
 
 import collections
+from typing import NamedTuple
 
-__all__ = ["ServiceRetryBudget"]
+__all__ = ["BudgetUsage", "ServiceRetryBudget"]
 
 # Share of the bound that is used, because targets count a request when it
 # arrives, which is later than the instance counts it.
@@ -18,6 +19,18 @@
 EARLY_RETRY_SHARE = 0.4
 
 
+class BudgetUsage(NamedTuple):
+    """How much of its budget one instance has used.
+
+    Attributes:
+        retries: Number of retries in the window.
+        allowed: Number of retries that may be used in the window.
+    """
+
+    retries: int
+    allowed: float
+
+
 class ServiceRetryBudget:
     """Counts first sends and retries of one service in a sliding window.
 
@@ -65,8 +78,8 @@
         Returns:
             Whether the retry is allowed; False if the budget is exhausted.
         """
-        allowed = self._allowed(instances, now)
-        if len(self._retries) + 1 > SAFETY_SHARE * allowed:
+        usage = self.usage(instances, now)
+        if usage.retries + 1 > usage.allowed:
             return False
         self._retries.append(now)
         return True
@@ -83,6 +96,16 @@
         allowed = self._allowed(instances, now)
         return len(self._retries) + 1 <= EARLY_RETRY_SHARE * allowed
 
+    def usage(self, instances: int, now: float) -> BudgetUsage:
+        """Returns how much of the budget is used.
+
+        Args:
+            instances: Number of instances that share the bound.
+            now: Time in seconds.
+        """
+        allowed = SAFETY_SHARE * self._allowed(instances, now)
+        return BudgetUsage(len(self._retries), allowed)
+
     def _allowed(self, instances: int, now: float) -> float:
         for times in (self._first_sends, self._retries):
             while times and now - times[0] > self.window_seconds:
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -378,6 +378,12 @@
         }
         for name, value in gauges.items():
             self.metrics.set(name, float(value), {})
+        for service, usage in status.retry_usage.items():
+            labels = {"service": service}
+            self.metrics.set("catkintrail_retries", usage.retries, labels)
+            self.metrics.set(
+                "catkintrail_retries_allowed", usage.allowed, labels
+            )
         body, headers = self.metrics.render([request.headers.get("accept", "")])
         pairs = list(headers.items()) + [("Content-Length", str(len(body)))]
         return wsgi.Response(200, pairs, [body])
--- a/tests/test_request_router.py
+++ b/tests/test_request_router.py
@@ -56,6 +56,25 @@
         self.assertEqual("long", self.admit(router, "/ask/more/a").route.name)
         self.assertEqual("ask", self.admit(router, "/ask/mor").route.name)
 
+    def test_refused_retry_states_how_much_of_the_budget_is_used(self):
+        router = builders.make_router()
+        now = 100.0
+        while router.acquire_retry("engines", now):
+            pass
+        usage = router.retry_usage(now)["engines"]
+        self.assertEqual((40, 40.0), usage)
+        request = request_router.PlacementRequest(
+            "a/1",
+            self.admit(router),
+            1_000,
+            100,
+            0.0,
+            frozenset(),
+            is_retry=True,
+        )
+        refusal = router.count_send(request, now)
+        self.assertIn("40 of 40.0 retries", refusal.message)
+
     def test_request_before_first_configuration_is_refused(self):
         router = request_router.RequestRouter(
             builders.make_settings(), 1, random.Random(1), 0.0
