Peers lend retries to an instance that has just started

Established instances now lend a part of their share to a peer that starts, with the greeting that they send it anyway, and do without that part for two windows: the loan is used in the first, and what was used counts in the second. They lend only what they have not used, at most half of their share. The bound holds without a call to the store: if all are killed, nobody lends.

--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -17,6 +17,7 @@
 from catkintrail.adapters import limit_exchange
 from catkintrail.adapters import permit_exchange
 from catkintrail.adapters import quarantine_exchange
+from catkintrail.core import fleet_peers
 from catkintrail.core import request_quarantine
 from catkintrail.core import request_router
 from catkintrail.core import route_table
@@ -558,6 +559,8 @@
             self._handle_query(address, message, now)
         elif isinstance(message, messages.PlacementAnswer):
             self._handle_placement_answer(message, now)
+        elif isinstance(message, messages.RetryLoan):
+            router.accept_loan(message)
         else:
             self._handle_load(message, now)
 
@@ -578,6 +581,10 @@
             return
         self._quarantine_exchange.greet(address, now)
         self._limit_exchange.greet(address, now)
+        if news in (fleet_peers.JOINED, fleet_peers.RESTARTED):
+            loan = self._router.lend_retries(now)
+            if loan.retries:
+                self._send([address], loan)
         peers = self._router.fleet_state.peers
         if (
             not peers.is_large_fleet
--- a/catkintrail/core/fleet_peers.py
+++ b/catkintrail/core/fleet_peers.py
@@ -5,7 +5,10 @@
 
 from catkintrail import messages
 
-__all__ = ["FleetPeers", "Peer"]
+__all__ = ["BACK", "JOINED", "RESTARTED", "FleetPeers", "Peer"]
+
+# Changes of a peer: it is new, has a new incarnation, or counted as down.
+JOINED, RESTARTED, BACK = "joined", "restarted", "back"
 
 # Consecutive unanswered heartbeats after which a peer counts as down.
 MISSED_HEARTBEATS_UNTIL_DOWN = 4
@@ -135,8 +138,7 @@
                 None if the message does not state them.
 
         Returns:
-            `joined` for a new peer, `restarted` for a new incarnation, `back`
-            for a peer that counted as down, otherwise "".
+            JOINED, RESTARTED, BACK, or "" for no change.
         """
         old = self.peers.get(address)
         if has_store is None:
@@ -456,10 +458,10 @@
 
 def _describe_change(old: Peer | None, new: Peer) -> str:
     if old is None or not old.has_sent_message:
-        return "joined"
+        return JOINED
     if old.incarnation != new.incarnation:
-        return "restarted"
-    return "back" if _is_down(old) else ""
+        return RESTARTED
+    return BACK if _is_down(old) else ""
 
 
 def _differs_in_rank(old: Peer, new: Peer) -> bool:
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -256,7 +256,7 @@
             return None
         service = request.admission.service
         if not request.is_retry:
-            self._retry_budget(service).record_first_send(now)
+            self.retry_budget(service).record_first_send(now)
         elif not self.acquire_retry(service, now):
             usage = self.retry_usage(now)[service]
             return _refuse(
@@ -274,7 +274,7 @@
             service: Name of the service.
             now: Time in seconds.
         """
-        return self._retry_budget(service).try_acquire(
+        return self.retry_budget(service).try_acquire(
             self.fleet_state.peers.likely_size, now
         )
 
@@ -288,6 +288,23 @@
             for service, budget in self._retry_budgets.items()
         }
 
+    def lend_retries(self, now: float) -> messages.RetryLoan:
+        """Lends a part of each retry budget to a peer that has started."""
+        instances = self.fleet_state.peers.likely_size
+        loans = [
+            (service, budget.lend(instances, now))
+            for service, budget in self._retry_budgets.items()
+        ]
+        return messages.RetryLoan(
+            self.settings.name,
+            tuple((service, retries) for service, retries in loans if retries),
+        )
+
+    def accept_loan(self, loan: messages.RetryLoan) -> None:
+        """Records what a peer lends to this instance, which has started."""
+        for service, retries in loan.retries:
+            self.retry_budget(service).borrow(loan.sender, retries)
+
     def make_query(self, request: PlacementRequest) -> messages.PlacementQuery:
         """Returns the question that a request puts to a coordinator."""
         route = request.admission.route
@@ -324,7 +341,7 @@
             )
         if answer.sender != self.settings.name:
             self.chooser.record_attempt(self.make_query(request), answer, now)
-        budget = self._retry_budget(request.admission.service)
+        budget = self.retry_budget(request.admission.service)
         return Placement(
             answer.targets[0],
             answer.targets[1:],
@@ -602,9 +619,10 @@
             return route.services[0].service
         return self.rng.choices(route.services, weights)[0].service
 
-    def _retry_budget(
+    def retry_budget(
         self, service: str
     ) -> service_retry_budget.ServiceRetryBudget:
+        """Returns the retry budget of a service; creates it if needed."""
         if service not in self._retry_budgets:
             self._retry_budgets[service] = (
                 service_retry_budget.ServiceRetryBudget(
--- a/catkintrail/core/service_retry_budget.py
+++ b/catkintrail/core/service_retry_budget.py
@@ -3,7 +3,8 @@
 The bound applies to all instances together. Each instance applies the ratio to
 its own first sends and takes an equal share of the extra retries, so that the
 instances need not coordinate. An instance that has just started takes no share,
-because the process that it replaces may have used it in the same window.
+because the process that it replaces may have used it in the same window; until
+then it uses what its peers lend it of their shares.
 """
 
 import collections
@@ -17,6 +18,13 @@
 # Early retries are sent only while at most this share of the bound is used; the
 # rest is kept for requests that failed.
 EARLY_RETRY_SHARE = 0.4
+# An instance lends at most this part of its share of the extra retries.
+MAX_LENT_PART = 0.5
+# Peers among which a loan is divided, at most: in a large fleet, few learn of a
+# start at once.
+MAX_LENDERS = 8
+# A loan is used within one window, and what was used counts for another one.
+LOAN_WINDOWS = 2
 
 
 class BudgetUsage(NamedTuple):
@@ -55,6 +63,9 @@
         self.started_at = started_at
         self._first_sends: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
+        # Times and numbers of retries of the loans to peers.
+        self._lent: collections.deque[tuple[float, float]] = collections.deque()
+        self._borrowed: dict[str, float] = {}
 
     def set_bounds(
         self, ratio: float, extra: float, window_seconds: float
@@ -106,11 +117,56 @@
         allowed = SAFETY_SHARE * self._allowed(instances, now)
         return BudgetUsage(len(self._retries), allowed)
 
+    def lend(self, instances: int, now: float) -> float:
+        """Takes a part of this instance's share for a peer that has started.
+
+        Args:
+            instances: Number of instances that share the bound.
+            now: Time in seconds.
+
+        Returns:
+            Number of retries that the peer may send; 0.0 if none can be spared.
+        """
+        if not self._has_share(now):
+            return 0.0
+        usage = self.usage(instances, now)
+        share = self.extra / max(1, instances)
+        retries = min(
+            share / min(max(1, instances - 1), MAX_LENDERS),
+            share * MAX_LENT_PART - self._count_lent(now),
+            (usage.allowed - usage.retries) / SAFETY_SHARE,
+        )
+        if retries <= 0.0:
+            return 0.0
+        self._lent.append((now, retries))
+        return retries
+
+    def borrow(self, lender: str, retries: float) -> None:
+        """Accepts a loan of a peer; it is not used after the first window.
+
+        Args:
+            lender: Name of the peer. A second loan of it replaces the first.
+            retries: Number of retries.
+        """
+        if retries > 0.0:
+            self._borrowed[lender] = retries
+
+    def _has_share(self, now: float) -> bool:
+        return now - self.started_at >= self.window_seconds
+
+    def _count_lent(self, now: float) -> float:
+        oldest_at = now - LOAN_WINDOWS * self.window_seconds
+        while self._lent and self._lent[0][0] < oldest_at:
+            self._lent.popleft()
+        return sum(retries for _, retries in self._lent)
+
     def _allowed(self, instances: int, now: float) -> float:
         for times in (self._first_sends, self._retries):
             while times and now - times[0] > self.window_seconds:
                 times.popleft()
-        allowed = self.ratio * len(self._first_sends)
-        if now - self.started_at >= self.window_seconds:
-            allowed += self.extra / max(1, instances)
-        return allowed
+        share = self.extra / max(1, instances)
+        if self._has_share(now):
+            share -= self._count_lent(now)
+        else:
+            share = min(share, sum(self._borrowed.values()))
+        return self.ratio * len(self._first_sends) + share
--- a/catkintrail/messages.py
+++ b/catkintrail/messages.py
@@ -47,6 +47,7 @@
     "Queued",
     "Redirected",
     "Released",
+    "RetryLoan",
     "Standing",
     "Started",
     "TargetGone",
@@ -673,6 +674,18 @@
     wait_seconds: float
 
 
+class RetryLoan(NamedTuple):
+    """Retries that an instance leaves to a peer that has just started.
+
+    Attributes:
+        sender: Name of the lender.
+        retries: Names of services, with the number of retries for each.
+    """
+
+    sender: str
+    retries: tuple[tuple[str, float], ...]
+
+
 class Forwarded(NamedTuple):
     """An encoded message to forward to all instances of the receiver's zone."""
 
@@ -783,6 +796,7 @@
     LimitNews,
     PermitQuery,
     PermitAnswer,
+    RetryLoan,
 )
 _TAG_OF_TYPE = {kind: tag for tag, kind in enumerate(_MESSAGE_TYPES)}
 
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -28,7 +28,7 @@
 retry-budget-ratio = 0.2
 retry-after-s = 0
 budget-extra = {extra}
-budget-window-s = 10
+budget-window-s = {window_seconds}
 free-ms = 4000
 hold-max-ms = 20000
 [platform]
@@ -49,7 +49,9 @@
 }
 
 
-def make_settings(name, ip, ports, seeds, store, zone="za", extra=100):
+def make_settings(
+    name, ip, ports, seeds, store, zone="za", extra=100, window_seconds=10
+):
     """Returns the content of an instance's settings file.
 
     Args:
@@ -60,6 +62,7 @@
         store: `IP:port` of the store.
         zone: Availability zone.
         extra: Value of `budget-extra`.
+        window_seconds: Value of `budget-window-s`.
     """
     return SETTINGS.format(
         name=name,
@@ -67,6 +70,7 @@
         zone=zone,
         seeds=json.dumps([f"{seed}:{ports['control']}" for seed in seeds]),
         extra=extra,
+        window_seconds=window_seconds,
         store=store,
         **ports,
     )
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -667,7 +667,7 @@
 
     def test_retry_that_is_allowed_is_counted_once(self):
         times = []
-        budget = self.router._retry_budget("engines")
+        budget = self.router.retry_budget("engines")
         self.serve(
             self.be_silent(1.0, times),
             FakeTargetResponse(200, [event(0), event(1)]),
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -20,6 +20,7 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 START_SECONDS = 20.0
+RETRY_WINDOW_SECONDS = 0.5
 
 
 class RelayProcess:
@@ -40,6 +41,7 @@
         store,
         retry_extra=100,
         module="catkintrail.relay_start",
+        retry_window_seconds=10,
     ):
         self.ip = ip
         self.ports = ports
@@ -53,6 +55,7 @@
                 ("127.0.0.1", "127.0.0.2"),
                 store,
                 extra=retry_extra,
+                window_seconds=retry_window_seconds,
             )
         )
         self.log = open(path / "log", "w+", encoding="utf-8")
@@ -202,7 +205,11 @@
         super().setUp()
         self.engines = [self.add_engine(f"e-{n}") for n in range(2)]
         self.plain_service = self.add_engine("d-0", "desk")
-        self.relay = self.start("127.0.0.1")
+        self.relay = self.start(
+            "127.0.0.1", retry_window_seconds=RETRY_WINDOW_SECONDS
+        )
+        # Before, an instance without peers has no extra retries.
+        time.sleep(RETRY_WINDOW_SECONDS)
 
     def test_responses_of_engines_and_services_reach_callers(self):
         status, received = self.relay.request("/ask/a", "r1")
--- a/tests/test_service_retry_budget.py
+++ b/tests/test_service_retry_budget.py
@@ -96,3 +96,56 @@
         for _ in range(100):
             budget.record_first_send(1.0)
         self.assertEqual(16, sum(budget.try_acquire(8, 1.0) for _ in range(99)))
+
+
+class LoanTests(testtools.TestCase):
+
+    def make_budget(self, started_at):
+        return service_retry_budget.ServiceRetryBudget(
+            RATIO, EXTRA, WINDOW_SECONDS, started_at
+        )
+
+    def test_loans_give_a_started_instance_its_share(self):
+        lenders = [self.make_budget(-20.0) for _ in range(7)]
+        started = self.make_budget(0.0)
+        for number, lender in enumerate(lenders):
+            started.borrow(f"i-{number}", lender.lend(8, 0.0))
+        self.assertEqual(
+            10, sum(started.try_acquire(8, 1.0) for _ in range(99))
+        )
+
+    def test_lender_does_without_what_it_lends_for_two_windows(self):
+        lender = self.make_budget(-20.0)
+        before = lender.usage(8, 0.0).allowed
+        lent = lender.lend(8, 0.0)
+        for now in (0.0, 9.0, 19.0):
+            after = lender.usage(8, now).allowed
+            self.assertAlmostEqual(0.8 * lent, before - after)
+        self.assertAlmostEqual(before, lender.usage(8, 20.1).allowed)
+
+    def test_lender_keeps_half_of_its_share_however_many_ask(self):
+        lender = self.make_budget(-20.0)
+        lent = sum(lender.lend(4, 0.0) for _ in range(50))
+        self.assertAlmostEqual(12.5, lent)
+
+    def test_what_is_used_or_borrowed_is_not_lent(self):
+        lender = self.make_budget(-20.0)
+        while lender.try_acquire(8, 0.0):
+            pass
+        self.assertEqual(0.0, lender.lend(8, 0.0))
+        started = self.make_budget(0.0)
+        started.borrow("i-1", 10.0)
+        self.assertEqual(0.0, started.lend(8, 1.0))
+
+    def test_loan_ends_when_the_instance_has_its_share(self):
+        started = self.make_budget(0.0)
+        for number in range(20):
+            started.borrow(f"i-{number}", 5.0)
+        for now in (1.0, 11.0):
+            self.assertAlmostEqual(10.0, started.usage(8, now).allowed)
+
+    def test_number_that_is_no_number_is_not_borrowed(self):
+        started = self.make_budget(0.0)
+        for retries in (float("nan"), -5.0):
+            started.borrow("i-1", retries)
+            self.assertEqual(0.0, started.usage(8, 1.0).allowed)
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -46,6 +46,7 @@
         self._order = itertools.count()
         self._zones = {}
         self._targets = targets
+        self._parameters = {}
         self._incarnations = itertools.count(1)
         seeds = []
         for number, (zone, size) in enumerate(zone_sizes.items()):
@@ -57,6 +58,7 @@
         for address in self._zones:
             start = self._rng.uniform(0.0, 0.3)
             weight = (cores or {}).get(address, 0.5)
+            self._parameters[address] = (tuple(seeds), weight)
             self._schedule(start, self._start, address, tuple(seeds), weight)
 
     def run(self, seconds):
@@ -71,6 +73,10 @@
         """Calls a function after some time."""
         self._schedule(self.now + seconds, function, *arguments)
 
+    def restart(self, address):
+        """Replaces an instance by a process that knows nothing."""
+        self._start(address, *self._parameters[address])
+
     def members(self, zone):
         """Returns the addresses of a zone's running instances."""
         return [
@@ -145,6 +151,7 @@
                 seeds=seeds,
                 cores=cores,
                 retry_extra=460.0,
+                zone_count=len(set(self._zones.values())),
             ),
             next(self._incarnations),
             random.Random(self._rng.random()),
