Stop of the server waits for threads that are being started

What callers saw: requests that had been taken and passed on could end without an answer when the process exited in a planned stop.

Cause: the pool lists new threads only after all of them have started, in steps of 0.1 s, while the stop counts and waits for listed ones only. Requests that threads being started had taken were cut by the exit; or these threads took the marks that were to end old ones, and the stop lasted to the end of the grace. Class: work is handed out before its worker is registered.

The growth and the stop now exclude each other, and nothing grows after the stop.

--- a/catkintrail/platform/callers.py
+++ b/catkintrail/platform/callers.py
@@ -10,6 +10,7 @@
 from cheroot import errors as cheroot_errors
 from cheroot import makefile as cheroot_makefile
 from cheroot import server as cheroot_server
+from cheroot.workers import threadpool
 
 from catkintrail import errors
 from catkintrail import verdict as verdicts
@@ -261,6 +262,32 @@
         server.serve_request(self.req)
 
 
+class _ThreadPool(threadpool.ThreadPool):
+    """Threads that serve requests.
+
+    The stop waits for all of them, also for those that are being started.
+    """
+
+    def __init__(
+        self, server: cheroot_server.HTTPServer, threads: tuple[int, int]
+    ) -> None:
+        super().__init__(server, min=threads[0], max=threads[1])
+        self._growth_lock = threading.Lock()
+        self._is_stopped = False
+
+    def grow(self, amount: int) -> None:
+        """Starts threads, unless the pool has stopped."""
+        with self._growth_lock:
+            if not self._is_stopped:
+                super().grow(amount)
+
+    def stop(self, timeout: float | None = 5) -> None:
+        """Ends the threads after their requests and those that wait."""
+        with self._growth_lock:
+            self._is_stopped = True
+        super().stop(timeout)
+
+
 class CallerServer:
     """HTTP server that passes callers' requests to a handler.
 
@@ -295,12 +322,8 @@
         self.limits = route_table.CallerLimits()
         self.clock = clock
         self._lock = threading.Lock()
-        self._server = cheroot_server.HTTPServer(
-            (host, int(port)),
-            _Gateway,
-            minthreads=threads[0],
-            maxthreads=threads[1],
-        )
+        self._server = cheroot_server.HTTPServer((host, int(port)), _Gateway)
+        self._server.requests = _ThreadPool(self._server, threads)
         self._server.caller_server = self
         self._server.ConnectionClass = _Connection
         self._server.request_queue_size = LISTEN_BACKLOG
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -21,6 +21,15 @@
 LIMITS = route_table.CallerLimits(2_000, 5_000, 600, 15_000)
 
 
+def wait_until(condition, seconds=5.0):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if condition():
+            return True
+        time.sleep(0.01)
+    return False
+
+
 class CallerServerTestCase(testtools.TestCase):
 
     def setUp(self):
@@ -347,6 +356,48 @@
         for connection in connections:
             self.assertIn(b" 200 ", self.read_response(connection))
 
+    def test_stop_waits_for_threads_that_are_being_started(self):
+        # Guards against requests that are cut by the exit of the process.
+        releases = [threading.Event() for _ in range(2)]
+
+        def wait(request, writer, caller):
+            releases[request.uri == "/new"].wait(5.0)
+            self.send_ok(request, writer, caller)
+
+        self.handler = wait
+        connections = [self.connect() for _ in range(5)]
+        for connection in connections[:4]:
+            connection.sendall(HEAD + b"Content-Length: 0\r\n\r\n")
+        self.assertTrue(wait_until(lambda: self.server.in_flight == 4))
+        pool = self.server._server.requests
+        spawn = pool._spawn_worker
+        may_go_on = threading.Event()
+
+        def spawn_slowly():
+            worker = spawn()
+            may_go_on.wait(5.0)
+            return worker
+
+        pool._spawn_worker = spawn_slowly
+        growth = threading.Thread(target=self.server.add_threads, daemon=True)
+        growth.start()
+        head = HEAD.replace(b"/ask/a?x=1", b"/new")
+        connections[4].sendall(head + b"Content-Length: 0\r\n\r\n")
+        self.assertTrue(wait_until(lambda: self.server.in_flight == 5))
+        stop = threading.Thread(target=self.server.stop, args=(5.0,))
+        stop.start()
+        time.sleep(0.7)
+        releases[0].set()
+        time.sleep(0.3)
+        may_go_on.set()
+        stop.join(0.5)
+        self.assertTrue(stop.is_alive())
+        releases[1].set()
+        for connection in connections:
+            self.assertIn(b" 200 ", self.read_response(connection))
+        stop.join(2.0)
+        self.assertFalse(stop.is_alive())
+
     def test_threads_are_not_added_before_the_start(self):
         server = callers.CallerServer(
             f"127.0.0.1:{processes.free_ports(1)[0]}",
