Requests that wait when the port closes are served, not reset

What callers saw: in a planned stop of a busy instance, requests that had been sent whole up to 1.4 s before the port closed were reset without an answer, a whole queue of them at once.

Cause: the selector accepts one connection a round. What waited in the kernel's queue when the selector ended was reset by the close of the port, and what waited unread on kept connections was closed with them. Class: a queue is thrown away by who closes its door.

Now the selector accepts all connections that wait in one round, and at the stop it accepts what the kernel has taken, closes the port, and hands over readable kept connections, before the threads are told to end. Threads are added for what waits. Requests that might outlast the grace get 503 as before.

--- a/catkintrail/platform/callers.py
+++ b/catkintrail/platform/callers.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server for callers, based on cheroot."""
 
+import contextlib
 import logging
 import re
 import select
@@ -7,6 +8,7 @@
 import threading
 from typing import Any, Callable
 
+from cheroot import connections as cheroot_connections
 from cheroot import errors as cheroot_errors
 from cheroot import makefile as cheroot_makefile
 from cheroot import server as cheroot_server
@@ -262,6 +264,51 @@
         server.serve_request(self.req)
 
 
+class _ConnectionManager(cheroot_connections.ConnectionManager):
+    """Accepts connections, and finds those with requests.
+
+    Requests that wait when the port closes are still passed on to threads.
+    """
+
+    def _from_server_socket(self, server_socket: socket.socket) -> Any:
+        """Accepts the connections that wait; returns the last one."""
+        connection = super()._from_server_socket(server_socket)
+        for _ in range(LISTEN_BACKLOG):
+            if connection is None or not _is_readable(server_socket):
+                break
+            self.server.process_conn(connection)
+            connection = super()._from_server_socket(server_socket)
+        return connection
+
+    def stop(self) -> None:
+        """Closes the port after the connections that wait were accepted."""
+        super().stop()
+        listener = self.server.socket
+        with contextlib.suppress(OSError):
+            if _is_readable(listener):
+                connection = self._from_server_socket(listener)
+                if connection is not None:
+                    self.server.process_conn(connection)
+        self.server.socket = None
+        listener.close()
+        with contextlib.suppress(OSError):
+            for descriptor, connection in list(self._selector.select(0)):
+                if connection is not self.server:
+                    self._selector.unregister(descriptor)
+                    self.server.process_conn(connection)
+
+
+class _Server(cheroot_server.HTTPServer):
+    ConnectionClass = _Connection
+
+    def prepare(self) -> None:
+        """Opens the port."""
+        super().prepare()
+        self._connections.close()
+        # pylint: disable-next=attribute-defined-outside-init
+        self._connections = _ConnectionManager(self)
+
+
 class _ThreadPool(threadpool.ThreadPool):
     """Threads that serve requests.
 
@@ -283,6 +330,7 @@
 
     def stop(self, timeout: float | None = 5) -> None:
         """Ends the threads after their requests and those that wait."""
+        self.grow(self.qsize - self.idle)
         with self._growth_lock:
             self._is_stopped = True
         super().stop(timeout)
@@ -322,10 +370,9 @@
         self.limits = route_table.CallerLimits()
         self.clock = clock
         self._lock = threading.Lock()
-        self._server = cheroot_server.HTTPServer((host, int(port)), _Gateway)
+        self._server = _Server((host, int(port)), _Gateway)
         self._server.requests = _ThreadPool(self._server, threads)
         self._server.caller_server = self
-        self._server.ConnectionClass = _Connection
         self._server.request_queue_size = LISTEN_BACKLOG
         self._server.keep_alive_conn_limit = (
             threads[1] * KEEP_ALIVE_CONNECTIONS_PER_THREAD
@@ -520,6 +567,12 @@
     return b"".join(parts)
 
 
+def _is_readable(connection: socket.socket) -> bool:
+    poll = select.poll()
+    poll.register(connection, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def _log_error(
     message: str = "", level: int = 20, traceback: bool = False
 ) -> None:
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -184,6 +184,58 @@
         for connection in busy:
             self.assertIn(b" 200 ", self.read_response(connection))
 
+    def delay_selector(self, *delays):
+        """Makes the selector slow, as on a busy machine.
+
+        Args:
+            *delays: Seconds that each of the next connections takes.
+        """
+        process = self.server._server.process_conn
+        remaining = list(delays)
+
+        def process_slowly(connection):
+            process(connection)
+            if remaining:
+                time.sleep(remaining.pop())
+
+        self.server._server.process_conn = process_slowly
+
+    def is_refused(self):
+        try:
+            self.connect().close()
+        except ConnectionError:
+            return True
+        return False
+
+    def test_connections_that_wait_to_be_accepted_are_served(self):
+        # Guards against requests that are reset unread when the port closes.
+        self.delay_selector(*[0.02] * 40)
+        connections = [self.connect() for _ in range(40)]
+        for connection in connections:
+            connection.sendall(HEAD + b"Content-Length: 0\r\n\r\n")
+        time.sleep(0.2)
+        self.stop(5.0)
+        for connection in connections:
+            self.assertIn(b" 200 ", self.read_response(connection))
+        self.assertTrue(wait_until(self.is_refused))
+
+    def test_requests_that_wait_on_kept_connections_are_served(self):
+        # Guards against requests that are closed unread with their connections.
+        request = HEAD + b"Content-Length: 0\r\n\r\n"
+        connections = [self.connect() for _ in range(10)]
+        for connection in connections:
+            self.assertIn(b" 200 ", self.send_and_read(request, connection))
+        time.sleep(0.1)
+        self.delay_selector(0.5)
+        connections[0].sendall(request)
+        time.sleep(0.1)
+        for connection in connections[1:]:
+            connection.sendall(request)
+        time.sleep(0.1)
+        self.stop(5.0)
+        for connection in connections:
+            self.assertIn(b" 200 ", self.read_response(connection))
+
 
 class MalformedTests(CallerServerTestCase):
 
