A SIGTERM at any moment of the wait stops an instance

What callers would see: an instance that ignores SIGTERM, stays ready and is killed at the end of the grace with all its requests.

Cause: the handler set a threading.Event. It runs between two steps of the main thread, which may be within the wait for that event and hold its lock; the handler then waits for its own thread. Class: a lock is taken in a signal handler.

Evidence: test_request_may_be_made_at_each_step_of_the_wait makes the request at each step of the wait in turn.

Looked for the same: daemon.py, whose handler leaves the event to another thread.

--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -26,6 +26,7 @@
 from catkintrail.adapters import peer_tunnels
 from catkintrail.adapters import router_actor
 from catkintrail.adapters import router_client
+from catkintrail.adapters import stop_request
 from catkintrail.adapters import target_connector
 from catkintrail.adapters import wsgi
 from catkintrail.core import request_router
@@ -164,7 +165,7 @@
             clock.boot_seconds,
         )
         self.http = bounded_http.make_pool_manager(MAX_PEER_POOLS)
-        self._stop = threading.Event()
+        self._stop_request = stop_request.StopRequest()
         self._settings_text = settings_text
 
     def start(self) -> None:
@@ -206,12 +207,15 @@
             time.sleep(INITIAL_STATE_POLL_SECONDS)
 
     def request_stop(self) -> None:
-        """Makes `run` drain the instance and return."""
-        self._stop.set()
+        """Makes `run` drain the instance and return.
+
+        May be called by a signal handler.
+        """
+        self._stop_request.make()
 
     def run(self) -> None:
         """Serves until `request_stop`, then finishes requests in flight."""
-        while not self._stop.wait(SETTINGS_POLL_SECONDS):
+        while not self._stop_request.wait(SETTINGS_POLL_SECONDS):
             self.reload()
         self._drain()
 
