An engine that went dark is given up while memory waits for it

Cause: a machine that goes dark closes no connection, and the wait for its answer was limited by predictions, the caller's patience or the deadline only. Class: what holds memory followed a wait, not the life of what uses the memory.

A connection that carries a request with reserved memory is now probed by TCP keep-alive, and bytes sent on it have to be acknowledged: it is lost three seconds after its machine went dark, the leases end, and the request may be sent to another engine. An engine that is silent and lives acknowledges the probes and is awaited as before, and so is any engine without reserved memory. A lost connection is a silence, not an end by the target, so that it is no evidence against the request.

The far end is made dark by a socket filter that drops all packets.

--- a/catkintrail/platform/engines.py
+++ b/catkintrail/platform/engines.py
@@ -16,6 +16,7 @@
 
 from catkintrail import errors
 from catkintrail import verdict as verdicts
+from catkintrail.adapters import keep_alive
 from catkintrail.adapters import peer_tunnels
 from catkintrail.adapters import target_connector
 from catkintrail.core import target_notices
@@ -301,6 +302,7 @@
         self._is_ended_by_target = False
         self._sent_at = 0.0
         self._extend = extend
+        self._is_probed = False
 
     def exchange_heads(self, until: float) -> None:
         """Sends the request and reads the head of its response.
@@ -322,6 +324,11 @@
             if obstacle:
                 raise errors.TargetNotCalledError(obstacle, target.name)
         self._sent_at = now
+        if any(reservation for _, reservation in self.request.helpers):
+            # The memory has to be free soon after the target has ended, and
+            # the machine of a target may end without closing connections.
+            self._is_probed = True
+            keep_alive.start(self._socket)
         self._send(data, until)
         informational_heads = 0
         while True:
@@ -372,6 +379,8 @@
             return
         self._is_closed = True
         if self._is_complete and self._is_request_sent and self._is_reusable():
+            if self._is_probed:
+                keep_alive.stop(self._socket)
             self.client.release(self.target, self._socket, self._idle_seconds())
         else:
             self.client.close(self.target, self._socket)
@@ -480,6 +489,10 @@
                 self._is_ended_by_target = not data
                 self._http.receive_data(data)
         except OSError as error:
+            if keep_alive.is_lost(error):
+                raise self._make_timeout_error(
+                    "the target does not respond on the connection"
+                ) from error
             self._is_ended_by_target = not isinstance(
                 error, peer_tunnels.BrokenTunnelError
             )
@@ -503,9 +516,12 @@
                     "the target did not respond in time"
                 )
             self._socket.settimeout(max(MIN_TIMEOUT_SECONDS, remaining))
-            # A time-out is checked by the clock of the client.
-            with contextlib.suppress(TimeoutError):
+            try:
                 return self._socket.recv(RECEIVE_BYTES)
+            except TimeoutError as error:
+                # The end of the wait is checked by the clock of the client.
+                if keep_alive.is_lost(error):
+                    raise
 
     def _store_head(self, event: h11.Response) -> None:
         self.status = event.status_code
--- a/catkintrail/platform/store.py
+++ b/catkintrail/platform/store.py
@@ -1,7 +1,6 @@
 """Client for the platform's store of configuration and targets."""
 
 import logging
-import socket
 import threading
 from typing import Any, Callable, Iterator, NamedTuple
 import urllib.parse
@@ -11,6 +10,7 @@
 
 from catkintrail import errors
 from catkintrail.adapters import bounded_http
+from catkintrail.adapters import keep_alive
 from catkintrail.core import route_table
 from catkintrail.core import store_views
 from catkintrail.platform import lenient_json
@@ -27,10 +27,6 @@
 CONNECT_TIMEOUT_SECONDS = 0.6
 # Longest delay of a watch's response after the requested wait.
 WATCH_SLACK_SECONDS = 1.5
-# TCP keep-alive detects a dead connection within about three seconds.
-KEEP_ALIVE_IDLE_SECONDS = 1
-KEEP_ALIVE_INTERVAL_SECONDS = 1
-KEEP_ALIVE_PROBES = 2
 MAX_PAGES = 100
 # Responses of an older era in a row, after which that era is taken as current.
 # Fewer may be late responses.
@@ -44,11 +40,9 @@
     fleet_state_source.CONFIGURATION: CONFIGURATION_KIND,
     fleet_state_source.TARGETS: TARGET_KIND,
 }
-_SOCKET_OPTIONS = connections.HTTPConnection.default_socket_options + [
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_SECONDS),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
+_SOCKET_OPTIONS = [
+    *connections.HTTPConnection.default_socket_options,
+    *keep_alive.OPTIONS,
 ]
 
 
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -1,7 +1,9 @@
 """Tests of the engine client against scripted servers."""
 
 import contextlib
+import ctypes
 import socket
+import struct
 import threading
 import time
 
@@ -16,6 +18,8 @@
 
 NOT_RUN = verdicts.Verdict.NOT_RUN
 MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
+# Not named in the socket module.
+SO_ATTACH_FILTER = 26
 
 
 def make_response(
@@ -35,6 +39,7 @@
 
     Attributes:
         requests: Data received for each request, by connection.
+        connections: The accepted connections.
         replies: Remaining replies; each is bytes to send, or a function that
             takes the connection, after which the connection is closed.
     """
@@ -42,6 +47,7 @@
     def __init__(self, *replies):
         self.replies = list(replies)
         self.requests = []
+        self.connections = []
         self.socket = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.socket.getsockname()[1]}"
         threading.Thread(target=self._run, daemon=True).start()
@@ -54,6 +60,7 @@
                 return
             received = []
             self.requests.append(received)
+            self.connections.append(connection)
             self._serve(connection, received)
 
     def _serve(self, connection, received):
@@ -87,6 +94,17 @@
     connection.close()
 
 
+def drop_received_packets(connection):
+    """Makes this end of a connection dark: it acknowledges nothing more."""
+    # A socket filter of one instruction, which accepts no byte.
+    program = ctypes.create_string_buffer(struct.pack("HBBI", 6, 0, 0, 0))
+    connection.setsockopt(
+        socket.SOL_SOCKET,
+        SO_ATTACH_FILTER,
+        struct.pack("HL", 1, ctypes.addressof(program)),
+    )
+
+
 def send_then(data, action):
     def respond(connection):
         connection.sendall(data)
@@ -341,6 +359,83 @@
         self.assertTrue(error.is_silent)
 
 
+class DarkTargetTests(EngineClientTestCase):
+    """Targets whose machine goes dark, without closing its connections."""
+
+    HELPERS = ((builders.make_target("e-2"), "a-1-1"),)
+
+    def serve_dark(self, *replies):
+        """Serves replies on one connection, then reads, and goes dark."""
+
+        def go_dark(connection):
+            drop_received_packets(connection)
+            time.sleep(6.0)
+
+        self.serve(*replies, go_dark)
+
+    def assert_ends_silently(self, call, seconds):
+        start = time.monotonic()
+        error = self.assertRaises(errors.TargetError, call)
+        self.assertLess(time.monotonic() - start, seconds)
+        self.assertEqual(
+            (MAY_HAVE_RUN, True, False),
+            (error.verdict, error.is_silent, error.is_broken_off),
+        )
+
+    def test_head_is_not_awaited_while_memory_is_reserved(self):
+        self.serve_dark()
+        self.assert_ends_silently(
+            lambda: self.send(wait=5.0, helpers=self.HELPERS), 4.0
+        )
+
+    def test_stream_is_not_awaited_while_memory_is_reserved(self):
+        def go_dark(connection):
+            connection.sendall(make_response(length=10))
+            drop_received_packets(connection)
+            time.sleep(6.0)
+
+        self.serve(go_dark)
+        response = self.send(helpers=self.HELPERS)
+        self.assertEqual(b"ok", response.read(time.monotonic() + 1.0))
+        self.assert_ends_silently(
+            lambda: response.read(time.monotonic() + 5.0), 4.0
+        )
+
+    def test_request_that_is_not_received_is_given_up(self):
+        self.serve(make_response(), lambda connection: None)
+        self.read_all(self.send())
+        # The server reads the next request from a connection that is dark.
+        drop_received_packets(self.server.connections[0])
+        self.assert_ends_silently(
+            lambda: self.send("r2", wait=5.0, helpers=self.HELPERS), 4.0
+        )
+
+    def test_answer_is_awaited_while_no_memory_is_reserved(self):
+        self.serve_dark()
+        start = time.monotonic()
+        self.assert_send_fails(MAY_HAVE_RUN, wait=4.0)
+        self.assertGreaterEqual(time.monotonic() - start, 4.0)
+
+    def test_silent_target_that_lives_is_awaited(self):
+        def respond(connection):
+            time.sleep(4.0)
+            connection.sendall(make_response())
+
+        self.serve(respond)
+        response = self.send(wait=6.0, helpers=self.HELPERS)
+        self.assertEqual(b"ok", self.read_all(response))
+
+    def test_kept_connection_is_no_longer_probed(self):
+        self.serve(make_response(), make_response(request_id="r2"))
+        self.read_all(self.send(helpers=self.HELPERS))
+        response = self.send("r2")
+        probed = response._socket.getsockopt(
+            socket.SOL_SOCKET, socket.SO_KEEPALIVE
+        )
+        self.assertEqual(0, probed)
+        self.read_all(response)
+
+
 class RequestTests(EngineClientTestCase):
 
     def test_hop_by_hop_and_reserved_headers_are_not_forwarded(self):
