A tunnel to a target that went dark ends

The near end's probes are answered by the peer, and the peer did not probe the target.

The peer probes each connection that it carries, and ends the tunnel without a frame, which the near end takes as a break that says nothing of the target.

The first test failed before (nothing came in 5 s; bound 4); the second guards against ending tunnels to targets that are only silent.

--- a/catkintrail/adapters/peer_tunnels.py
+++ b/catkintrail/adapters/peer_tunnels.py
@@ -21,6 +21,7 @@
 import msgpack
 
 from catkintrail import errors
+from catkintrail.adapters import keep_alive
 from catkintrail.adapters import sockets
 from catkintrail.core import targets as target_records
 
@@ -291,6 +292,9 @@
             self._record_link(target, False)
             return NOT_REACHED, None
         self._record_link(target, True)
+        # The near end cannot tell a target that is silent from one that is
+        # gone.
+        keep_alive.start(far[1].get_extra_info("socket"))
         return CONNECTED, far
 
 
@@ -342,12 +346,17 @@
 async def _copy_responses(
     far_reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
-    """Copies what the target sends, until it ends its connection."""
+    """Copies what the target sends, until it ends its connection.
+
+    Ends without a frame if the target does not respond any more.
+    """
     end = END
     while True:
         try:
             data = await far_reader.read(COPY_BYTES)
-        except OSError:
+        except OSError as error:
+            if keep_alive.is_lost(error):
+                return
             end = RESET
             break
         if not data:
--- a/tests/test_peer_tunnels.py
+++ b/tests/test_peer_tunnels.py
@@ -180,6 +180,26 @@
         self.assertEqual(b"", tunnel.recv(3))
 
 
+class DarkTargetTests(TunnelTestCase):
+    """Targets whose machine goes dark, without closing its connections."""
+
+    def test_tunnel_to_a_dark_target_ends(self):
+        tunnel = self.open()
+        self.accepted[0].sendall(b"begun")
+        self.assertEqual(b"begun", tunnel.recv(100))
+        engine_tests.drop_received_packets(self.accepted[0])
+        tunnel.settimeout(5.0)
+        start = time.monotonic()
+        self.assertRaises(peer_tunnels.BrokenTunnelError, tunnel.recv, 100)
+        self.assertLess(time.monotonic() - start, 4.0)
+
+    def test_tunnel_to_a_silent_target_that_lives_stays_open(self):
+        tunnel = self.open()
+        tunnel.settimeout(5.0)
+        threading.Timer(4.0, self.accepted[0].sendall, (b"late",)).start()
+        self.assertEqual(b"late", tunnel.recv(100))
+
+
 class RefusalTests(TunnelTestCase):
 
     def test_unknown_target_is_declined(self):
