Unanswered releases do not prolong the releases of a reservation

Callers saw nothing; each order is priced, and one to a dark engine holds one of four threads for 0.3 s and more, ahead of the releases of others.

Cause: each unanswered release was recorded like an order to reserve, which may be carried out 12 s later, and began the time of the releases anew.

A release that is carried out late reserves nothing. An unanswered one is repeated until the lease has expired, within the releases that are scheduled already; those for an unanswered order to reserve take 13 s as before, for which the third test guards.

Two tests failed before: releases went on for all 59 s of the test (bounds 14 and 4 s).

--- a/catkintrail/core/memory_lease.py
+++ b/catkintrail/core/memory_lease.py
@@ -75,13 +75,23 @@
         self.held[lease] = now + self.lease_seconds * RENEW_SHARE
 
     def record_unanswered_order(self, lease: Lease, now: float) -> None:
-        """Records that the engine did not answer an order.
+        """Records that the engine did not answer an order to reserve.
 
         If the reservation is not held, its release is scheduled repeatedly.
         """
         self._unanswered.add(lease)
         if lease not in self.held:
-            self._schedule_releases(lease, now)
+            self._schedule_releases(lease, now, LATE_ORDER_SECONDS)
+
+    def record_unanswered_release(self, lease: Lease, now: float) -> None:
+        """Records that the engine did not answer a release.
+
+        The release is repeated until the lease has expired. A release that is
+        carried out late reserves nothing, so that releases which are scheduled
+        already are not extended.
+        """
+        if lease not in self.unconfirmed_releases:
+            self._schedule_releases(lease, now, self.lease_seconds)
 
     def release(self, lease: Lease, now: float) -> None:
         """Ends the renewal of a reservation that is not needed any more.
@@ -91,7 +101,7 @@
         """
         self.held.pop(lease, None)
         if lease in self._unanswered:
-            self._schedule_releases(lease, now)
+            self._schedule_releases(lease, now, LATE_ORDER_SECONDS)
 
     def due_orders(self, now: float) -> list[LeaseOrder]:
         """Returns the orders that are due and schedules the following ones."""
@@ -114,8 +124,10 @@
                 orders.append(LeaseOrder(lease, True))
         return orders
 
-    def _schedule_releases(self, lease: Lease, now: float) -> None:
+    def _schedule_releases(
+        self, lease: Lease, now: float, seconds: float
+    ) -> None:
         self.unconfirmed_releases[lease] = (
             now + RELEASE_RETRY_SECONDS,
-            now + LATE_ORDER_SECONDS,
+            now + seconds,
         )
--- a/catkintrail/memory_leases.py
+++ b/catkintrail/memory_leases.py
@@ -161,11 +161,7 @@
         except errors.TargetError as error:
             _log_event("memory_order_failed", lease, str(error))
             if error.verdict is not verdicts.Verdict.NOT_RUN:
-                with self._lock:
-                    self.lease_table.record_unanswered_order(
-                        lease, self._clock()
-                    )
-                self._wake.set()
+                self._record_unanswered(order)
             return
         with self._lock:
             is_orphaned = (
@@ -176,6 +172,15 @@
             # out after the release.
             self._submit(memory_lease.LeaseOrder(lease, True))
 
+    def _record_unanswered(self, order: memory_lease.LeaseOrder) -> None:
+        now = self._clock()
+        with self._lock:
+            if order.is_release:
+                self.lease_table.record_unanswered_release(order.lease, now)
+            else:
+                self.lease_table.record_unanswered_order(order.lease, now)
+        self._wake.set()
+
 
 def _log_event(event: str, lease: memory_lease.Lease, reason: str = "") -> None:
     _LOG.info(
--- a/tests/test_memory_leases.py
+++ b/tests/test_memory_leases.py
@@ -4,10 +4,12 @@
 import time
 
 import testtools
+from testtools import matchers
 
 from catkintrail import errors
 from catkintrail import memory_leases
 from catkintrail import verdict as verdicts
+from catkintrail.core import memory_lease
 from tests import relaying as builders
 
 
@@ -84,3 +86,62 @@
             self.leases.reserve(self.target, 1).reservation for _ in range(9)
         }
         self.assertEqual(9, len(reservation_ids))
+
+
+class UnansweredReleaseTests(testtools.TestCase):
+    """Releases sent to an engine that answers none of them."""
+
+    def setUp(self):
+        super().setUp()
+        self.now = 100.0
+        self.orders = FakeOrders()
+        self.leases = memory_leases.MemoryLeases(
+            "a-1", self.orders, 4.0, lambda: self.now
+        )
+        self.target = builders.make_target("e-1")
+
+    def fall_silent(self):
+        self.orders.error = errors.TargetError(
+            "silent", verdicts.Verdict.MAY_HAVE_RUN
+        )
+
+    def execute_due_orders(self, seconds):
+        """Returns after how many seconds the last release was sent."""
+        start = self.now
+        last_release_at = start
+        while self.now < start + seconds:
+            releases = self.orders.releases
+            for order in self.leases.lease_table.due_orders(self.now):
+                self.leases._execute(order)
+            if self.orders.releases > releases:
+                last_release_at = self.now
+            self.now += 0.2
+        return last_release_at - start
+
+    def test_releases_end_when_no_reservation_can_be_carried_out(self):
+        self.fall_silent()
+        self.assertRaises(
+            errors.TargetError, self.leases.reserve, self.target, 1_000
+        )
+        seconds = self.execute_due_orders(60.0)
+        self.assertThat(seconds, matchers.GreaterThan(11.0))
+        self.assertThat(seconds, matchers.LessThan(14.0))
+
+    def test_lost_release_is_repeated_until_the_lease_has_expired(self):
+        lease = self.leases.reserve(self.target, 1_000)
+        self.fall_silent()
+        self.leases.lease_table.release(lease, self.now)
+        self.leases._execute(memory_lease.LeaseOrder(lease, True))
+        seconds = self.execute_due_orders(60.0)
+        self.assertThat(seconds, matchers.GreaterThan(1.0))
+        self.assertThat(seconds, matchers.LessThan(4.0))
+
+    def test_release_after_an_unanswered_renewal_is_repeated_in_full(self):
+        lease = self.leases.reserve(self.target, 1_000)
+        self.fall_silent()
+        self.leases._execute(memory_lease.LeaseOrder(lease, False))
+        self.leases.lease_table.release(lease, self.now)
+        self.leases._execute(memory_lease.LeaseOrder(lease, True))
+        self.assertThat(
+            self.execute_due_orders(60.0), matchers.GreaterThan(11.0)
+        )
