Quarantines outlast a loss of all instances

Cause: what convicts a part or a request was held by the instances alone and passed on between them. Class: knowledge that bounds what reaches engines lives only in processes that may all end.

A quarantine that has held for a second is one object of the store, written once, with its end, by one instance, and deleted when it ends or is released. Instances read these objects before they accept callers, unless the store does not answer. An entry that cannot be read costs itself only. Nothing is written in calm.

--- a/catkintrail/adapters/quarantine_exchange.py
+++ b/catkintrail/adapters/quarantine_exchange.py
@@ -51,6 +51,26 @@
             _log_releases(released, self._router.settings.name)
             self._spread(self._make_news(now, released=released))
 
+    def restore(
+        self,
+        left_seconds: dict[request_quarantine.Traits, float],
+        now: float,
+    ) -> None:
+        """Applies quarantines that outlasted the instances.
+
+        Args:
+            left_seconds: Remaining durations of the combinations.
+            now: Time in seconds.
+        """
+        quarantine = self._router.quarantine
+        restored = [
+            traits
+            for traits, seconds in left_seconds.items()
+            if traits not in quarantine.quarantined
+            and quarantine.accept(traits, seconds, now)
+        ]
+        _log_quarantines(restored, "store")
+
     def greet(self, address: str, now: float) -> None:
         """Sends all that is known to a peer that does not know it."""
         for news in self._snapshot(now):
--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -17,6 +17,7 @@
 from catkintrail.adapters import limit_exchange
 from catkintrail.adapters import permit_exchange
 from catkintrail.adapters import quarantine_exchange
+from catkintrail.core import rendezvous
 from catkintrail.core import request_quarantine
 from catkintrail.core import request_router
 from catkintrail.core import route_table
@@ -28,6 +29,7 @@
 __all__ = [
     "PeerState",
     "PendingPlacement",
+    "QuarantineStatus",
     "RouterActor",
     "RouterStatus",
     "STORE_SOURCE",
@@ -115,6 +117,18 @@
     newest_targets_position: store_views.Position
 
 
+class QuarantineStatus(NamedTuple):
+    """A quarantine in force.
+
+    Attributes:
+        left_seconds: Remaining duration.
+        is_owner: Whether this instance stores it for all.
+    """
+
+    left_seconds: float
+    is_owner: bool
+
+
 class PendingPlacement(NamedTuple):
     """A placement that waits for a peer.
 
@@ -375,6 +389,31 @@
         """Records that a target has answered, or written on a prompt."""
         self._quarantine_exchange.record_proof(traits, self._clock())
 
+    def restore_quarantines(
+        self, left_seconds: dict[request_quarantine.Traits, float]
+    ) -> None:
+        """Applies quarantines that outlasted the instances."""
+        self._quarantine_exchange.restore(left_seconds, self._clock())
+
+    def quarantine_statuses(
+        self,
+    ) -> dict[request_quarantine.Traits, QuarantineStatus]:
+        """Returns the quarantines in force."""
+        now = self._clock()
+        return {
+            traits: QuarantineStatus(until - now, self.owns_quarantine(traits))
+            for traits, until in self._router.quarantine.quarantined.items()
+            if until > now
+        }
+
+    def owns_quarantine(self, traits: request_quarantine.Traits) -> bool:
+        """Returns whether this instance stores a quarantine for all."""
+        peers = self._router.fleet_state.peers
+        own = self._router.settings.address
+        candidates = [own, *(peer.address for peer in peers.alive())]
+        key = "\0".join(sorted(traits))
+        return rendezvous.choose_owner(key, candidates) == own
+
     def find_target(self, name: str) -> target_records.Target | None:
         """Returns a target that this instance may connect to, by name."""
         router = self._router
--- a/catkintrail/adapters/router_client.py
+++ b/catkintrail/adapters/router_client.py
@@ -126,6 +126,31 @@
         if needed:
             self.proxy.record_request_proof.defer(needed)
 
+    def restore_quarantines(
+        self, left_seconds: dict[request_quarantine.Traits, float]
+    ) -> None:
+        """Applies stored quarantines; waits until they are in force.
+
+        Args:
+            left_seconds: Remaining durations of the combinations.
+        """
+        future = self.proxy.restore_quarantines(left_seconds)
+        future.get(timeout=CALL_TIMEOUT_SECONDS)
+
+    def quarantine_statuses(
+        self,
+    ) -> dict[request_quarantine.Traits, router_actor.QuarantineStatus]:
+        """Returns the quarantines in force."""
+        if not self.quarantine.quarantined:
+            return {}
+        future = self.proxy.quarantine_statuses()
+        return future.get(timeout=CALL_TIMEOUT_SECONDS)
+
+    def owns_quarantine(self, traits: request_quarantine.Traits) -> bool:
+        """Returns whether this instance stores a quarantine for all."""
+        future = self.proxy.owns_quarantine(traits)
+        return future.get(timeout=CALL_TIMEOUT_SECONDS)
+
     def find_obstacle(
         self, target: target_records.Target, permits: tuple[str, ...]
     ) -> str:
--- a/catkintrail/platform/store.py
+++ b/catkintrail/platform/store.py
@@ -1,9 +1,11 @@
 """Client for the platform's store of configuration and targets."""
 
+import hashlib
+import json
 import logging
 import socket
 import threading
-from typing import Any, Callable, Iterator, NamedTuple
+from typing import Any, Callable, Iterable, Iterator, NamedTuple
 import urllib.parse
 
 import urllib3
@@ -16,8 +18,9 @@
 from catkintrail.platform import lenient_json
 from catkintrail.platform import wire
 from catkintrail.ports import fleet_state_source
+from catkintrail.ports import quarantine_store
 
-__all__ = ["StoreClient", "StoreSource"]
+__all__ = ["QuarantineObjects", "StoreClient", "StoreSource"]
 
 _LOG = logging.getLogger("catkintrail.store")
 
@@ -39,6 +42,8 @@
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 TARGET_KIND = "servers"
+QUARANTINE_KIND = "request-quarantines"
+OBJECT_NAME_BYTES = 16
 
 _KIND_BY_SUBJECT = {
     fleet_state_source.CONFIGURATION: CONFIGURATION_KIND,
@@ -235,17 +240,61 @@
         """Makes a watch in progress in another thread fail at once."""
         self.watch_pools[kind].end_calls()
 
+    def create(self, kind: str, name: str, spec: Any) -> None:
+        """Creates an object, unless there is one of this name.
+
+        Raises:
+            errors.PlatformError: The response is unexpected.
+        """
+        content = {"metadata": {"name": name}, "spec": spec}
+        path = _kind_path(kind)
+        response = self._call(
+            self.http, "POST", path, RESPONSE_TIMEOUT_SECONDS, content
+        )
+        if response.status not in (200, 201, 409):
+            raise errors.PlatformError(f"{path}: status {response.status}")
+
+    def delete(self, kind: str, name: str) -> None:
+        """Deletes an object, if there is one of this name.
+
+        Raises:
+            errors.PlatformError: The response is unexpected.
+        """
+        path = f"{_kind_path(kind)}/{urllib.parse.quote(name, safe='')}"
+        response = self._call(
+            self.http, "DELETE", path, RESPONSE_TIMEOUT_SECONDS
+        )
+        if response.status not in (200, 202, 204, 404):
+            raise errors.PlatformError(f"{path}: status {response.status}")
+
     def _get(
         self,
         pool: bounded_http.BoundedPool,
         path: str,
         timeout_seconds: float,
+    ) -> _Response:
+        return self._call(pool, "GET", path, timeout_seconds)
+
+    def _call(
+        self,
+        pool: bounded_http.BoundedPool,
+        method: str,
+        path: str,
+        timeout_seconds: float,
+        content: Any = None,
     ) -> _Response:
         self.call_count += 1
+        headers = {}
+        body = None
+        if content is not None:
+            body = json.dumps(content).encode()
+            headers["Content-Type"] = "application/json"
         try:
             response = pool.request(
-                "GET",
+                method,
                 path,
+                body=body,
+                headers=headers,
                 timeout=urllib3.Timeout(
                     connect=CONNECT_TIMEOUT_SECONDS, read=timeout_seconds
                 ),
@@ -259,7 +308,7 @@
             raise errors.PlatformUnavailableError(
                 f"the store responded with status {response.status}"
             )
-        if response.status != 200:
+        if response.status != 200 or method != "GET":
             return _Response(response.status, None, era)
         try:
             return _Response(200, lenient_json.decode(response.data), era)
@@ -376,6 +425,69 @@
         )
 
 
+class QuarantineObjects:
+    """Quarantines as objects of a kind of their own.
+
+    The names of the objects are BLAKE2b hashes (RFC 7693) of the traits.
+
+    Attributes:
+        client: Client of the store.
+    """
+
+    def __init__(self, client: StoreClient) -> None:
+        self.client = client
+
+    def read_all(self) -> list[quarantine_store.StoredQuarantine]:
+        """Returns all quarantines; entries that cannot be read are left out."""
+        listing = self.client.list(QUARANTINE_KIND)
+        decoded = map(_decode_quarantine, listing.objects)
+        return [quarantine for quarantine in decoded if quarantine is not None]
+
+    def write(self, quarantine: quarantine_store.StoredQuarantine) -> None:
+        """Stores a quarantine, unless its traits are stored already."""
+        spec = {
+            "traits": list(quarantine.traits),
+            "ends-at-ms": quarantine.ends_at_ms,
+        }
+        name = _make_quarantine_name(quarantine.traits)
+        self.client.create(QUARANTINE_KIND, name, spec)
+
+    def remove(self, traits: tuple[str, ...]) -> None:
+        """Removes the quarantine of traits; does nothing if there is none."""
+        self.client.delete(QUARANTINE_KIND, _make_quarantine_name(traits))
+
+    def get_era(self) -> int:
+        """Returns a number that rises when older content has come back."""
+        return self.client.era
+
+
+def _make_quarantine_name(traits: Iterable[str]) -> str:
+    digest = hashlib.blake2b(digest_size=OBJECT_NAME_BYTES)
+    digest.update(json.dumps(sorted(traits)).encode())
+    return digest.hexdigest()
+
+
+def _decode_quarantine(
+    item: Any,
+) -> quarantine_store.StoredQuarantine | None:
+    try:
+        name = item["metadata"]["name"]
+        traits = item["spec"]["traits"]
+        ends_at_ms = item["spec"]["ends-at-ms"]
+    except (KeyError, TypeError):
+        name, traits, ends_at_ms = None, None, None
+    if (
+        not isinstance(traits, list)
+        or not traits
+        or not all(isinstance(trait, str) and trait for trait in traits)
+        or not isinstance(ends_at_ms, int)
+        or name != _make_quarantine_name(traits)
+    ):
+        _LOG.warning("quarantine_unreadable", extra={"object": repr(name)})
+        return None
+    return quarantine_store.StoredQuarantine(tuple(sorted(traits)), ends_at_ms)
+
+
 def _newest_configuration(
     objects: list[Any],
 ) -> route_table.Configuration | None:
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -15,6 +15,7 @@
 from catkintrail import errors
 from catkintrail import fleet_state_updater
 from catkintrail import memory_leases
+from catkintrail import quarantine_keeper
 from catkintrail import relay as relays
 from catkintrail import relay_settings
 from catkintrail.adapters import bounded_http
@@ -51,6 +52,8 @@
 # responds in a few milliseconds; if it does not, callers are accepted anyway
 # and get refusals.
 INITIAL_STATE_TIMEOUT_SECONDS = 0.5
+# How long it waits for the stored quarantines once these are known.
+QUARANTINES_TIMEOUT_SECONDS = 1.5
 INITIAL_STATE_POLL_SECONDS = 0.01
 PEER_THREADS = 4
 MAX_PEER_POOLS = 10
@@ -135,6 +138,9 @@
             clock.boot_seconds,
             rng,
         )
+        self.quarantine_keeper = quarantine_keeper.QuarantineKeeper(
+            store.QuarantineObjects(self.store), self.router
+        )
         self.watch = caller_watch.DisconnectWatcher()
         self.orders = orders.ReservationClient(
             self.router.record_statement, self.connector
@@ -173,6 +179,7 @@
         self.tunnels.start()
         self.connector.start()
         self.state_updater.start()
+        self.quarantine_keeper.start()
         self.watch.start()
         self.leases.start()
         if self.settings.peer_address:
@@ -183,7 +190,7 @@
         _start_server(metrics_address, self._handle_metrics, 1)
         threading.Thread(target=self._tick, name="tick", daemon=True).start()
         # Until the configuration and the targets are known, every request would
-        # be refused.
+        # be refused; until the quarantines are, requests may crash targets.
         self._await_initial_state()
         self.callers.start()
         _start_server(
@@ -199,9 +206,15 @@
         )
 
     def _await_initial_state(self) -> None:
-        deadline = clock.boot_seconds() + INITIAL_STATE_TIMEOUT_SECONDS
-        while clock.boot_seconds() < deadline:
-            if self.router.status().is_ready:
+        started = clock.boot_seconds()
+        while True:
+            is_ready = self.router.status().is_ready
+            if is_ready and self.quarantine_keeper.has_called:
+                return
+            limit = INITIAL_STATE_TIMEOUT_SECONDS
+            if is_ready:
+                limit = QUARANTINES_TIMEOUT_SECONDS
+            if clock.boot_seconds() - started >= limit:
                 return
             time.sleep(INITIAL_STATE_POLL_SECONDS)
 
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -154,6 +154,7 @@
     Attributes:
         status: Status of every response; 200 for normal operation.
         calls: Paths of the requests received.
+        writes: Method and path of each write received.
         oldest_revision: Watches from older revisions fail with status 410.
         page_size: Maximum number of objects in a page of a list.
         odd_values: Bytes that responses have in place of these JSON strings.
@@ -166,6 +167,7 @@
     def __init__(self):
         self.status = 200
         self.calls = []
+        self.writes = []
         self.oldest_revision = 0
         self.page_size = 500
         self.odd_values = {}
@@ -184,6 +186,8 @@
             def do_GET(self):  # pylint: disable=invalid-name
                 store.handle_request(self)
 
+            do_POST = do_DELETE = do_GET
+
         self.server = _start_server(Handler)
         self.address = f"127.0.0.1:{self.server.server_address[1]}"
 
@@ -247,8 +251,16 @@
                 if item is None or item["spec"] != spec:
                     self.put(kind, name, spec)
 
+    def names(self, kind):
+        """Returns the names of all objects of a kind."""
+        with self._changed:
+            return {name for other, name in self._objects if other == kind}
+
     def handle_request(self, handler):
         self.calls.append(handler.path)
+        content = handler.read_body()
+        if handler.command != "GET":
+            self.writes.append((handler.command, handler.path))
         headers = [("Store-Era", str(self.era))]
         if self.status != 200:
             handler.reply(self.status, headers=headers)
@@ -260,7 +272,9 @@
             self._closed.wait()
             handler.close_connection = True
             return
-        if "watch" in arguments:
+        if handler.command != "GET":
+            status, body = self._write(handler.command, parts, content)
+        elif "watch" in arguments:
             status, body = self._watch(
                 parts[0],
                 int(arguments["watch"]),
@@ -276,6 +290,21 @@
             data = data.replace(json.dumps(text).encode(), odd)
         handler.reply(status, data, headers)
 
+    def _write(self, method, parts, content):
+        """Creates an object, or deletes one."""
+        with self._changed:
+            if method == "DELETE":
+                if tuple(parts) not in self._objects:
+                    return 404, {}
+                self.remove(*parts)
+                return 200, {}
+            item = json.loads(content)
+            name = item["metadata"]["name"]
+            if (parts[0], name) in self._objects:
+                return 409, self._objects[parts[0], name]
+            self.put(parts[0], name, item["spec"])
+            return 200, self._objects[parts[0], name]
+
     def _list(self, kind, after):
         with self._changed:
             items = [
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -579,6 +579,36 @@
             engine.crashes_before_head = True
         self.check_bad_part()
 
+    def restart_all(self):
+        """Kills all instances at once and starts them again."""
+        for relay in self.relays:
+            relay.close()
+        self.relays = self.start_all("127.0.0.1", "127.0.0.2")
+
+    def test_bad_part_stays_known_after_a_kill_of_all_instances(self):
+        for number in range(3 * self.ENGINES):
+            self.request(number, "bad")
+            time.sleep(0.1)
+        kind = "request-quarantines"
+        wait_until(lambda: self.store.names(kind), self.CONTACT_SECONDS)
+        self.restart_all()
+        before = self.count_crashes()
+        for number in range(100, 108):
+            self.request(number, "bad")
+            time.sleep(0.5)
+        self.assertLessEqual(
+            self.count_crashes() - before, self.MAX_CRASHES_AFTER_CONTACT
+        )
+        self.assertEqual(1, len(self.store.writes))
+
+    def test_new_processes_serve_without_the_stored_quarantines(self):
+        for number in range(self.ENGINES):
+            self.request(number, "bad")
+            time.sleep(0.1)
+        self.store.silent_kinds = frozenset({"request-quarantines"})
+        self.restart_all()
+        self.assertEqual(200, self.request(50, "common"))
+
 
 class CrashingRequestTests(RelayProcessTestCase):
     """Requests that crash each target that runs them, and come again."""
