Requests that cannot be interrupted are answered before the exit

What callers saw: requests in progress at the end of a planned stop whose engines do not accept connections ended without an answer.

Cause: 0.5 s before the end of the grace only waits for a target's bytes are woken. A wait for a connection (0.4 s), a reservation (0.6 s), a permit or a placement goes on, another may follow, and the process exits 0.25 s later. Class: a cancellation reaches one kind of wait.

Evidence, failing on the code before: - test_relay_processes, GraceTests, 40 engines that accept no connection: a connection closed without a byte, in two runs of two; - test_relay, InterruptTests: a request interrupted during its placement, or during a reservation, was sent.

Now no wait begins after the interruption, so that most requests get their honest status; and at the exit the server itself answers those that are still in progress and have not begun an answer, with 502, which promises nothing. Answers that have begun are left alone: cut ones must not look complete.

GraceTests passed in three runs of three, the other tests of the modules too.

--- a/catkintrail/platform/callers.py
+++ b/catkintrail/platform/callers.py
@@ -5,8 +5,10 @@
 import re
 import select
 import socket
+import sys
 import threading
-from typing import Any, Callable
+import types
+from typing import Any, Callable, NamedTuple
 
 from cheroot import connections as cheroot_connections
 from cheroot import errors as cheroot_errors
@@ -194,6 +196,8 @@
 
     def __init__(self, request: _Request, server: "CallerServer") -> None:
         self.is_started = False
+        self._is_ended = False
+        self._lock = threading.Lock()
         self._request_id = ""
         self._request = request
         self._server = server
@@ -219,6 +223,12 @@
             length: Bytes in the body; None for a chunked body.
         """
         request = self._request
+        with self._lock:
+            if self._is_ended:
+                raise errors.CallerDisconnectedError(
+                    "the request was answered by the exit of the process"
+                )
+            self.is_started = True
         names = {name.lower() for name, _ in headers}
         if self._request_id and wire.ATTEMPT_ID not in names:
             headers += (("Attempt-Id", self._request_id),)
@@ -233,7 +243,6 @@
             request.outheaders.append((b"Content-Length", str(length).encode()))
         if self._server.is_draining:
             request.close_connection = True
-        self.is_started = True
         request.sent_headers = True
         self._call_writer(request.send_headers)
 
@@ -242,6 +251,36 @@
         if data:
             self._call_writer(self._request.write, data)
 
+    def answer_unfinished(self) -> bool:
+        """Answers in place of the thread that serves the request.
+
+        The status promises nothing of what targets have done. The answer is
+        not waited for, as the process exits.
+
+        Returns:
+            Whether the response had not begun, and was sent.
+        """
+        with self._lock:
+            if self.is_started:
+                return False
+            self.is_started = True
+            self._is_ended = True
+        reason = verdicts.Reason.DRAINING.value
+        body = f"{reason}: the instance stops before the request is finished\n"
+        head = (
+            f"HTTP/1.1 502 {_REASON_PHRASES[502]}\r\n"
+            f"Attempt-Id: {self._request_id}\r\n"
+            "Content-Type: text/plain; charset=utf-8\r\n"
+            f"Content-Length: {len(body)}\r\n"
+            "Connection: close\r\n\r\n"
+        )
+        data = (head + body).encode("latin-1")
+        try:
+            sent = self._request.conn.socket.send(data, socket.MSG_DONTWAIT)
+        except OSError:
+            return False
+        return sent == len(data)
+
     def abort(self) -> None:
         """Closes the connection, so that the caller detects a truncation."""
         self._request.close_connection = True
@@ -255,6 +294,22 @@
             raise errors.CallerDisconnectedError(str(error)) from error
 
 
+class _ServedRequest(NamedTuple):
+    """A request in progress.
+
+    Attributes:
+        request_id: The caller's request id.
+        received_at: When the request's head was read, in seconds.
+        thread_id: Identifier of the thread that serves it.
+        writer: Sends the response.
+    """
+
+    request_id: str
+    received_at: float
+    thread_id: int
+    writer: _ResponseWriter
+
+
 class _Gateway(cheroot_server.Gateway):
     """Passes requests from cheroot to the `CallerServer`."""
 
@@ -370,6 +425,8 @@
         self.limits = route_table.CallerLimits()
         self.clock = clock
         self._lock = threading.Lock()
+        # By the identifier of the thread.
+        self._served: dict[int, _ServedRequest] = {}
         self._server = _Server((host, int(port)), _Gateway)
         self._server.requests = _ThreadPool(self._server, threads)
         self._server.caller_server = self
@@ -418,6 +475,29 @@
         self._server.shutdown_timeout = timeout_seconds
         self._server.stop()
 
+    def answer_unfinished(self) -> None:
+        """Answers requests that are still in progress as the process exits.
+
+        Responses that have begun are left alone. Logs each request.
+        """
+        with self._lock:
+            requests = list(self._served.values())
+        frames = sys._current_frames()  # pylint: disable=protected-access
+        for served in requests:
+            is_answered = served.writer.answer_unfinished()
+            elapsed_ms = (self.clock() - served.received_at) * 1000.0
+            _LOG.warning(
+                "request_cut",
+                extra={
+                    "request_id": served.request_id,
+                    "elapsed_ms": round(elapsed_ms, 1),
+                    "is_answered": is_answered,
+                    "waits_in": _find_own_function(
+                        frames.get(served.thread_id)
+                    ),
+                },
+            )
+
     def apply_limits(self, limits: route_table.CallerLimits) -> None:
         """Sets the limits on callers' requests."""
         self.limits = limits
@@ -458,6 +538,11 @@
             _refuse_late(parsed, writer)
             return
         connection = request.conn.socket
+        thread_id = threading.get_ident()
+        with self._lock:
+            self._served[thread_id] = _ServedRequest(
+                parsed.request_id, received_at, thread_id, writer
+            )
         caller = self._watch.add(connection)
         try:
             self._handler(parsed, writer, caller)
@@ -466,6 +551,8 @@
             writer.abort()
         finally:
             self._watch.remove(connection)
+            with self._lock:
+                del self._served[thread_id]
         if not writer.is_started:
             writer.abort()
 
@@ -567,6 +654,16 @@
     return b"".join(parts)
 
 
+def _find_own_function(frame: types.FrameType | None) -> str:
+    """Returns the innermost function of this package in a call stack."""
+    while frame is not None:
+        module = frame.f_globals.get("__name__", "")
+        if module.startswith(__package__.partition(".")[0]):
+            return f"{module}.{frame.f_code.co_name}"
+        frame = frame.f_back
+    return ""
+
+
 def _is_readable(connection: socket.socket) -> bool:
     poll = select.poll()
     poll.register(connection, select.POLLIN)
--- a/catkintrail/relay.py
+++ b/catkintrail/relay.py
@@ -279,9 +279,10 @@
         at_fault = placement.target
         leases: dict[str, memory_lease.Lease] = {}
         try:
-            self._reserve(placement, leases)
+            self._reserve(placement, leases, caller)
             self._check_targets(placement)
             self._check_request(progress)
+            _check_caller(caller)
             self._exchange(
                 admission, progress, placement, leases, key, writer, caller
             )
@@ -330,6 +331,7 @@
         self,
         placement: request_router.Placement,
         leases: dict[str, memory_lease.Lease],
+        caller: relaying.Caller,
     ) -> None:
         """Reserves memory on the helpers and adds the leases to `leases`.
 
@@ -343,6 +345,7 @@
         for helper, tokens in zip(placement.helpers, placement.memory[1:]):
             if tokens:
                 self._check_targets(placement)
+                _check_caller(caller)
                 try:
                     lease = self.leases.reserve(helper, tokens)
                 except errors.TargetError as error:
@@ -515,6 +518,16 @@
             response.close()
 
 
+def _check_caller(caller: relaying.Caller) -> None:
+    """Checks that the request does not have to be answered now.
+
+    Raises:
+        errors.TargetNotCalledError: The process ends.
+    """
+    if caller.is_interrupted:
+        raise errors.TargetNotCalledError("the instance stops", "")
+
+
 def _find_target_at_fault(
     placement: request_router.Placement, error: errors.TargetError
 ) -> target_records.Target:
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -266,6 +266,7 @@
         stop_thread.join(max(0.0, answer_at - clock.boot_seconds()))
         self.watch.interrupt_all()
         stop_thread.join(max(0.0, deadline - clock.boot_seconds()))
+        self.callers.answer_unfinished()
         _LOG.info(
             "instance_stopped",
             extra={
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -237,6 +237,60 @@
             self.assertIn(b" 200 ", self.read_response(connection))
 
 
+class ExitTests(CallerServerTestCase):
+    """Requests that are still in progress when the process exits."""
+
+    def setUp(self):
+        super().setUp()
+        self.release = threading.Event()
+        self.addCleanup(self.release.set)
+
+    def wait_for_release(self):
+        self.release.wait(5.0)
+
+    def test_request_that_waits_is_answered_at_the_exit(self):
+        # Guards against connections that are closed without an answer.
+        def wait(request, writer, caller):
+            self.wait_for_release()
+            self.send_ok(request, writer, caller)
+
+        self.handler = wait
+        connection = self.connect()
+        connection.sendall(HEAD + b"Content-Length: 0\r\n\r\n")
+        self.assertTrue(wait_until(lambda: self.server.in_flight))
+        with self.assertLogs("catkintrail.callers") as logs:
+            self.server.answer_unfinished()
+        response = self.read_response(connection)
+        self.assertIn(b" 502 ", response)
+        self.assertIn(b"draining", response)
+        self.assertIn(b"attempt-id: r1", response.lower())
+        self.assertIn(b"connection: close", response.lower())
+        self.assertEqual(["request_cut"], [r.msg for r in logs.records])
+        record = logs.records[0]
+        self.assertEqual(("r1", True), (record.request_id, record.is_answered))
+        self.assertGreater(record.elapsed_ms, 0.0)
+        self.assertEqual("catkintrail.platform.callers._serve", record.waits_in)
+        self.release.set()
+        self.assertEqual(b"", connection.recv(1))
+
+    def test_response_that_has_begun_is_logged_and_left_alone(self):
+        def write_half(request, writer, caller):
+            writer.start(200, (), 4)
+            writer.write(b"ha")
+            self.wait_for_release()
+            writer.write(b"lf")
+
+        self.handler = write_half
+        connection = self.connect()
+        connection.sendall(HEAD + b"Content-Length: 0\r\n\r\n")
+        connection.recv(1, socket.MSG_PEEK)
+        with self.assertLogs("catkintrail.callers") as logs:
+            self.server.answer_unfinished()
+        self.assertFalse(logs.records[0].is_answered)
+        self.release.set()
+        self.assertTrue(self.read_response(connection).endswith(b"half"))
+
+
 class MalformedTests(CallerServerTestCase):
 
     def assert_rejected(self, data, status=b" 400 "):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -612,6 +612,47 @@
         self.assert_no_load_counted()
 
 
+class InterruptTests(RelayTestCase):
+    """Requests that have to be answered, as the process ends."""
+
+    def interrupt(self):
+        self.caller.is_interrupted = True
+
+    def check_refused(self):
+        self.assertEqual([], self.targets.sends)
+        self.assertEqual(503, self.reply.status)
+        self.assertIn(b"draining", self.reply.body)
+        self.assert_no_load_counted()
+
+    def test_request_interrupted_during_its_placement_is_not_sent(self):
+        # Guards against waits that outlast the process.
+        place = self.router.place
+
+        def place_and_interrupt(*arguments):
+            self.interrupt()
+            return place(*arguments)
+
+        self.router.place = place_and_interrupt
+        self.serve()
+        self.check_refused()
+
+    def test_request_interrupted_during_a_reservation_is_not_sent(self):
+        # Guards against waits that outlast the process.
+        reserve = self.leases.reserve
+        reserved = []
+
+        def reserve_and_interrupt(target, tokens):
+            self.interrupt()
+            reserved.append(target.name)
+            return reserve(target, tokens)
+
+        self.leases.reserve = reserve_and_interrupt
+        self.serve(prompt_tokens=1_500_000)
+        self.check_refused()
+        self.assertEqual(1, len(reserved))
+        self.assertEqual([], self.leases.held)
+
+
 class RefusalTests(RelayTestCase):
 
     def test_unknown_route_is_refused_permanently(self):
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -528,6 +528,23 @@
         events = {line["event"] for line in relay.read_log_lines()}
         self.assertNotIn("request_crash", events)
 
+    def test_requests_that_wait_for_connections_are_answered_before_the_end(
+        self,
+    ):
+        # Guards against connections that are closed without an answer.
+        engines = [self.add_engine(f"e-{n}") for n in range(40)]
+        relay = self.start("127.0.0.1", module="tests.partitioned_relay")
+        relay.cut(engines, hangs=True)
+        relay.process.send_signal(signal.SIGTERM)
+        connections = []
+        for number in range(30):
+            connections.append(relay.send("/ask/a", f"r{number}"))
+            time.sleep(0.05)
+        for connection in connections:
+            with connection:
+                self.assertRegex(read_all(connection), b"^HTTP/1.1 50[23] ")
+        self.assertEqual(0, relay.process.wait(3.0))
+
 
 class CrashingPromptTests(RelayProcessTestCase):
     """Prompts with one part that crashes each engine that writes on it."""
