The exit of an instance does not wait for a reader of its logs

What was seen: an instance whose standard output nobody reads any more did not exit after SIGTERM; it would be killed at the end of the grace.

Cause: the stop of the log queue waits for all lines without a bound, or fails if the queue is full, and the exit comes after it. Class: a wait without a bound.

Evidence: test_logs, two tests of a stopped reader failed on the code before (no end within 1 s, queue.Full).

--- a/catkintrail/adapters/logs.py
+++ b/catkintrail/adapters/logs.py
@@ -1,9 +1,11 @@
 """Structured logging: one JSON object per line."""
 
+import contextlib
 import logging
 import logging.handlers
 import queue
 import sys
+import time
 from typing import IO
 
 from pythonjsonlogger import json as json_logs
@@ -12,6 +14,8 @@
 
 # Log lines queued for a slow reader; a line has a few hundred bytes.
 MAX_QUEUED_LINES = 5_000
+# How long the stop of a process waits for the reader of the queued lines.
+STOP_SECONDS = 0.2
 
 LOG_FORMAT = "%(levelname)s %(name)s %(message)s"
 
@@ -50,6 +54,21 @@
             self.dropped += 1
 
 
+class _QueueListener(logging.handlers.QueueListener):
+    """Writes queued lines in its thread."""
+
+    def stop(self) -> None:
+        """Writes the queued lines, as far as their reader takes them."""
+        thread = self._thread
+        if thread is None:
+            return
+        deadline = time.monotonic() + STOP_SECONDS
+        with contextlib.suppress(queue.Full):
+            # A None ends the thread.
+            self.queue.put(None, timeout=STOP_SECONDS)
+        thread.join(max(0.0, deadline - time.monotonic()))
+
+
 def configure_queued(
     level: str, instance: str, zone: str, stream: IO[str] | None = None
 ) -> tuple[BoundedQueueHandler, logging.handlers.QueueListener]:
@@ -68,7 +87,7 @@
     record_queue: queue.Queue = queue.Queue(MAX_QUEUED_LINES)
     handler = BoundedQueueHandler(record_queue)
     stream_handler = _make_handler(instance, zone, stream or sys.stdout)
-    listener = logging.handlers.QueueListener(record_queue, stream_handler)
+    listener = _QueueListener(record_queue, stream_handler)
     listener.start()
     _install_handler(handler, level)
     return handler, listener
