A process that was paused goes on with its ticks and its requests

After a pause of over five seconds (SIGSTOP, a suspended machine) an instance could stay up without ticks for good: no heartbeats, no new request threads, no expiry of what it knows. Requests that waited for the router got 500.

Cause: calls of the router's actor time out by a clock that runs on while the process is paused. The tick thread ended by that exception. Class: a time-out taken for a fault of who was asked, and a loop without a net.

The tick now logs and goes on, and a call is awaited once more, as the actor answers at once after the pause.

--- a/catkintrail/adapters/router_client.py
+++ b/catkintrail/adapters/router_client.py
@@ -1,6 +1,6 @@
 """Calls of the router actor from other threads."""
 
-from typing import Callable
+from typing import Any, Callable
 
 import pykka
 
@@ -50,7 +50,7 @@
     ) -> request_router.Admission | verdicts.Refusal:
         """Decides whether a request may be served."""
         future = self.proxy.admit(host, path, api_key)
-        return future.get(timeout=CALL_TIMEOUT_SECONDS)
+        return _await_result(future)
 
     def place(
         self, request: request_router.PlacementRequest
@@ -59,7 +59,7 @@
 
         Peers that do not answer in time are passed over.
         """
-        result = self.proxy.place(request).get(timeout=CALL_TIMEOUT_SECONDS)
+        result = _await_result(self.proxy.place(request))
         while isinstance(result, router_actor.PendingPlacement):
             result = self._await_peer(result)
         return result
@@ -71,13 +71,13 @@
             return pending.result.get(timeout=PEER_TIMEOUT_SECONDS)
         except pykka.Timeout:
             future = self.proxy.give_up_waiting(pending.request.key)
-            result = future.get(timeout=CALL_TIMEOUT_SECONDS)
+            result = _await_result(future)
             return result or pending.result.get(timeout=0)
 
     def acquire_retry(self, service: str) -> bool:
         """Takes a retry from the budget of a service, if one is left."""
         future = self.proxy.acquire_retry(service)
-        return future.get(timeout=CALL_TIMEOUT_SECONDS)
+        return _await_result(future)
 
     def record_first_token(
         self, key: str, measured_ms: float, predicted_ms: float
@@ -118,7 +118,7 @@
             target.name, target.born, traits, has_begun
         )
         future = self.proxy.record_request_crash(crash)
-        future.get(timeout=CALL_TIMEOUT_SECONDS)
+        _await_result(future)
 
     def record_request_proof(self, traits: tuple[str, ...]) -> None:
         """Records that a target has answered, or written on a prompt."""
@@ -135,7 +135,7 @@
             left_seconds: Remaining durations of the combinations.
         """
         future = self.proxy.restore_quarantines(left_seconds)
-        future.get(timeout=CALL_TIMEOUT_SECONDS)
+        _await_result(future)
 
     def quarantine_statuses(
         self,
@@ -144,12 +144,12 @@
         if not self.quarantine.quarantined:
             return {}
         future = self.proxy.quarantine_statuses()
-        return future.get(timeout=CALL_TIMEOUT_SECONDS)
+        return _await_result(future)
 
     def owns_quarantine(self, traits: request_quarantine.Traits) -> bool:
         """Returns whether this instance stores a quarantine for all."""
         future = self.proxy.owns_quarantine(traits)
-        return future.get(timeout=CALL_TIMEOUT_SECONDS)
+        return _await_result(future)
 
     def find_obstacle(
         self, target: target_records.Target, permits: tuple[str, ...]
@@ -176,11 +176,11 @@
     def find_target(self, name: str) -> target_records.Target | None:
         """Returns a target that this instance may connect to, by name."""
         future = self.proxy.find_target(name)
-        return future.get(timeout=CALL_TIMEOUT_SECONDS)
+        return _await_result(future)
 
     def status(self) -> router_actor.RouterStatus:
         """Returns the actor's status."""
-        return self.proxy.status().get(timeout=CALL_TIMEOUT_SECONDS)
+        return _await_result(self.proxy.status())
 
     def peer_state(self, known_version: int = -1) -> router_actor.PeerState:
         """Returns the state that another instance fetches from this one.
@@ -189,4 +189,17 @@
             known_version: Configuration version that the peer has; -1 for none.
         """
         future = self.proxy.peer_state(known_version)
+        return _await_result(future)
+
+
+def _await_result(future: pykka.Future) -> Any:
+    """Returns the result of a call of the actor.
+
+    Raises:
+        pykka.Timeout: The actor has not responded for too long.
+    """
+    try:
+        return future.get(timeout=CALL_TIMEOUT_SECONDS)
+    except pykka.Timeout:
+        # The process may have been suspended for all that time.
         return future.get(timeout=CALL_TIMEOUT_SECONDS)
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -174,6 +174,8 @@
         self.http = bounded_http.make_pool_manager(MAX_PEER_POOLS)
         self._stop_request = stop_request.StopRequest()
         self._settings_text = settings_text
+        self._applied_version = -1
+        self._services: dict[str, route_table.Service] = {}
 
     def start(self) -> None:
         """Opens all ports and starts all threads."""
@@ -190,7 +192,9 @@
             )
         metrics_address = f"{self.settings.address}:{METRICS_PORT}"
         _start_server(metrics_address, self._handle_metrics, 1)
-        threading.Thread(target=self._tick, name="tick", daemon=True).start()
+        threading.Thread(
+            target=self._run_ticks, name="tick", daemon=True
+        ).start()
         # Until the configuration and the targets are known, every request would
         # be refused; until the quarantines are, requests may crash targets.
         self._await_initial_state()
@@ -289,32 +293,38 @@
             },
         )
 
-    def _tick(self) -> None:
-        version = -1
-        services: dict[str, route_table.Service] = {}
+    def _run_ticks(self) -> None:
         started = clock.boot_seconds()
         while True:
-            self.router.proxy.tick.defer()
-            self.client.close_idle()
-            self.callers.add_threads()
-            status = self.router.status()
-            if status.version != version:
-                state = self.router.peer_state(version)
-                if state.configuration is not None:
-                    version = state.configuration.version
-                    services = state.configuration.services
-                    self.callers.apply_limits(state.configuration.limits)
-            self.connector.peers = status.peers
-            instances = len(status.peers) + 1
-            self.client.connection_shares = {
-                service.name: service.max_connections // instances
-                for service in services.values()
-                if service.max_connections
-            }
+            try:
+                self._tick()
+            except Exception:  # pylint: disable=broad-exception-caught
+                # A call of the router times out if the process was suspended
+                # meanwhile. The thread has to go on: it sends the heartbeats.
+                _LOG.exception("loop_failed", extra={"loop": "tick"})
             age = clock.boot_seconds() - started
             is_starting = age < router_actor.START_SECONDS
             time.sleep(START_TICK_SECONDS if is_starting else TICK_SECONDS)
 
+    def _tick(self) -> None:
+        self.router.proxy.tick.defer()
+        self.client.close_idle()
+        self.callers.add_threads()
+        status = self.router.status()
+        if status.version != self._applied_version:
+            state = self.router.peer_state(self._applied_version)
+            if state.configuration is not None:
+                self._applied_version = state.configuration.version
+                self._services = state.configuration.services
+                self.callers.apply_limits(state.configuration.limits)
+        self.connector.peers = status.peers
+        instances = len(status.peers) + 1
+        self.client.connection_shares = {
+            service.name: service.max_connections // instances
+            for service in self._services.values()
+            if service.max_connections
+        }
+
     def _receive_datagram(self, address: str, message: Any) -> None:
         self.router.proxy.handle_message.defer(address, message)
 
--- a/tests/test_router_actor.py
+++ b/tests/test_router_actor.py
@@ -1,10 +1,13 @@
 """Tests of the actor that runs the router."""
 
 import time
+from unittest import mock
 
+import pykka
 import testtools
 
 from catkintrail.adapters import router_actor
+from catkintrail.adapters import router_client
 from catkintrail.core import store_views
 from catkintrail.ports import fleet_state_source
 from tests import relaying as builders
@@ -58,3 +61,24 @@
         for address in (first, second):
             listed = fleet.router(address).fleet_state.targets.targets
             self.assertEqual({}, listed)
+
+
+class SuspensionTests(testtools.TestCase):
+
+    def test_call_is_awaited_again_after_a_pause_of_the_process(self):
+        # Guards against requests that fail because their process was paused.
+        class PausedFuture:
+            calls = 0
+
+            def get(self, timeout):
+                self.calls += 1
+                if self.calls == 1:
+                    raise pykka.Timeout(f"{timeout} seconds")
+                return "result"
+
+        proxy = mock.MagicMock()
+        proxy.status.return_value = PausedFuture()
+        actor = mock.MagicMock()
+        actor.proxy.return_value = proxy
+        client = router_client.RouterClient(actor, None, None, lambda: 0.0)
+        self.assertEqual("result", client.status())
