A request held back for its key's proof is admitted anew

A request that was not sent, as the proof of its key had expired (after a freeze of its instance, say), was sent once more at once, and repeats need no proof: so it could run with a key that had been revoked. The target was also blamed.

Cause: the withheld call counted as a send.

Evidence: on the code before, the second send has no limit of its proof at all (valid_until infinite); the new tests fail without the change in relay.py: two sends where one may be, and with a revoked key. Now the request is admitted anew: refused with 503 without a newer proof, with 401 if its key is gone, and sent with the new proof otherwise.

--- a/catkintrail/errors.py
+++ b/catkintrail/errors.py
@@ -15,6 +15,7 @@
     "OutcomeUnknownError",
     "PlatformError",
     "PlatformUnavailableError",
+    "ProofExpiredError",
     "RequestError",
     "StartError",
     "TargetResponseError",
@@ -138,6 +139,15 @@
         super().__init__(message, verdicts.Verdict.NOT_RUN, at_fault=target)
 
 
+class ProofExpiredError(TargetNotCalledError):
+    """A call was withheld, because the caller's key may have been revoked."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            "the caller's API key was last verified too long ago", ""
+        )
+
+
 class TargetResponseError(TargetError):
     """A target ran the request and answered with an error status.
 
--- a/catkintrail/platform/engines.py
+++ b/catkintrail/platform/engines.py
@@ -311,10 +311,7 @@
         """
         data = self._encode_request()
         if self.client.clock() > self.request.valid_until:
-            raise errors.TargetError(
-                "the caller's API key was last verified too long ago",
-                verdicts.Verdict.NOT_RUN,
-            )
+            raise errors.ProofExpiredError()
         now = self.client.clock()
         helpers = [helper for helper, _ in self.request.helpers]
         for target in (self.target, *helpers):
--- a/catkintrail/relay.py
+++ b/catkintrail/relay.py
@@ -84,8 +84,7 @@
         Raises:
             errors.CallerDisconnectedError: The caller closed its connection.
         """
-        path = request.uri.partition("?")[0]
-        admission = self.router.admit(request.host, path, request.api_key)
+        admission = self._admit(request)
         if isinstance(admission, Refusal):
             self.finisher.refuse(request, writer, "", admission)
             return
@@ -105,6 +104,12 @@
             )
             raise
 
+    def _admit(
+        self, request: relaying.CallerRequest
+    ) -> request_router.Admission | Refusal:
+        path = request.uri.partition("?")[0]
+        return self.router.admit(request.host, path, request.api_key)
+
     def _serve(
         self,
         admission: request_router.Admission,
@@ -132,6 +137,12 @@
                     verdicts.Reason.DEADLINE,
                     "too little time is left before the deadline",
                 )
+            elif isinstance(failure, errors.ProofExpiredError):
+                renewed = self._admit(request)
+                if isinstance(renewed, Refusal):
+                    refusal = renewed
+                else:
+                    admission, route = renewed, renewed.route
             elif failure is not None:
                 refusal = self._check_retry(route, progress, failure)
             if refusal is None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -612,6 +612,48 @@
         self.assert_no_load_counted()
 
 
+class KeyProofTests(RelayTestCase):
+    """Requests that are held back, as the proof of their key has expired."""
+
+    def expire_proof(self):
+        self.now += 4.7
+        return errors.ProofExpiredError()
+
+    def answer(self):
+        return FakeTargetResponse(200, [event(0)])
+
+    def test_held_back_request_is_not_sent_without_a_new_proof(self):
+        # Guards against requests that run with a key that was revoked.
+        self.serve(self.expire_proof, self.answer)
+        self.assertEqual(1, len(self.targets.sends))
+        self.assertEqual(503, self.reply.status)
+        self.assertIn(b"no proof of the key", self.reply.body)
+
+    def test_held_back_request_is_refused_if_its_key_was_revoked(self):
+        def revoke():
+            error = self.expire_proof()
+            self.router.fleet_state.update_configuration(
+                builders.make_configuration(2, keys=("key-2",)), self.now
+            )
+            return error
+
+        self.serve(revoke, self.answer)
+        self.assertEqual(1, len(self.targets.sends))
+        self.assertEqual(401, self.reply.status)
+
+    def test_held_back_request_is_sent_with_a_new_proof(self):
+        def renew():
+            error = self.expire_proof()
+            self.router.fleet_state.configuration.confirm(1, self.now)
+            return error
+
+        self.serve(renew, self.answer)
+        self.assertEqual(200, self.reply.status)
+        sends = [request for _, request, _ in self.targets.sends]
+        self.assertLess(sends[0].valid_until, sends[1].valid_until)
+        self.assertLess(sends[1].valid_until, float("inf"))
+
+
 class InterruptTests(RelayTestCase):
     """Requests that have to be answered, as the process ends."""
 
