An instance that started in a cut zone waits to learn the fleet's size

Zones of which nothing was heard were taken to be as large as the largest known one.

Now such an instance takes no share of the extra retries until it has heard all zones, or a peer that knows the fleet has told its size with its loan. After three windows the estimate is used as before, as a zone may have no instance.

Class: an estimate in place of knowledge where a bound depends on it.

--- a/catkintrail/core/fleet_peers.py
+++ b/catkintrail/core/fleet_peers.py
@@ -105,6 +105,8 @@
         self.seeds = [seed for seed in seeds if seed != own_address]
         self.peers: dict[str, Peer] = {}
         self.max_alive = 1 + len(self.seeds)
+        self._heard_zones = {own_zone}
+        self._was_told_size = False
         self.zone_count = zone_count
         # Derived from `peers`, until their liveness or rank changes.
         self._alive: list[Peer] | None = None
@@ -159,6 +161,7 @@
         )
         self.peers[address] = peer
         self._zone_missed[availability_zone] = 0
+        self._heard_zones.add(availability_zone)
         news = _describe_change(old, peer)
         if news or old is None or _differs_in_rank(old, peer):
             self._forget_rankings()
@@ -181,21 +184,35 @@
         """Whether each instance communicates with only some of the others."""
         return self.max_alive >= LARGE_FLEET_SIZE
 
+    @property
+    def knows_size(self) -> bool:
+        """Whether `max_alive` covers all zones.
+
+        Any number of instances may be in a zone of which none was heard since
+        the start, as it is cut off, unless a peer has told the fleet's size.
+        """
+        return self._was_told_size or not self._count_unheard_zones()
+
     @property
     def likely_size(self) -> int:
         """The number of instances, including this one, that may be alive.
 
-        Zones of which no instance was heard since the start, as they are cut
-        off, are taken to be as large as the largest known zone.
+        Zones of which none was heard are taken to be as large as the largest
+        known zone.
         """
-        heard = {p.availability_zone for p in self.peers.values()} - {""}
-        sizes = dict.fromkeys(heard | {self.own_zone}, 1) | self._zone_sizes
-        unheard = self.zone_count - len(sizes)
-        if unheard <= 0:
+        if self.knows_size:
             return self.max_alive
-        return max(
-            self.max_alive, sum(sizes.values()) + unheard * max(sizes.values())
-        )
+        sizes = dict.fromkeys(self._heard_zones, 1) | self._zone_sizes
+        unheard = self._count_unheard_zones() * max(sizes.values())
+        return max(self.max_alive, sum(sizes.values()) + unheard)
+
+    def record_size(self, size: int) -> None:
+        """Records the number of instances that a peer knows in all zones."""
+        self._was_told_size = True
+        self.max_alive = max(self.max_alive, size)
+
+    def _count_unheard_zones(self) -> int:
+        return max(0, self.zone_count - len(self._heard_zones))
 
     def standing(self) -> messages.Standing:
         """Returns what heartbeats and answers state of this instance."""
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -44,6 +44,10 @@
 CALLER_TIMEOUT_GOALS = 4.0
 CALLER_TIMEOUT_GAPS = 8.0
 
+# After so many windows of the retry budget without word of a zone, its size is
+# estimated; before, an instance takes no share of the extra retries.
+UNHEARD_ZONE_WINDOWS = 3
+
 _REASONS = {reason.value: reason for reason in verdicts.Reason}
 
 
@@ -275,19 +279,27 @@
             now: Time in seconds.
         """
         return self.retry_budget(service).try_acquire(
-            self.fleet_state.peers.likely_size, now
+            self._count_sharing(now), now
         )
 
     def retry_usage(
         self, now: float
     ) -> dict[str, service_retry_budget.BudgetUsage]:
         """Returns how much of the retry budget of each service is used."""
-        instances = self.fleet_state.peers.likely_size
+        instances = self._count_sharing(now)
         return {
             service: budget.usage(instances, now)
             for service, budget in self._retry_budgets.items()
         }
 
+    def _count_sharing(self, now: float) -> int:
+        """Returns how many instances share a retry budget; 0 if unknown."""
+        peers = self.fleet_state.peers
+        wait_seconds = UNHEARD_ZONE_WINDOWS * self.settings.retry_window_seconds
+        if peers.knows_size or now - self.started_at >= wait_seconds:
+            return peers.likely_size
+        return 0
+
     def is_in_first_window(self, now: float) -> bool:
         """Returns whether this instance started within the last window."""
         age = now - self.started_at
@@ -299,8 +311,8 @@
         Returns:
             The loan; None if this instance has no share of its own.
         """
-        instances = self.fleet_state.peers.likely_size
-        if self.is_in_first_window(now):
+        instances = self._count_sharing(now)
+        if self.is_in_first_window(now) or not instances:
             return None
         loans = [
             (service, budget.lend(instances, now))
@@ -308,11 +320,13 @@
         ]
         return messages.RetryLoan(
             self.settings.name,
+            instances,
             tuple((service, retries) for service, retries in loans if retries),
         )
 
     def accept_loan(self, loan: messages.RetryLoan) -> None:
         """Records what a peer lends to this instance, which has started."""
+        self.fleet_state.peers.record_size(loan.fleet_size)
         for service, retries in loan.retries:
             self.retry_budget(service).borrow(loan.sender, retries)
 
@@ -362,9 +376,7 @@
             answer.candidates,
             answer.cost,
             bool(answer.first_token_ms)
-            and budget.allows_early_retry(
-                self.fleet_state.peers.likely_size, now
-            ),
+            and budget.allows_early_retry(self._count_sharing(now), now),
             answer.permits,
         )
 
--- a/catkintrail/core/service_retry_budget.py
+++ b/catkintrail/core/service_retry_budget.py
@@ -83,7 +83,8 @@
         """Takes one retry from the budget.
 
         Args:
-            instances: Number of instances that share the bound.
+            instances: Number of instances that share the bound; 0 if that is
+                not known, which leaves no share of the extra retries.
             now: Time in seconds.
 
         Returns:
@@ -127,10 +128,10 @@
         Returns:
             Number of retries that the peer may send; 0.0 if none can be spared.
         """
-        if not self._has_share(now):
+        if not instances or not self._has_share(now):
             return 0.0
         usage = self.usage(instances, now)
-        share = self.extra / max(1, instances)
+        share = self.extra / instances
         retries = min(
             share / min(max(1, instances - 1), MAX_LENDERS),
             share * MAX_LENT_PART - self._count_lent(now),
@@ -164,9 +165,9 @@
         for times in (self._first_sends, self._retries):
             while times and now - times[0] > self.window_seconds:
                 times.popleft()
-        share = self.extra / max(1, instances)
+        share = self.extra / instances if instances else 0.0
         if self._has_share(now):
-            share -= self._count_lent(now)
+            share = max(0.0, share - self._count_lent(now))
         else:
             share = min(share, sum(self._borrowed.values()))
         return self.ratio * len(self._first_sends) + share
--- a/catkintrail/messages.py
+++ b/catkintrail/messages.py
@@ -690,10 +690,12 @@
 
     Attributes:
         sender: Name of the lender.
+        fleet_size: Number of instances among which it divides the retries.
         retries: Names of services, with the number of retries for each.
     """
 
     sender: str
+    fleet_size: int
     retries: tuple[tuple[str, float], ...]
 
 
--- a/tests/test_fleet_peers.py
+++ b/tests/test_fleet_peers.py
@@ -163,6 +163,13 @@
         self.assertEqual(9, self.start_in_cut_zone(3).likely_size)
         self.assertEqual(195, self.start_in_cut_zone(65).likely_size)
 
+    def test_size_is_known_once_all_zones_are_heard_or_a_peer_tells_it(self):
+        peers = self.start_in_cut_zone(3)
+        self.assertFalse(peers.knows_size)
+        peers.record_size(24)
+        self.assertTrue(peers.knows_size)
+        self.assertEqual(24, peers.likely_size)
+
     def test_starting_instance_learns_size_of_small_fleet_from_peers(self):
         self.assertEqual(12, self.start_in_cut_zone(3, 12).likely_size)
 
@@ -170,4 +177,5 @@
         peers = fleet_peers.FleetPeers("10.0.0.100", "za", [], zone_count=3)
         for number in range(7):
             deliver_message(peers, number)
+        self.assertTrue(peers.knows_size)
         self.assertEqual(8, peers.likely_size)
--- a/tests/test_retry_loans.py
+++ b/tests/test_retry_loans.py
@@ -38,3 +38,15 @@
         fleet.cut_zones.clear()
         fleet.run(2.0)
         self.assertAlmostEqual(0.8 * 460.0, self.usable_retries(fleet), 1)
+
+    def test_restart_in_the_smaller_cut_zone_does_not_exceed_the_bound(self):
+        fleet = self.start({"za": 4, "zb": 20})
+        fleet.cut_zones.add("za")
+        for address in fleet.members("za"):
+            fleet.restart(address)
+        fleet.run(12.0)
+        retries = 0
+        for actor in fleet.actors.values():
+            while actor.acquire_retry(SERVICE):
+                retries += 1
+        self.assertLessEqual(retries, 460)
