Tests of the retry budget of whole fleets in virtual time

Callers of a failing service saw more repeats than the users' bound allows when instances were killed and started again in series. The class of fault: a limit that all instances share, kept by processes that forget what their predecessors have used, or that know too few of the others.

The virtual fleet states the number of zones, as settings files do, and can restart and freeze instances.

--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -32,21 +32,26 @@
         longest_message: Bytes of the longest message sent.
         stopped: Addresses of instances that do not run.
         cut_zones: Zones whose instances cannot reach other zones.
+        retry_extra: Extra retries of the settings.
     """
 
-    def __init__(self, zone_sizes, targets, cores=None, seed=1):
+    def __init__(
+        self, zone_sizes, targets, cores=None, seed=1, retry_extra=460.0
+    ):
         self.now = 0.0
         self.actors = {}
         self.sent = collections.Counter()
         self.longest_message = 0
         self.stopped = set()
         self.cut_zones = set()
+        self.retry_extra = retry_extra
         self._rng = random.Random(seed)
         self._queue = []
         self._order = itertools.count()
         self._zones = {}
         self._targets = targets
         self._incarnations = itertools.count(1)
+        self._cores = cores or {}
         seeds = []
         for number, (zone, size) in enumerate(zone_sizes.items()):
             for member in range(size):
@@ -54,10 +59,11 @@
                 self._zones[address] = zone
                 if not member and number < 3:
                     seeds.append(f"{address}:8002")
+        self._seeds = tuple(seeds)
         for address in self._zones:
             start = self._rng.uniform(0.0, 0.3)
-            weight = (cores or {}).get(address, 0.5)
-            self._schedule(start, self._start, address, tuple(seeds), weight)
+            weight = self._cores.get(address, 0.5)
+            self._schedule(start, self._start, address, self._seeds, weight)
 
     def run(self, seconds):
         """Advances the virtual time."""
@@ -71,6 +77,16 @@
         """Calls a function after some time."""
         self._schedule(self.now + seconds, function, *arguments)
 
+    def restart(self, address, seconds):
+        """Kills an instance; it is started again after some time."""
+        self.stopped.add(address)
+        self.at(seconds, self._start_again, address)
+
+    def freeze(self, address, seconds):
+        """Suspends an instance; messages to it meanwhile are lost."""
+        self.stopped.add(address)
+        self.at(seconds, self._resume, address, self.actors[address])
+
     def members(self, zone):
         """Returns the addresses of a zone's running instances."""
         return [
@@ -136,6 +152,15 @@
         entry = (when, next(self._order), function, arguments)
         heapq.heappush(self._queue, entry)
 
+    def _start_again(self, address):
+        self.stopped.discard(address)
+        self._start(address, self._seeds, self._cores.get(address, 0.5))
+
+    def _resume(self, address, actor):
+        if self.actors[address] is actor:
+            self.stopped.discard(address)
+            self._tick(address, actor, actor._started_at)
+
     def _start(self, address, seeds, cores):
         router = request_router.RequestRouter(
             builders.make_settings(
@@ -144,7 +169,8 @@
                 availability_zone=self._zones[address],
                 seeds=seeds,
                 cores=cores,
-                retry_extra=460.0,
+                retry_extra=self.retry_extra,
+                zone_count=len(set(self._zones.values())),
             ),
             next(self._incarnations),
             random.Random(self._rng.random()),
