Soak: kills and stops in series, beside targets that close connections

The soak played single kills. Faults that take several processes of an instance inside one retry window, and equal requests after targets closed connections, could not show.

New kinds of faults: one, half or all instances are killed or stopped again and again, overlapping, while half or all targets of a service close connections without a response. They are drawn separately, so that the other faults of a seed stay as they were.

New check, service after trouble: of the valid requests from 1 s to 12 s after the last fault, 95 % are served, and of those that are equal but for their ids too; more than one has to fail. Left out are instances with a fault, or a fault of the store, within 4 s before. A tenth of the load is now such equal requests.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,7 +13,7 @@
 from soak import http1
 from soak import instances as instance_processes
 
-__all__ = ["LoadGenerator", "PROBE_BODY", "RequestType"]
+__all__ = ["EQUAL_BODY", "LoadGenerator", "PROBE_BODY", "RequestType"]
 
 HOST = "wells.example"
 CONNECT_SECONDS = 1.0
@@ -24,6 +24,8 @@
 REUSE_FRACTION = 0.7
 MAX_IDLE_CONNECTIONS = 4
 PROBE_BODY = b"probe"
+# Body of the requests that are equal but for their ids.
+EQUAL_BODY = b"equal"
 
 
 class RequestType(NamedTuple):
@@ -36,6 +38,7 @@
         prompt_tokens: Minimum and maximum number of prompt tokens.
         deadline_seconds: Time from the request to the caller's deadline.
         disconnect_share: Share of the callers that disconnect early.
+        body: Body of all requests; b"" for bodies that differ.
     """
 
     route: str
@@ -44,6 +47,7 @@
     prompt_tokens: tuple[int, int]
     deadline_seconds: float
     disconnect_share: float
+    body: bytes = b""
 
 
 REQUEST_TYPES = (
@@ -52,7 +56,8 @@
     # Exceeds the KV cache of one engine.
     RequestType("ask", "/ask/huge", 0.01, (460_000, 550_000), 9.0, 0.2),
     RequestType("book", "/book/a", 0.22, (0, 0), 2.5, 0.05),
-    RequestType("look", "/look/a", 0.17, (0, 0), 2.5, 0.05),
+    RequestType("look", "/look/a", 0.07, (0, 0), 2.5, 0.05),
+    RequestType("look", "/look/a", 0.10, (0, 0), 2.5, 0.05, EQUAL_BODY),
 )
 
 
@@ -129,6 +134,7 @@
         tokens = rng.randint(*request_type.prompt_tokens)
         request_id = f"r-{next(self._request_numbers)}"
         body = f"{request_id} {rng.random()}".encode()
+        body = request_type.body or body
         sent = run_history.SentRequest(
             request_id,
             request_type.route,
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -8,6 +8,7 @@
 import collections
 from typing import Callable, Iterator, NamedTuple
 
+from soak import callers
 from soak import history as run_history
 from soak import instances as instance_processes
 from soak import targets
@@ -45,8 +46,6 @@
 # Time in which a target's work ends after the caller has disconnected.
 CANCEL_SECONDS = 0.5
 RETRY_RATIO = 0.2
-# Settings changes of the soak raise the extra retries by up to 5.
-RETRY_EXTRA = instance_processes.RETRY_EXTRA + 5
 RETRY_WINDOW_SECONDS = 10.0
 MAX_SENDS = 2
 # A stopping instance may cut requests in the last sixth of its grace time.
@@ -54,6 +53,10 @@
 # Requests must succeed again this long after the last fault.
 RECOVERY_SECONDS = 12.0
 RECOVERED_FRACTION = 0.95
+# Requests are served again this long after trouble has ended; a few are not,
+# of those at instances that have just started.
+AFTER_TROUBLE_SECONDS = 1.0
+MAX_UNSERVED_AFTER_TROUBLE = 1
 DEADLINE_SLACK_MS = 500.0
 # The users' rule: a violation needs more than this number of requests, and more
 # than a fifth of all.
@@ -360,18 +363,20 @@
 
 def check_repeats_stay_in_budget(history: History) -> Findings:
     """Retries stay within the retry budget of the settings."""
-    route_of = {sent.request_id: sent.route for sent in history.sent}
+    retry_extra = max(history.retry_extras, default=0)
     requests = collections.defaultdict(list)
     for sent in history.sent:
         requests[SERVICES[sent.route]].append(sent.sent_at)
+    for probe in history.probes:
+        requests[targets.DESK].append(probe.sent_at)
     seen_ids = set()
     retries = collections.defaultdict(list)
     for arrival in history.arrivals:
-        route = route_of.get(arrival.request_id)
-        if route is None:
-            continue
+        # The routes that are added during the run lead to the same service.
+        route = arrival.path.split("/")[1]
+        service = SERVICES.get(route, targets.DESK)
         if arrival.request_id in seen_ids:
-            retries[SERVICES[route]].append(arrival.arrived_at)
+            retries[service].append(arrival.arrived_at)
         seen_ids.add(arrival.request_id)
     for service, times in retries.items():
         for start in times:
@@ -388,7 +393,7 @@
                     start - RETRY_WINDOW_SECONDS,
                 )
             )
-            if count > RETRY_RATIO * request_count + RETRY_EXTRA:
+            if count > RETRY_RATIO * request_count + retry_extra:
                 yield service, f"{count} retries of {request_count} requests"
 
 
@@ -484,6 +489,33 @@
         )
 
 
+def check_service_after_trouble(history: History) -> Findings:
+    """Valid requests are served as soon as trouble has ended."""
+    if not history.faults_ended_at:
+        return
+    ended_at = history.faults_ended_at[-1]
+    requests = [
+        sent
+        for sent in _valid_requests(history, ended_at + AFTER_TROUBLE_SECONDS)
+        if sent.sent_at <= ended_at + RECOVERY_SECONDS
+        and not history.has_fault(
+            (sent.instance, STORE),
+            sent.sent_at - FAULT_EFFECT_SECONDS,
+            sent.sent_at,
+        )
+    ]
+    equal = [sent for sent in requests if sent.body == callers.EQUAL_BODY]
+    for name, group in (("equal requests", equal), ("requests", requests)):
+        unserved = [sent for sent in group if not _is_served(sent)]
+        allowed = max(
+            MAX_UNSERVED_AFTER_TROUBLE, (1 - RECOVERED_FRACTION) * len(group)
+        )
+        if len(unserved) > allowed:
+            yield unserved[0].request_id, (
+                f"{len(unserved)} of {len(group)} {name} were not served"
+            )
+
+
 def find_unserved_after_recovery(
     history: History,
 ) -> list[run_history.SentRequest]:
@@ -491,14 +523,26 @@
     return [
         sent
         for sent in _requests_after_recovery(history)
-        if sent.status != 200 or not sent.is_complete
+        if not _is_served(sent)
     ]
 
 
+def _is_served(sent: run_history.SentRequest) -> bool:
+    return sent.status == 200 and sent.is_complete
+
+
 def _requests_after_recovery(history: History) -> list[run_history.SentRequest]:
     if not history.faults_ended_at:
         return []
-    since = history.faults_ended_at[-1] + RECOVERY_SECONDS
+    return _valid_requests(
+        history, history.faults_ended_at[-1] + RECOVERY_SECONDS
+    )
+
+
+def _valid_requests(
+    history: History, since: float
+) -> list[run_history.SentRequest]:
+    """Returns the requests after a time that have to be served."""
     return [
         sent
         for sent in history.sent
@@ -529,6 +573,7 @@
     check_callers_leaving_ends_work,
     check_processes_stay,
     check_recovery,
+    check_service_after_trouble,
 )
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -45,6 +45,10 @@
 # After a restore: time without answers, and time until all is written again.
 MAX_RESTORE_DOWN_SECONDS = 1.5
 MAX_REWRITE_SECONDS = 2.0
+# A series of faults lasts longer than a fault, beyond the retry window.
+SERIES_DURATION_FACTOR = 2.0
+MIN_SERIES_GAP_SECONDS, MAX_SERIES_GAP_SECONDS = 0.3, 2.0
+MAX_SERIES_KILL_SECONDS = 0.5
 # Proxy mode, and delay in seconds of each piece of data.
 PROXY_FAULTS = {
     "reset": (proxies.Mode.REFUSE, 0.0),
@@ -87,6 +91,8 @@
             await self._inject_target_fault(name, fault, rng)
         elif group == "link":
             await self._inject_link_fault(name, fault, rng)
+        elif group == "series":
+            await self._inject_series(name, fault, rng)
         elif fault.kind == "settings_change":
             self._change_settings(rng)
         elif fault.kind == "burst":
@@ -130,6 +136,8 @@
         count = 1
         if name.endswith("_many"):
             count = max(1, len(self._instances) // 2)
+        elif name.endswith("_all"):
+            count = len(self._instances)
         available = [
             instance
             for instance in self._instances
@@ -173,11 +181,42 @@
             await asyncio.sleep(RESTART_DELAY_SECONDS)
             instance.start()
 
+    async def _inject_series(
+        self, name: str, fault: plan.Fault, rng: random.Random
+    ) -> None:
+        """Ends instances again and again while targets close connections."""
+        target = self._choose_target(rng)
+        if target is None:
+            return
+        chosen = [
+            affected
+            for affected in self._fleet.targets.values()
+            if affected.service == target.service
+            and affected.name not in self._faulted
+        ]
+        if rng.random() < 0.5:
+            chosen = rng.sample(chosen, (len(chosen) + 1) // 2)
+        end = time.monotonic() + fault.seconds * SERIES_DURATION_FACTOR
+        async with asyncio.TaskGroup() as ends:
+            with self._behaving(chosen, targets.Behaviour.CLOSE):
+                while time.monotonic() < end:
+                    seconds = rng.uniform(0.0, MAX_SERIES_KILL_SECONDS)
+                    ends.create_task(
+                        self._inject_instance_fault(
+                            name,
+                            fault._replace(seconds=seconds),
+                            random.Random(rng.random()),
+                        )
+                    )
+                    await asyncio.sleep(
+                        rng.uniform(
+                            MIN_SERIES_GAP_SECONDS, MAX_SERIES_GAP_SECONDS
+                        )
+                    )
+
     def _change_settings(self, rng: random.Random) -> None:
         instance = rng.choice(self._instances)
-        instance.write_settings(
-            instance_processes.RETRY_EXTRA + rng.randint(0, 5)
-        )
+        instance.write_settings(instance.retry_extra + rng.randint(0, 5))
         instance.send_signal(signal.SIGHUP)
 
     # The store.
@@ -323,16 +362,25 @@
                     if affected.service == target.service
                     and affected.name not in self._faulted
                 ]
-            names = [affected.name for affected in chosen]
-            self._faulted |= set(names)
-            with self._recorded_fault(name, *names):
-                for affected in chosen:
-                    affected.behaviour = targets.Behaviour(name)
+            with self._behaving(chosen, targets.Behaviour(name)):
                 await asyncio.sleep(seconds)
-                for affected in chosen:
-                    affected.behaviour = targets.Behaviour.SOUND
         self._faulted -= {affected.name for affected in chosen}
 
+    @contextlib.contextmanager
+    def _behaving(
+        self, chosen: list[targets.Target], behaviour: targets.Behaviour
+    ) -> Iterator[None]:
+        """Makes targets behave in a way for the duration of the context."""
+        names = [affected.name for affected in chosen]
+        self._faulted |= set(names)
+        with self._recorded_fault(behaviour.value, *names):
+            for affected in chosen:
+                affected.behaviour = behaviour
+            yield
+            for affected in chosen:
+                affected.behaviour = targets.Behaviour.SOUND
+        self._faulted -= set(names)
+
     async def _limit_target(
         self, target: targets.Target, seconds: float, rng: random.Random
     ) -> None:
--- a/soak/history.py
+++ b/soak/history.py
@@ -199,6 +199,7 @@
         faults_ended_at: When the last fault ended; empty until then.
         lag_seconds: Delays of the soak's event loop, each longer than the one
             before.
+        retry_extras: The extra retries of each settings file written.
     """
 
     sent: list[SentRequest]
@@ -218,6 +219,7 @@
     unexpected_exits: list[str]
     faults_ended_at: list[float]
     lag_seconds: list[float]
+    retry_extras: list[int]
 
     def has_fault(
         self, subjects: tuple[str, ...], start: float, end: float
@@ -251,4 +253,5 @@
         unexpected_exits=[],
         faults_ended_at=[],
         lag_seconds=[],
+        retry_extras=[],
     )
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -13,14 +13,12 @@
 from soak import proxy as proxies
 from tests import platform_standins
 
-__all__ = ["GRACE_SECONDS", "Instance", "RETRY_EXTRA"]
+__all__ = ["GRACE_SECONDS", "Instance"]
 
 ROOT = pathlib.Path(__file__).parent.parent
 GRACE_SECONDS = 8.0
 POLL_SECONDS = 0.1
 READINESS_CHECK_TIMEOUT_SECONDS = 1.0
-# Small, so that a run can exceed the retry budget.
-RETRY_EXTRA = 5
 
 
 class Instance:
@@ -32,6 +30,7 @@
         ip: Loopback address on which the instance listens.
         ports: Port numbers by the names of `platform_standins.PORT_NAMES`.
         store_proxy: Proxy between the instance and the store.
+        retry_extra: Extra retries of the first settings.
         process: The latest process; None before the first start.
         start_count: How often the process was started.
         is_in_rotation: Whether the load balancer sends requests here.
@@ -50,12 +49,14 @@
         store_proxy: proxies.Proxy,
         folder: pathlib.Path,
         history: run_history.History,
+        retry_extra: int,
     ) -> None:
         self.name = name
         self.zone = zone
         self.ip = ip
         self.ports = ports
         self.store_proxy = store_proxy
+        self.retry_extra = retry_extra
         self.process: subprocess.Popen | None = None
         self.start_count = 0
         self.is_in_rotation = False
@@ -64,15 +65,16 @@
         self._settings_path = folder / f"{name}.toml"
         self._history = history
         self._seeds = seeds
-        self.write_settings()
+        self.write_settings(retry_extra)
 
-    def write_settings(self, retry_extra: int = RETRY_EXTRA) -> None:
+    def write_settings(self, retry_extra: int) -> None:
         """Writes the settings file.
 
         Args:
             retry_extra: Retries allowed in a window beyond the share of
                 requests.
         """
+        self._history.retry_extras.append(retry_extra)
         self._settings_path.write_text(
             platform_standins.make_settings(
                 self.name,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -3,7 +3,7 @@
 import random
 from typing import NamedTuple
 
-__all__ = ["Fault", "KINDS", "RARE_KINDS", "make_plan"]
+__all__ = ["Fault", "KINDS", "RARE_KINDS", "SERIES_KINDS", "make_plan"]
 
 # Mean time between the starts of faults; each lasts some seconds, so that
 # several overlap.
@@ -32,6 +32,16 @@
 # Drawn separately from all others.
 SILENCE_KINDS = ("store_lose",)
 MEAN_SILENCE_GAP_SECONDS = 10.0
+# Instances end again and again while targets close connections. Drawn
+# separately from all others.
+SERIES_KINDS = (
+    "series_kill",
+    "series_kill_many",
+    "series_kill_all",
+    "series_stop",
+    "series_stop_many",
+)
+MEAN_SERIES_GAP_SECONDS = 15.0
 
 
 class Fault(NamedTuple):
@@ -39,7 +49,7 @@
 
     Attributes:
         start_seconds: Seconds from the start of the load.
-        kind: One of KINDS, RARE_KINDS or SILENCE_KINDS.
+        kind: One of KINDS, RARE_KINDS, SILENCE_KINDS or SERIES_KINDS.
         seconds: Duration, for kinds that last.
         random_seed: Seed of the random choices of the fault, such as its
             subjects.
@@ -92,6 +102,12 @@
             SILENCE_KINDS,
             MEAN_SILENCE_GAP_SECONDS,
         )
+        + _draw_faults(
+            random.Random(f"series {seed}"),
+            seconds,
+            SERIES_KINDS,
+            MEAN_SERIES_GAP_SECONDS,
+        )
     )
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -24,6 +24,9 @@
 __all__ = ["Options", "Result", "run_soak"]
 
 ZONES = ("za", "zb")
+# Few, so that a run can exceed the retry budget of each service; or enough for
+# the share of each instance to be some retries.
+RETRY_EXTRAS = (5, 30)
 MAX_SEEDS = 3
 REQUESTS_PER_SECOND_PER_INSTANCE = 2.5
 MAX_REQUESTS_PER_SECOND = 40.0
@@ -36,6 +39,8 @@
 TICK_INTERVAL_SECONDS = 0.05
 PROBE_INTERVAL_SECONDS = 0.5
 CHECK_INTERVAL_SECONDS = 5.0
+# These can be judged only at the end of the run.
+FINAL_CHECKS = ("recovery", "service after trouble")
 
 
 class Options(NamedTuple):
@@ -193,6 +198,7 @@
                 proxy,
                 self.folder,
                 self.history,
+                RETRY_EXTRAS[self.options.seed % len(RETRY_EXTRAS)],
             )
             instance.start()
             self.instances.append(instance)
@@ -277,7 +283,7 @@
                 # Recovery can be judged only at the end of the run.
                 if (
                     violation not in printed
-                    and violation.check_name != "recovery"
+                    and violation.check_name not in FINAL_CHECKS
                 ):
                     printed.add(violation)
                     print(f"seen: {violation}", flush=True)
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -40,6 +40,8 @@
     BUSY = "busy"
     HANG = "hang"
     RESET = "reset"
+    # Closes the connection without a response.
+    CLOSE = "close"
     TRUNCATE = "truncate"
     # Sends surplus bytes after a complete response.
     SURPLUS = "surplus"
@@ -322,6 +324,8 @@
         elif behaviour is Behaviour.RESET:
             connection.abort()
             raise http1.ClosedError("reset")
+        elif behaviour is Behaviour.CLOSE:
+            raise http1.ClosedError("closed")
         elif behaviour is Behaviour.ERRORS:
             await connection.respond(500, response_headers, b"failed")
             return
