A stopping instance carries its peers' answers to their end

What callers saw: streams of an instance that reaches its engines through a peer were cut when that peer exited in a planned stop, long before the end of its grace, as soon as its own requests had ended.

Cause: the drain counts only requests of own callers.

Idle tunnels also delay the exit, until their keep-alive time-out or the end of the grace; new tunnels are declined as before.

--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -63,6 +63,7 @@
 DRAIN_NOTICE_SECONDS = 2.6
 # Time in which requests that are not finished are answered before the exit.
 ANSWER_SECONDS = 0.25
+TUNNEL_POLL_SECONDS = 0.05
 # The process exits this long before the platform kills it.
 DRAIN_MARGIN_SECONDS = 0.25
 PEER_TIMEOUT_SECONDS = 1.0
@@ -266,6 +267,7 @@
         stop_thread.join(max(0.0, answer_at - clock.boot_seconds()))
         self.watch.interrupt_all()
         stop_thread.join(max(0.0, deadline - clock.boot_seconds()))
+        self._await_tunnels(deadline)
         self.callers.answer_unfinished()
         _LOG.info(
             "instance_stopped",
@@ -275,6 +277,11 @@
             },
         )
 
+    def _await_tunnels(self, deadline: float) -> None:
+        """Waits until peers have closed the tunnels that are carried here."""
+        while self.tunnels.count and clock.boot_seconds() < deadline:
+            time.sleep(TUNNEL_POLL_SECONDS)
+
     def _tick(self) -> None:
         version = -1
         services: dict[str, route_table.Service] = {}
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -504,6 +504,24 @@
         # Guards against instances that depend on links of their own.
         self.check_service(hangs=True)
 
+    def test_stopping_instance_carries_the_answers_of_its_peers_to_their_end(
+        self,
+    ):
+        # Guards against connections of peers that end with the exit.
+        self.cut.cut(self.targets)
+        wait_until(lambda: self.cut.request("/ask/a", "r")[0] == 200)
+        for target in self.targets:
+            target.events = 90
+            target.event_gap_seconds = 0.05
+        connections = [self.cut.send("/ask/a", f"r{n}") for n in range(3)]
+        for connection in connections:
+            connection.recv(10)
+        self.whole.process.send_signal(signal.SIGTERM)
+        for connection in connections:
+            with connection:
+                self.assertTrue(read_all(connection).endswith(b"0\r\n\r\n"))
+        self.assertEqual(0, self.whole.process.wait(3.0))
+
 
 class GraceTests(RelayProcessTestCase):
     """Requests that are not finished when the grace of a planned stop ends."""
