Requests whose callers have left before they were read are dropped

Cause: the watch for callers that leave begins with the handler and tells of a close some time later; by then the request may have been sent. Class: a state is watched for changes but not read at the beginning.

Evidence: test_request_whose_caller_has_left_before_it_is_read_is_dropped failed on the code before: 20 of 20 requests whose callers had left were passed on, in one run; it passed in two runs of two. The connection is looked at after the request was read and before the handler is called.

--- a/catkintrail/platform/callers.py
+++ b/catkintrail/platform/callers.py
@@ -538,6 +538,12 @@
             _refuse_late(parsed, writer)
             return
         connection = request.conn.socket
+        if _has_left(connection):
+            _LOG.info(
+                "request_abandoned", extra={"request_id": parsed.request_id}
+            )
+            writer.abort()
+            return
         thread_id = threading.get_ident()
         with self._lock:
             self._served[thread_id] = _ServedRequest(
@@ -670,6 +676,13 @@
     return bool(poll.poll(0))
 
 
+def _has_left(connection: socket.socket) -> bool:
+    """Returns whether a caller has closed its connection."""
+    poll = select.poll()
+    poll.register(connection, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def _log_error(
     message: str = "", level: int = 20, traceback: bool = False
 ) -> None:
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -504,6 +504,31 @@
         stop.join(2.0)
         self.assertFalse(stop.is_alive())
 
+    def test_request_whose_caller_has_left_before_it_is_read_is_dropped(self):
+        # Guards against requests that are sent on after their callers left.
+        release = threading.Event()
+
+        def wait(request, writer, caller):
+            release.wait(5.0)
+            self.send_ok(request, writer, caller)
+
+        self.handler = wait
+        request = HEAD + b"Content-Length: 0\r\n\r\n"
+        connections = [self.connect() for _ in range(4)]
+        for connection in connections:
+            connection.sendall(request)
+        self.assertTrue(wait_until(lambda: self.server.in_flight == 4))
+        left = [self.connect() for _ in range(20)]
+        for connection in left:
+            connection.sendall(request)
+            connection.close()
+        time.sleep(0.2)
+        release.set()
+        for connection in connections:
+            self.assertIn(b" 200 ", self.read_response(connection))
+        self.assertIn(b" 200 ", self.send_and_read(request))
+        self.assertEqual(5, len(self.requests))
+
     def test_threads_are_not_added_before_the_start(self):
         server = callers.CallerServer(
             f"127.0.0.1:{processes.free_ports(1)[0]}",
