An instance whose peers are frozen reads the store soon

Cause: each of four peers in a row had a second to answer, and the store was read only after them. Class: a wait for one that does not answer holds up the way that would.

A peer has 0.25 s to answer, 1 s in each third round, and no further one is asked after 0.45 s, so that the store is read 0.75 s after the proof is found stale at the latest. The first new test failed before: the store's version was not in force 1.5 s after the start with a stale proof and six frozen peers. The second guards against giving up peers that are only slow.

In tests, the fake reader of peers' states takes the new argument; no check changed.

--- a/catkintrail/fleet_state_updater.py
+++ b/catkintrail/fleet_state_updater.py
@@ -62,8 +62,14 @@
 
 # Maximum number of peers called in one round.
 MAX_PEERS_QUERIED = 4
+# Peers answer within milliseconds, or are frozen or cut off. Every third round
+# waits longer, for peers that are slow.
+PEER_TIMEOUTS_SECONDS = (0.25, 0.25, 1.0)
+# No further peer is called after this time in one round, so that the store is
+# read soon.
+PEER_ROUND_SECONDS = 0.45
 
-PeerReader = Callable[[str, int], router_actor.PeerState]
+PeerReader = Callable[[str, int, float], router_actor.PeerState]
 
 
 class _Backoff:
@@ -115,7 +121,8 @@
         source: The platform's store.
         router: Client of the actor that holds the state.
         read_peer: Reads the state of the peer at an address. The second
-            argument is the configuration version that is known already.
+            argument is the configuration version that is known already, the
+            third how long to wait, in seconds.
         clock: Returns the time in seconds.
         is_store_up: Whether the last call to the store succeeded; None before
             the first.
@@ -371,6 +378,7 @@
         """Renews state that watches and peers' messages did not keep fresh."""
         next_store_read = next_peer_query = 0.0
         timeouts = itertools.cycle(READ_TIMEOUTS_SECONDS)
+        peer_timeouts = itertools.cycle(PEER_TIMEOUTS_SECONDS)
         backoff = _Backoff(self.rng)
         while not self._stop.wait(CHECK_SECONDS):
             status = self.router.status()
@@ -380,15 +388,18 @@
                 self._end_long_watch()
             if status.newer_peer:
                 self.router.proxy.clear_newer_peer.defer(status.newer_peer)
-                if self._query_peer(status.newer_peer, status):
+                if self._query_peer(
+                    status.newer_peer, status, PEER_TIMEOUTS_SECONDS[0]
+                ):
                     continue
             if not self._is_stale(status):
                 backoff.reset()
+                peer_timeouts = itertools.cycle(PEER_TIMEOUTS_SECONDS)
                 continue
             now = self.clock()
             if now >= next_peer_query and not status.is_watcher:
                 next_peer_query = now + backoff.next()
-                if self._query_peers(status):
+                if self._query_peers(status, next(peer_timeouts)):
                     continue
             if now >= next_store_read:
                 interval = STORE_READ_INTERVAL_SECONDS
@@ -397,7 +408,7 @@
                 next_store_read = now + interval * self.rng.uniform(0.5, 1)
                 is_read = self._refresh_from_store(next(timeouts))
                 if not is_read and status.is_watcher:
-                    self._query_peers(status)
+                    self._query_peers(status, next(peer_timeouts))
 
     def _end_lost_watches(self, status: router_actor.RouterStatus) -> None:
         """Ends watches that miss changes which are known from elsewhere."""
@@ -472,24 +483,38 @@
             )
         return True
 
-    def _query_peers(self, status: router_actor.RouterStatus) -> bool:
+    def _query_peers(
+        self, status: router_actor.RouterStatus, timeout_seconds: float
+    ) -> bool:
         """Queries random peers until one of them has recent state.
 
+        Args:
+            status: The status of this instance.
+            timeout_seconds: How long to wait for each peer.
+
         Returns:
             Whether a peer had recent state.
         """
         peers = [peer.address for peer in status.peers]
         self.rng.shuffle(peers)
+        ends_at = self.clock() + PEER_ROUND_SECONDS
         for peer in peers[:MAX_PEERS_QUERIED]:
-            if self._query_peer(peer, status):
+            if self._query_peer(peer, status, timeout_seconds):
                 return True
+            if self.clock() >= ends_at:
+                break
         return False
 
-    def _query_peer(self, peer: str, status: router_actor.RouterStatus) -> bool:
+    def _query_peer(
+        self,
+        peer: str,
+        status: router_actor.RouterStatus,
+        timeout_seconds: float,
+    ) -> bool:
         """Adopts a peer's state; returns whether that state is recent."""
         sent_at = self.clock()
         try:
-            state = self.read_peer(peer, status.version)
+            state = self.read_peer(peer, status.version, timeout_seconds)
         except errors.PlatformError as error:
             _LOG.info("peer_silent", extra={"peer": peer, "reason": str(error)})
             return False
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -64,7 +64,7 @@
 ANSWER_SECONDS = 0.25
 # The process exits this long before the platform kills it.
 DRAIN_MARGIN_SECONDS = 0.25
-PEER_TIMEOUT_SECONDS = 1.0
+CONNECTION_TIMEOUT_SECONDS = 10.0
 METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
 STATE_PATH = "/state"
@@ -300,14 +300,14 @@
         self.router.proxy.handle_message.defer(address, message)
 
     def _read_peer(
-        self, address: str, known_version: int
+        self, address: str, known_version: int, timeout_seconds: float
     ) -> router_actor.PeerState:
         port = self.settings.peer_address.rpartition(":")[2]
         try:
             response = self.http.request(
                 "GET",
                 f"http://{address}:{port}{STATE_PATH}?have={known_version}",
-                timeout=PEER_TIMEOUT_SECONDS,
+                timeout=timeout_seconds,
             )
             return msgspec.json.decode(
                 zlib.decompress(response.data), type=router_actor.PeerState
@@ -435,7 +435,7 @@
         int(port),
         wsgi.make_application(application, 0),
         threads,
-        PEER_TIMEOUT_SECONDS * 10,
+        CONNECTION_TIMEOUT_SECONDS,
     )
     threading.Thread(
         target=server.serve, name=f"serve-{port}", daemon=True
--- a/tests/test_fleet_state_updater.py
+++ b/tests/test_fleet_state_updater.py
@@ -136,7 +136,7 @@
         )
         self.addCleanup(self.updater.stop)
 
-    def read_peer(self, address, known_version):
+    def read_peer(self, address, known_version, timeout_seconds=1.0):
         if self.peer_state is None:
             raise errors.PlatformUnavailableError("the peer is silent")
         return self.peer_state
@@ -251,6 +251,55 @@
         self.assertGreater(self.client.status().proof_age_seconds, 0.4)
 
 
+class FrozenPeersTests(UpdaterTestCase):
+    """An instance that does not watch the store, and whose peers freeze."""
+
+    PEERS = 6
+
+    def setUp(self):
+        super().setUp()
+        self.patch(self.router.fleet_state, "is_watcher", lambda: False)
+        self.patch(self.router.fleet_state, "is_proof_holder", lambda: False)
+        for number in range(2, 2 + self.PEERS):
+            address = f"10.0.0.{number}"
+            peer = builders.make_router(name=f"a-{number}", address=address)
+            self.client.proxy.handle_message(
+                address, peer.fleet_state.heartbeat(1.0)
+            ).get()
+        now = time.monotonic()
+        # The proof is stale.
+        self.router.fleet_state.update_configuration(
+            builders.make_configuration(1), now - 3.0
+        )
+        self.router.fleet_state.replace_targets([], now)
+        self.router.fleet_state.targets_complete_at = now
+        self.answer_seconds = 9.0
+
+    def read_peer(self, address, known_version, timeout_seconds=1.0):
+        time.sleep(min(timeout_seconds, self.answer_seconds))
+        if self.answer_seconds > timeout_seconds:
+            raise errors.PlatformUnavailableError("the peer is silent")
+        return self.peer_state
+
+    def test_store_is_read_before_many_peers_were_waited_for(self):
+        self.source.change(3, ["e-1"])
+        self.updater.start()
+        self.wait_for(lambda status: status.version == 3, 1.5)
+
+    def test_peers_that_answer_slowly_are_waited_for_in_the_end(self):
+        self.source.is_up = False
+        self.answer_seconds = 0.7
+        self.peer_state = router_actor.PeerState(
+            4,
+            builders.make_configuration(4),
+            0.5,
+            (builders.make_target("e-9"),),
+            store_views.Position(1, 5),
+        )
+        self.updater.start()
+        self.wait_for(lambda status: status.version == 4)
+
+
 class StoreStandinTestCase(UpdaterTestCase):
     """An updater that reads a stand-in of the platform's store."""
 
