--- a/catkintrail/adapters/keep_alive.py
+++ b/catkintrail/adapters/keep_alive.py
@@ -10,9 +10,9 @@
 IDLE_SECONDS = 1
 INTERVAL_SECONDS = 1
 PROBES = 2
-# Within this time, bytes sent have to be acknowledged; until they are, no probes
-# are sent. Linux also goes by it, instead of the number of probes, to end a
-# connection when the next probe is due.
+# Within this time, bytes sent have to be acknowledged; until they are, no
+# probes are sent. Linux also goes by it, instead of the number of probes, to
+# end a connection when the next probe is due.
 ACKNOWLEDGEMENT_MILLISECONDS = 2_500
 
 OPTIONS = (
