--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -69,7 +69,7 @@
 TUNNEL_POLL_SECONDS = 0.05
 # The process exits this long before the platform kills it.
 DRAIN_MARGIN_SECONDS = 0.25
-PEER_TIMEOUT_SECONDS = 1.0
+CONNECTION_TIMEOUT_SECONDS = 10.0
 METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
 STATE_PATH = "/state"
@@ -336,14 +336,14 @@
         self.router.proxy.handle_message.defer(address, message)
 
     def _read_peer(
-        self, address: str, known_version: int
+        self, address: str, known_version: int, timeout_seconds: float
     ) -> router_actor.PeerState:
         port = self.settings.peer_address.rpartition(":")[2]
         try:
             response = self.http.request(
                 "GET",
                 f"http://{address}:{port}{STATE_PATH}?have={known_version}",
-                timeout=PEER_TIMEOUT_SECONDS,
+                timeout=timeout_seconds,
             )
             return msgspec.json.decode(
                 zlib.decompress(response.data), type=router_actor.PeerState
@@ -477,7 +477,7 @@
         int(port),
         wsgi.make_application(application, 0),
         threads,
-        PEER_TIMEOUT_SECONDS * 10,
+        CONNECTION_TIMEOUT_SECONDS,
     )
     threading.Thread(
         target=server.serve, name=f"serve-{port}", daemon=True
