Settings of another form do not end an instance that reloads them

A settings file with a list where a table is expected, or with deep nesting, ended the main thread at the next look at it, and with it the process and all its requests.

Cause: two kinds of exceptions were not taken as mistakes of the file. Class: a decoder of outside bytes that raises what its caller does not know. The test failed before (AttributeError, RecursionError).

--- a/catkintrail/platform/boot.py
+++ b/catkintrail/platform/boot.py
@@ -67,7 +67,7 @@
     """
     try:
         return decode_settings(tomllib.loads(text))
-    except tomllib.TOMLDecodeError as error:
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
         raise errors.CheckError(
             path, [errors.Mistake("", str(error))]
         ) from error
@@ -110,7 +110,13 @@
             cores=float(limits.get("cpu-share", 1) * limits.get("cores", 1)),
             zone_count=len(data.get("zones", ())),
         )
-    except (KeyError, TypeError, ValueError, IndexError) as error:
+    except (
+        AttributeError,
+        KeyError,
+        TypeError,
+        ValueError,
+        IndexError,
+    ) as error:
         raise errors.CheckError(
             "settings", [errors.Mistake("", repr(error))]
         ) from error
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -124,3 +124,39 @@
             errors.CheckError, boot.read_settings, "/nowhere/settings.toml"
         )
         self.assertIn("/nowhere/settings.toml", str(error))
+
+    def test_settings_of_another_form_are_an_error_that_is_handled(self):
+        # Guards against a process that ends when its settings are reloaded.
+        valid = platform_standins.make_settings(
+            "i-1",
+            "127.0.0.1",
+            dict.fromkeys(platform_standins.PORT_NAMES, 8000),
+            ("127.0.0.1",),
+            "127.0.0.1:8223",
+        )
+        settings = boot.parse_settings(valid, "file")
+        self.assertEqual("i-1", settings.name)
+        for odd in (
+            "[[limits]]\n",
+            "zones = 3\n" + valid,
+            "odd = " + "[" * 5_000 + "]" * 5_000 + "\n" + valid,
+            valid.replace("[bounds]", "[[bounds]]"),
+            valid.replace("[listen]", "[[listen]]"),
+            valid.replace("[platform]", "[[platform]]"),
+        ):
+            self.assertRaises(
+                errors.CheckError, boot.parse_settings, odd, "file"
+            )
+
+    def test_number_of_zones_is_known(self):
+        valid = platform_standins.make_settings(
+            "i-1",
+            "127.0.0.1",
+            dict.fromkeys(platform_standins.PORT_NAMES, 8000),
+            ("127.0.0.1",),
+            "127.0.0.1:8223",
+        )
+        zones = '[zones]\nza = "east"\nzb = "east"\nzc = "west"\n'
+        self.assertEqual(0, boot.parse_settings(valid, "file").zone_count)
+        parsed = boot.parse_settings(valid + zones, "file")
+        self.assertEqual(3, parsed.zone_count)
--- a/tests/test_retry_loans.py
+++ b/tests/test_retry_loans.py
@@ -1,4 +1,4 @@
-"""Extra retries of a fleet with restarts, and loans of them, in virtual time."""
+"""Extra retries of fleets with restarts, and loans of them."""
 
 import testtools
 
