A retry counts when it is sent, not when it was placed first

While connections hang, a retry is placed again and again; it counted at the first placement only and was sent up to 8 s later. Retries that had waited and new ones then reached a service together: 80 at a time where an instance's share is 50.

Cause: what was taken from a window was used in another one. Class: a quantity booked at a decision, not at its effect. Each further placement of a counted retry moves it to the present.

--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -83,7 +83,8 @@
         elapsed_ms: Time since the request arrived.
         tried: Names of the targets of earlier attempts.
         is_retry: Whether the request was sent to a target before.
-        is_counted: Whether the send is counted in the retry budget already.
+        counted_at: When the send was counted in the retry budget, in seconds;
+            None if it was not.
     """
 
     key: str
@@ -93,7 +94,7 @@
     elapsed_ms: float
     tried: frozenset[str]
     is_retry: bool
-    is_counted: bool = False
+    counted_at: float | None = None
 
 
 class Placement(NamedTuple):
@@ -256,9 +257,11 @@
         self, request: PlacementRequest, now: float
     ) -> verdicts.Refusal | None:
         """Counts a send; refuses a retry that exceeds the retry budget."""
-        if request.is_counted:
-            return None
         service = request.admission.service
+        if request.counted_at is not None:
+            if request.is_retry:
+                self.retry_budget(service).move_retry(request.counted_at, now)
+            return None
         if not request.is_retry:
             self.retry_budget(service).record_first_send(now)
         elif not self.acquire_retry(service, now):
--- a/catkintrail/core/service_retry_budget.py
+++ b/catkintrail/core/service_retry_budget.py
@@ -7,6 +7,7 @@
 then it uses what its peers lend it of their shares.
 """
 
+import bisect
 import collections
 from typing import NamedTuple
 
@@ -99,6 +100,18 @@
         self._retries.append(now)
         return True
 
+    def move_retry(self, taken_at: float, now: float) -> None:
+        """Counts a retry that was taken earlier as one of the present.
+
+        Args:
+            taken_at: When it was taken, or soon after, in seconds.
+            now: Time in seconds.
+        """
+        position = bisect.bisect_right(self._retries, taken_at)
+        if position:
+            del self._retries[position - 1]
+            self._retries.append(now)
+
     def allows_early_retry(self, instances: int, now: float) -> bool:
         """Returns whether a retry may be sent before an attempt has failed.
 
--- a/catkintrail/relay.py
+++ b/catkintrail/relay.py
@@ -182,10 +182,10 @@
                 elapsed_ms,
                 frozenset(progress.failed_targets),
                 progress.send_count > 0,
-                progress.is_counted,
+                progress.counted_at,
             )
         )
-        progress.is_counted = True
+        progress.counted_at = self.clock()
         return placement
 
     def _extend_wait(
@@ -204,7 +204,7 @@
         if now >= progress.deadline or has_reserved_memory:
             return now
         if self.router.acquire_retry(admission.service):
-            progress.is_counted = True
+            progress.counted_at = self.clock()
             return now
         _LOG.info(
             "wait_extended",
@@ -483,7 +483,7 @@
         head_deadline = response_forwarder.first_response_deadline(
             route, progress, placement, sent_at
         )
-        progress.is_counted = False
+        counted_at, progress.counted_at = progress.counted_at, None
         try:
             response = self.targets.send(
                 placement.target,
@@ -500,7 +500,7 @@
             ):
                 progress.send_count += 1
             else:
-                progress.is_counted = True
+                progress.counted_at = counted_at
             raise
         progress.send_count += 1
         progress.has_response = True
--- a/catkintrail/request_progress.py
+++ b/catkintrail/request_progress.py
@@ -19,7 +19,8 @@
         has_response: Whether the head of a response to the current send has
             arrived.
         send_events: Number of events received in the current send.
-        is_counted: Whether the next send is counted in the retry budget.
+        counted_at: When the next send was counted in the retry budget, in
+            seconds; None if it was not.
         send_count: How often the request was sent to a target.
         failed_targets: Names of targets that failed the request.
         sequence: Drops repeated events of the stream and detects missing ones.
@@ -46,7 +47,7 @@
         self.verdict = verdicts.Verdict.NOT_RUN
         self.has_response = False
         self.send_events = 0
-        self.is_counted = False
+        self.counted_at: float | None = None
         self.send_count = 0
         self.failed_targets: set[str] = set()
         self.sequence = event_stream.EventSequence(request.last_event)
