Test of retries that stopped targets read late

A target that is stopped by a signal for seconds keeps its port; the kernel takes connections and requests for it, and it reads them all when it goes on. The instances count a retry when they send it, and stop counting it one window later; the users count it when it arrives. The class of fault: a limit at the receiver that the sender counts by its own time.

--- a/tests/test_retry_budget_fleet.py
+++ b/tests/test_retry_budget_fleet.py
@@ -28,12 +28,15 @@
 
     Attributes:
         requests: When requests were sent, in seconds.
-        retries: When retries were sent, in seconds.
+        retries: When retries arrived, in seconds.
+        paused_until: Until when half of the targets are stopped; what is sent
+            to them arrives then.
     """
 
     def __init__(self, fleet, name):
         self.requests = []
         self.retries = []
+        self.paused_until = 0.0
         self._fleet = fleet
         self._name = name
         self._rng = random.Random(name)
@@ -52,11 +55,14 @@
                 budget.record_first_send(fleet.now)
         for address in live:
             while fleet.actors[address].acquire_retry(self._name):
-                self.retries.append(fleet.now)
+                is_late = self._rng.random() < 0.5
+                late_at = self.paused_until if is_late else 0.0
+                self.retries.append(max(fleet.now, late_at))
         fleet.at(STEP_SECONDS, self._step)
 
     def worst_share(self):
         """Returns the largest share of the users' bound in any window."""
+        self.retries.sort()
         return max(
             _count(self.retries, start)
             / (
@@ -191,3 +197,13 @@
                     fleet.freeze(address, WINDOW_SECONDS)
                 fleet.run(WINDOW_SECONDS + 1.0)
             self.assert_within_bound(service, size)
+
+
+class PausedTargetTests(RetryBudgetTestCase):
+
+    def test_retries_that_stopped_targets_read_late_stay_in_the_bound(self):
+        fleet = make_even_fleet(6)
+        service = FailingService(fleet, "desk")
+        service.paused_until = fleet.now + 8.0
+        fleet.run(2 * WINDOW_SECONDS)
+        self.assert_within_bound(service)
