--- a/catkintrail/adapters/quarantine_exchange.py
+++ b/catkintrail/adapters/quarantine_exchange.py
@@ -11,6 +11,7 @@
 from catkintrail.adapters import fleet_broadcast
 from catkintrail.core import request_quarantine
 from catkintrail.core import request_router
+from catkintrail.core import store_views
 
 __all__ = ["QuarantineExchange"]
 
@@ -44,6 +45,40 @@
         report = messages.CrashReport(*crash, 0.0)
         self._spread(self._make_news(now, (report,), tuple(added)))
 
+    def record_survival(self, target: str, born: int, now: float) -> None:
+        """Records that an engine lived on after it ended a connection."""
+        quarantine = self._router.quarantine
+        listed = self._router.fleet_state.targets.targets.get(target)
+        if listed is None or listed.born != born:
+            return
+        released = quarantine.record_survival(target, born, now)
+        _LOG.info("target_survived", extra={"target": target, "born": born})
+        _log_releases(released, "survival")
+        survival = messages.SurvivalReport(target, born, 0.0)
+        self._spread(self._make_news(now, survivals=(survival,)))
+
+    def apply_changes(
+        self, changes: list[store_views.TargetChange], now: float
+    ) -> None:
+        """Takes engines that are gone, or have started anew, as ended."""
+        quarantine = self._router.quarantine
+        added = []
+        for target, event in changes:
+            if event in store_views.REMOVAL_EVENTS:
+                added += quarantine.record_end(target.name, target.born, now)
+            elif not target.is_leaving:
+                added += quarantine.record_start(target.name, target.born, now)
+        _log_quarantines(added, self._router.settings.name)
+
+    def begin_trial(self, traits: tuple[str, ...], now: float) -> bool:
+        """Returns whether a quarantined request may be sent as a trial."""
+        begun = self._router.quarantine.begin_trial(traits, now)
+        for combination in begun:
+            _LOG.warning("request_trial", extra={"traits": sorted(combination)})
+        if begun:
+            self._spread(self._make_news(now, added=tuple(begun)))
+        return bool(begun)
+
     def record_proof(self, traits: tuple[str, ...], now: float) -> None:
         """Records that a target has answered, or written on a prompt."""
         released = self._router.quarantine.record_proof(traits, now)
@@ -53,21 +88,17 @@
 
     def restore(
         self,
-        left_seconds: dict[request_quarantine.Traits, float],
+        remainders: dict[
+            request_quarantine.Traits, request_quarantine.Remainder
+        ],
         now: float,
     ) -> None:
-        """Applies quarantines that outlasted the instances.
-
-        Args:
-            left_seconds: Remaining durations of the combinations.
-            now: Time in seconds.
-        """
+        """Applies quarantines that have outlasted the instances."""
         quarantine = self._router.quarantine
         restored = [
             traits
-            for traits, seconds in left_seconds.items()
-            if traits not in quarantine.quarantined
-            and quarantine.accept(traits, seconds, now)
+            for traits, remainder in remainders.items()
+            if quarantine.restore(traits, remainder, now)
         ]
         _log_quarantines(restored, "store")
 
@@ -105,9 +136,15 @@
             )
             for start in range(0, len(reports), MAX_CRASHES_PER_MESSAGE)
         ]
-        if quarantine.quarantined:
+        survivals = tuple(
+            messages.SurvivalReport(target, born, age_seconds * 1000.0)
+            for target, born, age_seconds in quarantine.survivors(
+                now, max_age_seconds
+            )
+        )
+        if quarantine.quarantined or survivals:
             added = tuple(quarantine.quarantined)
-            news.append(self._make_news(now, added=added))
+            news.append(self._make_news(now, added=added, survivals=survivals))
         return news
 
     def _make_news(
@@ -116,19 +153,35 @@
         crashes: tuple[messages.CrashReport, ...] = (),
         added: tuple[request_quarantine.Traits, ...] = (),
         released: Iterable[request_quarantine.Traits] = (),
+        survivals: tuple[messages.SurvivalReport, ...] = (),
     ) -> messages.QuarantineNews:
         quarantined = self._router.quarantine.quarantined
         return messages.QuarantineNews(
             self._router.settings.name,
             crashes,
             tuple(
-                messages.QuarantineReport(
-                    tuple(sorted(traits)), (quarantined[traits] - now) * 1000.0
-                )
+                self._make_report(traits, now)
                 for traits in added
                 if traits in quarantined
             ),
             tuple(tuple(sorted(traits)) for traits in released),
+            survivals,
+        )
+
+    def _make_report(
+        self, traits: request_quarantine.Traits, now: float
+    ) -> messages.QuarantineReport:
+        quarantine = self._router.quarantine
+        trial = quarantine.trials[traits]
+        next_ms = -1.0
+        if trial.next_at < float("inf"):
+            next_ms = max(0.0, trial.next_at - now) * 1000.0
+        return messages.QuarantineReport(
+            tuple(sorted(traits)),
+            (quarantine.quarantined[traits] - now) * 1000.0,
+            trial.begun,
+            trial.failed,
+            next_ms,
         )
 
     def _spread(self, news: messages.QuarantineNews) -> None:
@@ -142,20 +195,35 @@
         is_new = False
         added = []
         for report in news.crashes:
-            crash = request_quarantine.EngineCrash(*report[:4])
+            crash = request_quarantine.EngineCrash(*report[:-1])
             is_new = is_new or not quarantine.is_known(crash)
             at = now - report.age_ms / 1000.0
             added += quarantine.record_crash(crash, at)
+        released = []
+        for survival in news.survivals:
+            if not quarantine.is_survivor(survival.target, survival.born):
+                is_new = True
+                released += quarantine.record_survival(
+                    survival.target,
+                    survival.born,
+                    now - survival.age_ms / 1000.0,
+                )
         refuted = []
         for item in news.quarantines:
             traits = frozenset(item.traits)
-            if traits in quarantine.quarantined:
-                continue
-            if quarantine.accept(traits, item.left_ms / 1000.0, now):
-                added.append(traits)
-            else:
-                refuted.append(traits)
-        released = []
+            if traits not in quarantine.quarantined:
+                if not quarantine.accept(
+                    traits, item.left_ms / 1000.0, now, item.failed
+                ):
+                    refuted.append(traits)
+                elif traits in quarantine.quarantined:
+                    added.append(traits)
+            next_seconds = float("inf")
+            if item.next_trial_ms >= 0:
+                next_seconds = item.next_trial_ms / 1000.0
+            is_new |= quarantine.merge_trial(
+                traits, item.trials, now + next_seconds
+            )
         for combination in news.released:
             released += quarantine.record_proof(combination, now)
         _log_quarantines(added, news.sender)
--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -121,11 +121,11 @@
     """A quarantine in force.
 
     Attributes:
-        left_seconds: Remaining duration.
+        remainder: What is left of it.
         is_owner: Whether this instance stores it for all.
     """
 
-    left_seconds: float
+    remainder: request_quarantine.Remainder
     is_owner: bool
 
 
@@ -385,24 +385,43 @@
         """Records a response that broke off at its start; tells the fleet."""
         self._quarantine_exchange.record_crash(crash, self._clock())
 
+    def record_survival(self, target: target_records.Target) -> None:
+        """Records that a target lived on after it ended a connection."""
+        self._quarantine_exchange.record_survival(
+            target.name, target.born, self._clock()
+        )
+
+    def begin_trial(self, traits: tuple[str, ...]) -> bool:
+        """Returns whether a quarantined request may be sent as a trial."""
+        return self._quarantine_exchange.begin_trial(traits, self._clock())
+
     def record_request_proof(self, traits: tuple[str, ...]) -> None:
         """Records that a target has answered, or written on a prompt."""
         self._quarantine_exchange.record_proof(traits, self._clock())
 
     def restore_quarantines(
-        self, left_seconds: dict[request_quarantine.Traits, float]
+        self,
+        remainders: dict[
+            request_quarantine.Traits, request_quarantine.Remainder
+        ],
     ) -> None:
-        """Applies quarantines that outlasted the instances."""
-        self._quarantine_exchange.restore(left_seconds, self._clock())
+        """Applies quarantines that have outlasted the instances."""
+        self._quarantine_exchange.restore(remainders, self._clock())
 
     def quarantine_statuses(
         self,
     ) -> dict[request_quarantine.Traits, QuarantineStatus]:
         """Returns the quarantines in force."""
         now = self._clock()
+        quarantine = self._router.quarantine
         return {
-            traits: QuarantineStatus(until - now, self.owns_quarantine(traits))
-            for traits, until in self._router.quarantine.quarantined.items()
+            traits: QuarantineStatus(
+                request_quarantine.Remainder(
+                    until - now, quarantine.trials[traits].failed
+                ),
+                self.owns_quarantine(traits),
+            )
+            for traits, until in quarantine.quarantined.items()
             if until > now
         }
 
@@ -722,6 +741,7 @@
         self, changes: list[store_views.TargetChange], source: str
     ) -> None:
         self._router.drop_removed_targets(changes)
+        self._quarantine_exchange.apply_changes(changes, self._clock())
         _log_changes(changes, source)
 
     def _broadcast_load(
--- a/catkintrail/adapters/router_client.py
+++ b/catkintrail/adapters/router_client.py
@@ -31,6 +31,8 @@
             actor, right before each send.
         quarantine: The quarantined prompts, read in the same way.
         clock: Returns the time in seconds.
+        probe: Finds out whether a target lives on after it ended a connection;
+            calls its second argument if the target is gone.
     """
 
     def __init__(
@@ -44,6 +46,9 @@
         self.notices = notices
         self.quarantine = quarantine
         self.clock = clock
+        self.probe: Callable[
+            [target_records.Target, Callable[[], None]], None
+        ] = lambda target, on_refusal: None
 
     def admit(
         self, host: str, path: str, api_key: str
@@ -119,6 +124,15 @@
         )
         future = self.proxy.record_request_crash(crash)
         future.get(timeout=CALL_TIMEOUT_SECONDS)
+        ended = crash._replace(has_ended=True)
+        self.probe(target, lambda: self.proxy.record_request_crash.defer(ended))
+
+    def begin_trial(self, traits: tuple[str, ...]) -> bool:
+        """Returns whether a quarantined request may be sent as a trial."""
+        if not self.quarantine.is_trial_due(traits, self.clock()):
+            return False
+        future = self.proxy.begin_trial(traits)
+        return future.get(timeout=CALL_TIMEOUT_SECONDS)
 
     def record_request_proof(self, traits: tuple[str, ...]) -> None:
         """Records that a target has answered, or written on a prompt."""
@@ -127,14 +141,13 @@
             self.proxy.record_request_proof.defer(needed)
 
     def restore_quarantines(
-        self, left_seconds: dict[request_quarantine.Traits, float]
+        self,
+        remainders: dict[
+            request_quarantine.Traits, request_quarantine.Remainder
+        ],
     ) -> None:
-        """Applies stored quarantines; waits until they are in force.
-
-        Args:
-            left_seconds: Remaining durations of the combinations.
-        """
-        future = self.proxy.restore_quarantines(left_seconds)
+        """Applies stored quarantines; waits until they are in force."""
+        future = self.proxy.restore_quarantines(remainders)
         future.get(timeout=CALL_TIMEOUT_SECONDS)
 
     def quarantine_statuses(
--- a/catkintrail/core/request_quarantine.py
+++ b/catkintrail/core/request_quarantine.py
@@ -12,6 +12,10 @@
 far more engines ended on it later. Engines that end at the same moment are
 likely to have a common cause, such as a power failure, and count once.
 
+An engine that has ended a connection may live on. If it is seen to, its
+evidence is withdrawn, and its later evidence counts only if it then ends. Few
+requests are let through a quarantine as trials: an answer on one ends it.
+
 Performs no I/O and takes the current time as an argument. Times are in seconds
 of a clock that keeps running while the machine is suspended.
 """
@@ -31,6 +35,15 @@
 QUARANTINE_SECONDS = 600.0
 # After a quarantine, one further crash renews it for this long.
 PROBATION_SECONDS = 3_600.0
+# Pauses before the trials: after the quarantine began, and after each trial
+# that has crashed an engine.
+TRIAL_PAUSES_SECONDS = (0.5, 1.0)
+# How long the outcome of a trial is awaited; doubles with each one.
+TRIAL_SECONDS = 2.0
+# An engine that is gone this long after it ended a connection has ended then.
+END_SECONDS = 10.0
+# A withdrawn quarantine is not taken from a peer for this long.
+WITHDRAWAL_SECONDS = 60.0
 EVIDENCE_SECONDS = 600.0
 PROOF_SECONDS = 300.0
 MAX_CRASHES = 256
@@ -77,12 +90,40 @@
         born: Start time of the engine, in Unix milliseconds; 0 if unknown.
         traits: Traits of the request.
         has_begun: Whether the head of the response had arrived.
+        has_ended: Whether the engine was found to be gone afterwards.
     """
 
     target: str
     born: int
     traits: tuple[str, ...]
     has_begun: bool
+    has_ended: bool = False
+
+
+class Remainder(NamedTuple):
+    """What is left of a quarantine that has outlasted the instances.
+
+    Attributes:
+        seconds: Remaining duration.
+        failed: Number of trials that had crashed an engine.
+    """
+
+    seconds: float
+    failed: int
+
+
+class Trial(NamedTuple):
+    """The trials of a quarantine.
+
+    Attributes:
+        begun: Number of requests that were let through.
+        failed: Number of crashes since the quarantine began.
+        next_at: Time in seconds from which a request is let through.
+    """
+
+    begun: int
+    failed: int
+    next_at: float
 
 
 class _Evidence(NamedTuple):
@@ -92,11 +133,13 @@
         at: Time in seconds.
         requests: Traits of each request whose response broke off.
         begun: Those among them of which the head of the response had arrived.
+        has_ended: Whether the engine was found to be gone afterwards.
     """
 
     at: float
     requests: frozenset[Traits]
     begun: frozenset[Traits]
+    has_ended: bool = False
 
     @property
     def accused(self) -> frozenset[Traits]:
@@ -133,12 +176,18 @@
             quarantines end. Replaced at each change, so that other threads may
             read it.
         suspects: Fingerprints that crashes speak against; replaced likewise.
+        trials: The trials of the quarantines.
     """
 
     def __init__(self) -> None:
         self.quarantined: dict[Traits, float] = {}
         self.suspects: Traits = frozenset()
+        self.trials: dict[Traits, Trial] = {}
         self._crashes: dict[tuple[str, int], _Evidence] = {}
+        # Engines that lived on after they had ended a connection, and since
+        # when that is known.
+        self._survivors: dict[tuple[str, int], float] = {}
+        self._withdrawn_at: dict[Traits, float] = {}
         self._proven_at: dict[str, float] = {}
         self._probation: dict[Traits, float] = {}
 
@@ -179,23 +228,158 @@
         key = (crash.target, crash.born)
         known = self._crashes.pop(key, _Evidence(now, frozenset(), frozenset()))
         requests, begun = known.requests, known.begun
+        has_ended = known.has_ended or crash.has_ended
         if len(requests) < MAX_REQUESTS_PER_CRASH:
             requests |= {traits}
             if crash.has_begun:
                 begun |= {traits}
-        self._crashes[key] = _Evidence(min(known.at, now), requests, begun)
+        self._crashes[key] = _Evidence(
+            min(known.at, now), requests, begun, has_ended
+        )
         if len(self._crashes) > MAX_CRASHES:
             del self._crashes[next(iter(self._crashes))]
         self._update_suspects()
+        if not self._counts(key):
+            return []
+        self._fail_trials(traits, now)
         added = self._renew(traits, now)
-        # Fingerprints first: what they explain does not convict parts.
-        for suspects in _split(traits):
-            guilty = self._find_guilty(suspects)
-            if guilty:
-                added.append(guilty)
-                self._add(guilty, now + QUARANTINE_SECONDS)
+        return added + self._convict(traits, now)
+
+    def record_end(self, target: str, born: int, now: float) -> list[Traits]:
+        """Records that an engine is gone, or has started anew.
+
+        Args:
+            target: Name of the engine.
+            born: The start that has ended, in Unix milliseconds.
+            now: Time in seconds.
+
+        Returns:
+            Combinations that are quarantined from now on.
+        """
+        key = (target, born)
+        evidence = self._crashes.get(key)
+        if evidence is None or not 0.0 <= now - evidence.at <= END_SECONDS:
+            return []
+        counted = self._counts(key)
+        self._crashes[key] = evidence._replace(has_ended=True)
+        added = []
+        if not counted:
+            for traits in sorted(evidence.requests, key=sorted):
+                added += self._convict(traits, now)
+        return added
+
+    def record_survival(
+        self, target: str, born: int, now: float
+    ) -> list[Traits]:
+        """Records that an engine has lived on after it ended a connection.
+
+        Args:
+            target: Name of the engine.
+            born: Start time of the engine, in Unix milliseconds.
+            now: Time in seconds.
+
+        Returns:
+            Combinations that are no longer quarantined.
+        """
+        key = (target, born)
+        counted = self._counts(key)
+        self._survivors.pop(key, None)
+        self._survivors[key] = now
+        if len(self._survivors) > MAX_CRASHES:
+            del self._survivors[next(iter(self._survivors))]
+        evidence = self._crashes.get(key)
+        if evidence is None or evidence.has_ended or not counted:
+            return []
+        released = []
+        for combination in list(self.quarantined):
+            if not any(combination <= traits for traits in evidence.requests):
+                continue
+            if self._is_convicted(combination):
+                self._restore_trial(combination, now)
+            else:
+                released.append(combination)
+                self._remove(combination)
+                self._withdrawn_at[combination] = now
+        return released
+
+    def survivors(
+        self, now: float, max_age_seconds: float = EVIDENCE_SECONDS
+    ) -> list[tuple[str, int, float]]:
+        """Returns names, starts and ages in seconds of what was survived."""
+        return [
+            (*key, now - at)
+            for key, at in self._survivors.items()
+            if now - at <= max_age_seconds
+        ]
+
+    def is_survivor(self, target: str, born: int) -> bool:
+        """Returns whether an engine has lived on after such an end."""
+        return (target, born) in self._survivors
+
+    def record_start(self, target: str, born: int, now: float) -> list[Traits]:
+        """Records that an engine has started; earlier starts have ended."""
+        added = []
+        for name, other in list(self._crashes):
+            if name == target and other != born:
+                added += self.record_end(name, other, now)
         return added
 
+    def is_trial_due(self, traits: Iterable[str], now: float) -> bool:
+        """Returns whether a quarantined request may be sent as a trial.
+
+        May be called while another thread changes the quarantine.
+        """
+        known = frozenset(traits)
+        trials = self.trials
+        return all(
+            combination in trials and trials[combination].next_at <= now
+            for combination, until in self.quarantined.items()
+            if combination <= known and until > now
+        )
+
+    def begin_trial(self, traits: Iterable[str], now: float) -> list[Traits]:
+        """Lets a quarantined request through, if a trial is due.
+
+        Args:
+            traits: Traits of the request.
+            now: Time in seconds.
+
+        Returns:
+            The quarantines that are on trial; none if the request may not be
+            sent.
+        """
+        known = frozenset(traits)
+        if not self.is_trial_due(known, now):
+            return []
+        matching = [
+            combination
+            for combination, until in self.quarantined.items()
+            if combination <= known and until > now
+        ]
+        for combination in matching:
+            trial = self.trials[combination]
+            pause = TRIAL_SECONDS * 2**trial.begun
+            self.trials[combination] = trial._replace(
+                begun=trial.begun + 1, next_at=now + pause
+            )
+        return matching
+
+    def merge_trial(
+        self, combination: Traits, begun: int, next_at: float
+    ) -> bool:
+        """Applies what a peer knows of the trials of a quarantine.
+
+        Returns:
+            Whether it was news.
+        """
+        trial = self.trials.get(combination)
+        if trial is None or begun <= trial.begun:
+            return False
+        self.trials[combination] = trial._replace(
+            begun=begun, next_at=max(next_at, trial.next_at)
+        )
+        return True
+
     def select_provable(self, traits: Iterable[str]) -> tuple[str, ...]:
         """Returns the traits of which a proof matters.
 
@@ -225,13 +409,20 @@
             self._probation.pop(combination, None)
         return released
 
-    def accept(self, combination: Traits, seconds: float, now: float) -> bool:
-        """Applies a quarantine that a peer reports.
+    def accept(
+        self,
+        combination: Traits,
+        seconds: float,
+        now: float,
+        failed: int = 0,
+    ) -> bool:
+        """Applies a quarantine that a peer reports, or that was stored.
 
         Args:
             combination: The traits.
             seconds: Remaining duration of the quarantine.
             now: Time in seconds.
+            failed: Number of trials that have crashed an engine.
 
         Returns:
             False if this instance has proof against the quarantine.
@@ -244,10 +435,31 @@
             for trait in combination
         ):
             return False
-        if combination not in self.quarantined:
+        if (
+            combination not in self.quarantined
+            and combination not in self._withdrawn_at
+        ):
             self._add(combination, now + min(seconds, QUARANTINE_SECONDS))
+            self.trials[combination] = _make_trial(failed, now)
         return True
 
+    def restore(
+        self, combination: Traits, remainder: Remainder, now: float
+    ) -> bool:
+        """Applies a quarantine that has outlasted the instances.
+
+        It has one trial at most, and none if one has failed, as trials after it
+        was stored are not known.
+
+        Returns:
+            Whether the quarantine is new.
+        """
+        if combination in self.quarantined:
+            return False
+        failed = len(TRIAL_PAUSES_SECONDS) - (0 if remainder.failed else 1)
+        self.accept(combination, remainder.seconds, now, failed)
+        return combination in self.quarantined
+
     def crashes(
         self, now: float, max_age_seconds: float = EVIDENCE_SECONDS
     ) -> list[tuple[EngineCrash, float]]:
@@ -263,12 +475,15 @@
         return [
             (
                 EngineCrash(
-                    *key, tuple(sorted(traits)), traits in evidence.begun
+                    *key,
+                    tuple(sorted(traits)),
+                    traits in evidence.begun,
+                    evidence.has_ended,
                 ),
                 now - evidence.at,
             )
             for key, evidence in self._crashes.items()
-            if now - evidence.at <= max_age_seconds
+            if now - evidence.at <= max_age_seconds and self._counts(key)
             for traits in evidence.requests
             if not traits <= self._proven_at.keys()
         ]
@@ -279,6 +494,7 @@
         return (
             evidence is not None
             and frozenset(crash.traits) in evidence.requests
+            and (evidence.has_ended or not crash.has_ended)
         )
 
     def expire(self, now: float) -> list[Traits]:
@@ -292,6 +508,16 @@
             for key, evidence in self._crashes.items()
             if now - evidence.at <= EVIDENCE_SECONDS
         }
+        self._survivors = {
+            key: at
+            for key, at in self._survivors.items()
+            if now - at <= EVIDENCE_SECONDS
+        }
+        self._withdrawn_at = {
+            combination: at
+            for combination, at in self._withdrawn_at.items()
+            if now - at <= WITHDRAWAL_SECONDS
+        }
         self._update_suspects()
         while self._proven_at:
             oldest = next(iter(self._proven_at))
@@ -323,8 +549,49 @@
         ]
         for combination in renewed:
             self._add(combination, now + QUARANTINE_SECONDS)
+            self.trials[combination] = _make_trial(
+                len(TRIAL_PAUSES_SECONDS), now
+            )
         return renewed
 
+    def _convict(self, traits: Traits, now: float) -> list[Traits]:
+        """Quarantines what is at fault among the traits of a request."""
+        added = []
+        # Fingerprints first: what they explain does not convict parts.
+        for suspects in _split(traits):
+            guilty = self._find_guilty(suspects)
+            if guilty and guilty not in self.quarantined:
+                added.append(guilty)
+                self._add(guilty, now + QUARANTINE_SECONDS)
+                self.trials[guilty] = _make_trial(0, now)
+        return added
+
+    def _is_convicted(self, combination: Traits) -> bool:
+        """Returns whether the evidence suffices for a quarantine."""
+        return all(
+            len(self._crash_times(trait, combination)) >= self._limit(trait)
+            for trait in combination
+        )
+
+    def _counts(self, key: tuple[str, int]) -> bool:
+        """Returns whether the evidence of an engine counts."""
+        evidence = self._crashes.get(key)
+        return evidence is not None and (
+            evidence.has_ended or key not in self._survivors
+        )
+
+    def _fail_trials(self, traits: Traits, now: float) -> None:
+        for combination, trial in list(self.trials.items()):
+            if combination <= traits:
+                failed = _make_trial(trial.failed + 1, now)
+                self.trials[combination] = failed._replace(begun=trial.begun)
+
+    def _restore_trial(self, combination: Traits, now: float) -> None:
+        """Repeats a trial whose engine was found to live on."""
+        trial = self.trials[combination]
+        restored = _make_trial(max(0, trial.failed - 1), now)
+        self.trials[combination] = restored._replace(begun=trial.begun)
+
     def _find_guilty(self, suspects: Traits) -> Traits | None:
         """Returns the suspects with the most crashes, if there are too many."""
         times = {trait: self._crash_times(trait) for trait in suspects}
@@ -343,22 +610,33 @@
             return CRASHES_OF_PROVEN_TRAITS
         return CRASHES_OF_UNPROVEN_TRAITS
 
-    def _crash_times(self, trait: str) -> list[float]:
+    def _crash_times(
+        self, trait: str, ignored: Traits | None = None
+    ) -> list[float]:
         """Returns the times of the crashes that convict a trait.
 
         Crashes close together count as one. A part is convicted only by crashes
         under different requests, as few as explain all of them.
+
+        Args:
+            trait: The trait.
+            ignored: A quarantine that is taken not to explain crashes.
         """
         proven_at = self._proven_at.get(trait, float("-inf"))
         crashes = []
         last = float("-inf")
-        for evidence in sorted(self._crashes.values(), key=lambda e: e.at):
+        counted = [
+            evidence
+            for key, evidence in self._crashes.items()
+            if self._counts(key)
+        ]
+        for evidence in sorted(counted, key=lambda e: e.at):
             if (
                 evidence.at <= proven_at
                 or evidence.at - last < CRASH_GAP_SECONDS
             ):
                 continue
-            culprits = self._find_culprits(trait, evidence)
+            culprits = self._find_culprits(trait, evidence, ignored)
             if culprits:
                 crashes.append(_Crash(evidence.at, culprits))
                 last = evidence.at
@@ -366,7 +644,9 @@
             crashes = _select_under_different_requests(crashes)
         return [crash.at for crash in crashes]
 
-    def _find_culprits(self, trait: str, evidence: _Evidence) -> Traits:
+    def _find_culprits(
+        self, trait: str, evidence: _Evidence, ignored: Traits | None
+    ) -> Traits:
         """Returns the requests with a trait that may have caused a crash.
 
         A crash that a quarantined combination explains speaks against no other
@@ -384,7 +664,8 @@
         explaining = [
             combination
             for combination in self.quarantined
-            if any(combination <= traits for traits in evidence.requests)
+            if combination != ignored
+            and any(combination <= traits for traits in evidence.requests)
         ]
         if explaining:
             is_part = not _is_fingerprint(trait)
@@ -401,6 +682,7 @@
     def _add(self, combination: Traits, until: float) -> None:
         kept = list(self.quarantined.items())[-MAX_QUARANTINES + 1 :]
         self.quarantined = {**dict(kept), combination: until}
+        self.trials = {c: t for c, t in self.trials.items() if c in dict(kept)}
 
     def _remove(self, combination: Traits) -> None:
         self.quarantined = {
@@ -408,12 +690,20 @@
             for traits, until in self.quarantined.items()
             if traits != combination
         }
+        self.trials.pop(combination, None)
 
 
 def _is_fingerprint(trait: str) -> bool:
     return trait.startswith(FINGERPRINT_PREFIX)
 
 
+def _make_trial(failed: int, now: float) -> Trial:
+    """Returns the trials after some have crashed an engine."""
+    if failed >= len(TRIAL_PAUSES_SECONDS):
+        return Trial(0, failed, float("inf"))
+    return Trial(0, failed, now + TRIAL_PAUSES_SECONDS[failed])
+
+
 def _is_of_one_request(combination: Traits) -> bool:
     return any(map(_is_fingerprint, combination))
 
--- a/catkintrail/messages.py
+++ b/catkintrail/messages.py
@@ -582,6 +582,21 @@
     born: int
     traits: tuple[str, ...]
     has_begun: bool
+    has_ended: bool
+    age_ms: float
+
+
+class SurvivalReport(NamedTuple):
+    """An engine that lived on after it had ended a connection.
+
+    Attributes:
+        target: Name of the engine.
+        born: Start time of the engine, in Unix milliseconds.
+        age_ms: Time since that was seen.
+    """
+
+    target: str
+    born: int
     age_ms: float
 
 
@@ -591,10 +606,16 @@
     Attributes:
         traits: The traits; see core.request_quarantine.
         left_ms: Remaining duration of the quarantine.
+        trials: Number of trials that have begun.
+        failed: Number of crashes since the quarantine began.
+        next_trial_ms: Time until the next trial; -1 if there is none.
     """
 
     traits: tuple[str, ...]
     left_ms: float
+    trials: int
+    failed: int
+    next_trial_ms: float
 
 
 class QuarantineNews(NamedTuple):
@@ -605,12 +626,14 @@
         crashes: Crashes of engines right after the start of a response.
         quarantines: Combinations that are quarantined.
         released: Combinations that an engine has written an answer on.
+        survivals: Engines that lived on after they had ended a connection.
     """
 
     sender: str
     crashes: tuple[CrashReport, ...]
     quarantines: tuple[QuarantineReport, ...]
     released: tuple[tuple[str, ...], ...]
+    survivals: tuple[SurvivalReport, ...]
 
 
 class LimitReport(NamedTuple):
--- a/catkintrail/platform/store.py
+++ b/catkintrail/platform/store.py
@@ -448,6 +448,7 @@
         spec = {
             "traits": list(quarantine.traits),
             "ends-at-ms": quarantine.ends_at_ms,
+            "failed-trials": quarantine.failed_trials,
         }
         name = _make_quarantine_name(quarantine.traits)
         self.client.create(QUARANTINE_KIND, name, spec)
@@ -474,18 +475,21 @@
         name = item["metadata"]["name"]
         traits = item["spec"]["traits"]
         ends_at_ms = item["spec"]["ends-at-ms"]
+        failed_trials = item["spec"]["failed-trials"]
     except (KeyError, TypeError):
-        name, traits, ends_at_ms = None, None, None
+        name = traits = ends_at_ms = failed_trials = None
     if (
         not isinstance(traits, list)
         or not traits
         or not all(isinstance(trait, str) and trait for trait in traits)
-        or not isinstance(ends_at_ms, int)
+        or not all(isinstance(n, int) for n in (ends_at_ms, failed_trials))
         or name != _make_quarantine_name(traits)
     ):
         _LOG.warning("quarantine_unreadable", extra={"object": repr(name)})
         return None
-    return quarantine_store.StoredQuarantine(tuple(sorted(traits)), ends_at_ms)
+    return quarantine_store.StoredQuarantine(
+        tuple(sorted(traits)), ends_at_ms, failed_trials
+    )
 
 
 def _newest_configuration(
--- a/catkintrail/ports/quarantine_store.py
+++ b/catkintrail/ports/quarantine_store.py
@@ -11,10 +11,12 @@
     Attributes:
         traits: The traits, in order; see core.request_quarantine.
         ends_at_ms: End of the quarantine, in Unix milliseconds.
+        failed_trials: Number of trials that had crashed an engine.
     """
 
     traits: tuple[str, ...]
     ends_at_ms: int
+    failed_trials: int = 0
 
 
 class QuarantineStore(Protocol):
--- a/catkintrail/ports/relaying.py
+++ b/catkintrail/ports/relaying.py
@@ -308,6 +308,12 @@
         The next `find_quarantine` takes it into account.
         """
 
+    def begin_trial(self, traits: tuple[str, ...]) -> bool:
+        """Returns whether a quarantined request may be sent as a trial.
+
+        A request that may be is counted as one.
+        """
+
     def record_request_proof(self, traits: tuple[str, ...]) -> None:
         """Records that a target has answered, or written on a prompt."""
 
--- a/catkintrail/quarantine_keeper.py
+++ b/catkintrail/quarantine_keeper.py
@@ -103,37 +103,46 @@
             self._era = self.store.get_era()
             self._stored = {frozenset(q.traits) for q in listed}
         held = self.router.quarantine_statuses()
-        for combination, report in held.items():
-            age = request_quarantine.QUARANTINE_SECONDS - report.left_seconds
-            if (
-                report.is_owner
-                and combination not in self._stored
-                and age >= MIN_AGE_SECONDS
-            ):
-                ends_at = self.wall_clock() + report.left_seconds
-                self.store.write(
-                    quarantine_store.StoredQuarantine(
-                        tuple(sorted(combination)), int(ends_at * 1000)
-                    )
-                )
-                self._stored.add(combination)
+        for combination, status in held.items():
+            if combination not in self._stored and status.is_owner:
+                self._write(combination, status.remainder)
         for combination in self._stored - held.keys():
             if self.router.owns_quarantine(combination):
                 self.store.remove(tuple(sorted(combination)))
             self._stored.discard(combination)
 
+    def _write(
+        self, combination: Traits, remainder: request_quarantine.Remainder
+    ) -> None:
+        """Stores a quarantine that has held for a while."""
+        age = request_quarantine.QUARANTINE_SECONDS - remainder.seconds
+        if age < MIN_AGE_SECONDS:
+            return
+        ends_at = self.wall_clock() + remainder.seconds
+        self.store.write(
+            quarantine_store.StoredQuarantine(
+                tuple(sorted(combination)),
+                int(ends_at * 1000),
+                remainder.failed,
+            )
+        )
+        self._stored.add(combination)
+
     def _read(self) -> None:
         listed = self.store.read_all()
         self._era = self.store.get_era()
         self._stored = {frozenset(q.traits) for q in listed}
         now = self.wall_clock()
-        left_seconds = {
-            frozenset(q.traits): q.ends_at_ms / 1000.0 - now for q in listed
+        remainders = {
+            frozenset(q.traits): request_quarantine.Remainder(
+                q.ends_at_ms / 1000.0 - now, q.failed_trials
+            )
+            for q in listed
         }
         self.router.restore_quarantines(
             {
-                combination: seconds
-                for combination, seconds in left_seconds.items()
-                if 0.0 < seconds <= MAX_END_SECONDS
+                combination: remainder
+                for combination, remainder in remainders.items()
+                if 0.0 < remainder.seconds <= MAX_END_SECONDS
             }
         )
--- a/catkintrail/relay.py
+++ b/catkintrail/relay.py
@@ -29,8 +29,6 @@
 MIN_REMAINING_SECONDS = 0.02
 # A response that ended after at most this many events broke off at its start.
 MAX_STARTING_EVENTS = 3
-# After this many events, an answer is being written on the prompt.
-PROVING_EVENTS = 8
 # A target that has not responded for less than this may only be slow.
 MIN_SILENCE_SECONDS = 0.8
 
@@ -209,7 +207,10 @@
     ) -> Refusal | None:
         """Returns why a request is quarantined; None if it is not."""
         seconds = self.router.find_quarantine(progress.traits)
-        if seconds is None:
+        if seconds is None or progress.is_trial:
+            return None
+        if self.router.begin_trial(progress.traits):
+            progress.is_trial = True
             return None
         return Refusal(
             progress.verdict,
@@ -413,6 +414,7 @@
     ) -> None:
         """Records a response that broke off at its start, or before it."""
         if error.is_broken_off and progress.send_events <= MAX_STARTING_EVENTS:
+            progress.is_trial = False
             self.router.record_request_crash(
                 placement.target, progress.traits, progress.has_response
             )
@@ -423,7 +425,7 @@
         """Records that a target has answered, or written on the prompt."""
         if is_success:
             self.router.record_request_proof(progress.traits)
-        elif progress.send_events >= PROVING_EVENTS:
+        elif progress.send_events >= request_progress.PROVING_EVENTS:
             self.router.record_request_proof(progress.request.prompt_parts)
 
     def _exchange(
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -28,6 +28,7 @@
 from catkintrail.adapters import router_actor
 from catkintrail.adapters import router_client
 from catkintrail.adapters import target_connector
+from catkintrail.adapters import target_probes
 from catkintrail.adapters import wsgi
 from catkintrail.core import request_router
 from catkintrail.core import route_table
@@ -116,6 +117,11 @@
             settings.availability_zone,
             settings.datagram_port,
         )
+        self.router.probe = target_probes.TargetProbes(
+            self.connector,
+            self.router.proxy.record_survival.defer,
+            clock.boot_seconds,
+        ).probe
         self.tunnels = peer_tunnels.TunnelServer(
             settings.address,
             # The TCP port with the number of the UDP port.
--- a/catkintrail/request_progress.py
+++ b/catkintrail/request_progress.py
@@ -5,7 +5,10 @@
 from catkintrail.core import event_stream
 from catkintrail.ports import relaying
 
-__all__ = ["Progress"]
+__all__ = ["PROVING_EVENTS", "Progress"]
+
+# After this many events, an answer is being written on the prompt.
+PROVING_EVENTS = 8
 
 
 class Progress:
@@ -15,6 +18,7 @@
         request: The caller's request.
         deadline: When the final response has to be sent, in seconds.
         traits: What may be quarantined, see core.request_quarantine.
+        is_trial: Whether the request is sent though it is quarantined.
         verdict: Whether the request may have run on any target so far.
         has_response: Whether the head of a response to the current send has
             arrived.
@@ -43,6 +47,7 @@
             request.method, request.uri, organisation, request.body
         )
         self.traits = (fingerprint, *request.prompt_parts)
+        self.is_trial = False
         self.verdict = verdicts.Verdict.NOT_RUN
         self.has_response = False
         self.send_events = 0
--- a/catkintrail/response_forwarder.py
+++ b/catkintrail/response_forwarder.py
@@ -180,6 +180,7 @@
             try:
                 events = reader.feed(data)
                 progress.send_events += len(events)
+                self._end_trial(progress)
                 events = [e for e in events if progress.sequence.accept(e)]
             except errors.FrameError as error:
                 raise errors.TargetError(
@@ -212,6 +213,13 @@
         if not progress.has_started:
             writer.start(response.status, response.headers, None)
 
+    def _end_trial(self, progress: request_progress.Progress) -> None:
+        """Ends a trial, and the quarantine, once an answer is being written."""
+        is_proven = progress.send_events >= request_progress.PROVING_EVENTS
+        if progress.is_trial and is_proven:
+            progress.is_trial = False
+            self.router.record_request_proof(progress.traits)
+
     def _record_first_event(
         self,
         progress: request_progress.Progress,
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -35,6 +35,7 @@
 address = "{store}"
 """
 PORT_NAMES = ("front", "ready", "control", "udp")
+POLL_SECONDS = 0.02
 ENGINE_FIGURES = {
     "slots": 8,
     "kv-capacity-tokens": 450_000,
@@ -142,9 +143,11 @@
         return self.rfile.read(int(self.headers.get("Content-Length", 0)))
 
 
-def _start_server(handler, address="127.0.0.1"):
-    server = _Server((address, 0), handler)
-    threading.Thread(target=server.serve_forever, daemon=True).start()
+def _start_server(handler, address="127.0.0.1", port=0):
+    server = _Server((address, port), handler)
+    threading.Thread(
+        target=server.serve_forever, args=(POLL_SECONDS,), daemon=True
+    ).start()
     return server
 
 
@@ -362,11 +365,16 @@
         is_unframed: Whether streams have neither a length nor chunks and end
             with their connection.
         ends_inside_event: Whether truncated streams end inside an event.
-        crashing_part: Part of a prompt; when the engine begins to write an
-            answer on it, all of its connections end.
+        crashing_part: Part of a prompt; the engine crashes when it begins to
+            write an answer on it.
         crashes_before_head: Whether such a crash precedes the response head.
-        crashing_body: Body of requests that end all connections of the target
-            when it begins to run them; b"" for none.
+        crashing_body: Body of requests that crash the target when it begins to
+            run them; b"" for none.
+        closes_connections: Whether the target ends the connection of each
+            request after `delay`, and lives on.
+        back_seconds: Time from a crash to the next start.
+        on_start: Called after a start that follows a crash.
+        born: Time of the start, in Unix milliseconds.
         crashes: Number of crashes.
         runs: Request id and organisation of each request that was run, in
             order.
@@ -391,7 +399,14 @@
         self.crashing_part = ""
         self.crashes_before_head = False
         self.crashing_body = b""
+        self.closes_connections = False
+        self.back_seconds = 1.0
+        self.on_start = lambda: None
+        self.born = 1_700_000_000_000
         self.crashes = 0
+        self._lock = threading.Lock()
+        self._is_closed = False
+        self._has_left = False
         self.runs = []
         self.orders = []
         self.active = 0
@@ -404,9 +419,37 @@
 
             do_GET = do_POST
 
+        self._handler = Handler
         self.server = _start_server(Handler)
         self.address = f"127.0.0.1:{self.server.server_address[1]}"
 
+    def crash(self, handler):
+        """Ends all connections and the port; starts anew after a while."""
+        with self._lock:
+            handler.close_connection = True
+            if self._is_closed:
+                return
+            self.crashes += 1
+            self._stop()
+        timer = threading.Timer(self.back_seconds, self._start_again)
+        timer.daemon = True
+        timer.start()
+
+    def _stop(self):
+        self._is_closed = True
+        self.server.shutdown()
+        self.server.server_close()
+
+    def _start_again(self):
+        port = int(self.address.rpartition(":")[2])
+        with self._lock:
+            if self._has_left:
+                return
+            self.server = _start_server(self._handler, port=port)
+            self._is_closed = False
+            self.born += 1_000
+        self.on_start()
+
     def entry(self, **changes):
         return {
             "service": self.service,
@@ -417,7 +460,7 @@
             "state": "ready",
             "cold-left-ms": 0,
             "seq": 1,
-            "born": 1_700_000_000_000,
+            "born": self.born,
             **changes,
         }
 
@@ -445,11 +488,12 @@
         try:
             time.sleep(self.delay)
             is_crash = bool(body) and body == self.crashing_body
-            if self.service == "engines":
+            if self.closes_connections:
+                handler.close_connection = True
+            elif self.service == "engines":
                 self._stream(handler, headers, is_crash)
             elif is_crash:
-                self.crashes += 1
-                handler.close_connection = True
+                self.crash(handler)
             else:
                 handler.reply(200, b"booked", headers)
         finally:
@@ -460,8 +504,7 @@
         if self.crashing_part and f"{self.crashing_part}:" in parts:
             is_crash = True
         if is_crash and self.crashes_before_head:
-            self.crashes += 1
-            handler.close_connection = True
+            self.crash(handler)
             return
         handler.send_response(200)
         for name, value in headers:
@@ -471,8 +514,7 @@
             handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
         if is_crash:
-            self.crashes += 1
-            handler.close_connection = True
+            self.crash(handler)
             return
         crashes = self.crashes
         first = int(handler.headers.get("Last-Event-Id", -1)) + 1
@@ -493,5 +535,7 @@
             handler.wfile.write(b"0\r\n\r\n")
 
     def close(self):
-        self.server.shutdown()
-        self.server.server_close()
+        with self._lock:
+            if not self._is_closed:
+                self._stop()
+            self._has_left = True
--- a/tests/test_quarantine_keeper.py
+++ b/tests/test_quarantine_keeper.py
@@ -123,12 +123,14 @@
             None,
             [],
             {},
-            {"traits": "bad", "ends-at-ms": 1},
-            {"traits": [], "ends-at-ms": 1},
-            {"traits": ["other", 1], "ends-at-ms": 1},
-            {"traits": ["other"], "ends-at-ms": "soon"},
-            {"traits": ["other"], "ends-at-ms": 1.5},
-            {"traits": ["other"], "ends-at-ms": 10**18},
+            {"traits": "bad", "ends-at-ms": 1, "failed-trials": 0},
+            {"traits": [], "ends-at-ms": 1, "failed-trials": 0},
+            {"traits": ["other", 1], "ends-at-ms": 1, "failed-trials": 0},
+            {"traits": ["other"], "ends-at-ms": "soon", "failed-trials": 0},
+            {"traits": ["other"], "ends-at-ms": 1.5, "failed-trials": 0},
+            {"traits": ["other"], "ends-at-ms": 10**18, "failed-trials": 0},
+            {"traits": ["other"], "ends-at-ms": 10**12, "failed-trials": "x"},
+            {"traits": ["other"], "ends-at-ms": 10**12},
         )
         for number, spec in enumerate(odd):
             self.store.put(KIND, f"odd-{number}", spec)
@@ -141,6 +143,23 @@
         self.assertIsNone(self.find(keeper, "later"))
         self.assertIn(name, self.store.names(KIND))
 
+    def test_quarantine_whose_trial_has_failed_has_no_further_one(self):
+        for failed in (0, 1):
+            keeper = self.restart()
+            traits = (f"bad{failed}",)
+            self.convict(keeper, *traits)
+            self.now += 0.6
+            self.assertTrue(keeper.router.begin_trial(traits))
+            if failed:
+                crash = request_quarantine.EngineCrash("e-9", 1, traits, True)
+                keeper.router.proxy.record_request_crash(crash).get()
+            self.now += quarantine_keeper.MIN_AGE_SECONDS
+            keeper.synchronise()
+            started = self.restart()
+            self.now += 60.0
+            is_tried = started.router.begin_trial(traits)
+            self.assertEqual(not failed, is_tried)
+
     def test_store_that_is_away_is_asked_again(self):
         self.start_with_a_stored_quarantine()
         self.store.status = 503
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -172,6 +172,9 @@
         )
         self.router.quarantine.record_crash(crash, self.clock())
 
+    def begin_trial(self, parts):
+        return bool(self.router.quarantine.begin_trial(parts, self.clock()))
+
     def record_request_proof(self, parts):
         self.router.quarantine.record_proof(parts, self.clock())
 
@@ -282,6 +285,62 @@
         self.assertEqual((500, b"2"), (self.reply.status, self.reply.body))
 
 
+class QuarantineTests(RelayTestCase):
+    """Requests under which targets have broken responses off."""
+
+    def setUp(self):
+        super().setUp()
+        broken = target_error(MAY_HAVE_RUN, is_broken_off=True)
+        self.serve(broken, broken, path="/look/a")
+        self.traits = tuple(self.router.quarantine.suspects)
+        for number in range(3):
+            self.now += 0.2
+            crash = request_quarantine.EngineCrash(
+                f"gone-{number}", 1, self.traits, False
+            )
+            added = self.router.quarantine.record_crash(crash, self.now)
+            if added:
+                break
+        self.assertEqual([frozenset(self.traits)], added)
+        self.now += 1.0
+
+    def serve(self, *script, **changes):
+        self.reply = FakeResponseWriter()
+        super().serve(*script, **changes)
+        self.now += 0.2
+
+    def test_trial_that_is_answered_ends_the_quarantine(self):
+        for _ in range(2):
+            self.serve(FakeTargetResponse(200, [b"ok"]), path="/look/a")
+            self.assertEqual(200, self.reply.status)
+
+    def test_trial_that_breaks_off_is_not_sent_again(self):
+        self.serve(
+            target_error(MAY_HAVE_RUN, is_broken_off=True),
+            FakeTargetResponse(200, [b"ok"]),
+            path="/look/a",
+        )
+        self.assertEqual(502, self.reply.status)
+        self.assertEqual(1, len(self.targets.sends))
+
+    def test_request_is_refused_while_another_is_on_trial(self):
+        def answer(_):
+            self.assertIsNotNone(
+                self.router.quarantine.find(self.traits, self.now)
+            )
+            self.assertEqual(
+                [], self.router.quarantine.begin_trial(self.traits, self.now)
+            )
+            return b"ok"
+
+        response = FakeTargetResponse(200, [b"ok"])
+        response.read = lambda until, read=response.read: (
+            answer(until) and read(until)
+        )
+        self.serve(response, path="/look/a")
+        self.assertEqual(200, self.reply.status)
+
+
 class LeavingTests(RelayTestCase):
 
     def test_target_that_leaves_while_memory_is_reserved_is_not_sent_to(self):
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import urllib.request
 
@@ -178,7 +179,12 @@
     def add_engine(self, name, service="engines"):
         engine = platform_standins.Engine(name, service)
         self.addCleanup(engine.close)
-        self.store.put("servers", name, engine.entry())
+
+        def register():
+            self.store.put("servers", name, engine.entry())
+
+        engine.on_start = register
+        register()
         return engine
 
     def start_all(self, *ips, **options):
@@ -666,6 +672,65 @@
         self.assertIn(b"quarantined", response)
 
 
+class ClosingTargetTests(RelayProcessTestCase):
+    """Targets that end connections for a while, and live on."""
+
+    TARGETS = 18
+    TROUBLE_SECONDS = 6.0
+    REQUEST_PAUSE_SECONDS = 0.04
+    # A sound request is served again within this time.
+    MAX_REFUSED_SECONDS = 1.0
+
+    def setUp(self):
+        super().setUp()
+        spec = platform_standins.make_spec(1)
+        route = next(r for r in spec["routes"] if r["name"] == "book")
+        route.update({"kind": "idempotent", "max-attempts": 2})
+        self.store.put("config", "main", spec)
+        self.targets = [
+            self.add_engine(f"desk-{number}", "desk")
+            for number in range(self.TARGETS)
+        ]
+        self.relays = self.start_all("127.0.0.1", "127.0.0.2")
+        self.numbers = itertools.count()
+        self.ended = []
+
+    def ask(self):
+        """Sends one request; all are equal but for their ids."""
+        number = next(self.numbers)
+        relay = self.relays[number % 2]
+        status, _ = relay.request("/book/a", f"r{number}", body="same")
+        self.ended.append((time.monotonic(), status))
+
+    def ask_for(self, seconds):
+        """Sends requests at a steady rate; returns when all have ended."""
+        threads = []
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            threads.append(threading.Thread(target=self.ask))
+            threads[-1].start()
+            time.sleep(self.REQUEST_PAUSE_SECONDS)
+        for thread in threads:
+            thread.join(10.0)
+
+    def test_equal_requests_are_served_after_connections_were_closed(self):
+        for target in self.targets:
+            target.delay = 0.05
+            target.closes_connections = True
+        self.ask_for(self.TROUBLE_SECONDS)
+        for target in self.targets:
+            target.closes_connections = False
+        sound_at = time.monotonic()
+        self.ask_for(3 * self.MAX_REFUSED_SECONDS)
+        late = [
+            status
+            for at, status in self.ended
+            if at > sound_at + self.MAX_REFUSED_SECONDS
+        ]
+        self.assertGreater(len(late), 20)
+        self.assertEqual({200}, set(late))
+
+
 class LimitTests(RelayProcessTestCase):
     """Targets that name a limit of requests for all instances together."""
 
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -254,6 +254,132 @@
         self.assertFalse(self.is_quarantined(101.0, "p"))
 
 
+class SurvivalTests(QuarantineTestCase):
+    """Engines that have ended a connection, and live on or do not."""
+
+    def convict(self, now, count=LIMIT):
+        for number in range(count):
+            self.crash(now + number, "p", target=f"e-{number}")
+
+    def test_engines_that_live_on_convict_nothing(self):
+        self.convict(100.0)
+        self.assertTrue(self.is_quarantined(103.0, "p"))
+        released = self.quarantine.record_survival("e-1", 1, 103.0)
+        self.assertEqual([frozenset({"p"})], released)
+        self.assertFalse(self.is_quarantined(103.0, "p"))
+
+    def test_conviction_stays_while_enough_engines_have_ended(self):
+        self.convict(100.0, LIMIT + 1)
+        self.assertEqual([], self.quarantine.record_survival("e-1", 1, 104.0))
+        self.assertTrue(self.is_quarantined(104.0, "p"))
+        self.quarantine.record_survival("e-2", 1, 104.0)
+        self.assertFalse(self.is_quarantined(104.0, "p"))
+
+    def test_engine_that_has_lived_on_counts_when_it_ends(self):
+        for number in range(LIMIT):
+            self.quarantine.record_survival(f"e-{number}", 1, 99.0)
+        self.convict(100.0)
+        self.assertFalse(self.is_quarantined(103.0, "p"))
+        self.quarantine.record_end("e-0", 1, 103.0)
+        self.quarantine.record_start("e-1", 2, 103.0)
+        self.assertFalse(self.is_quarantined(103.0, "p"))
+        ended = request_quarantine.EngineCrash("e-2", 1, ("p",), True, True)
+        self.quarantine.record_crash(ended, 103.0)
+        self.assertTrue(self.is_quarantined(103.0, "p"))
+
+    def test_engine_that_is_gone_much_later_ended_for_another_reason(self):
+        for number in range(LIMIT):
+            self.quarantine.record_survival(f"e-{number}", 1, 99.0)
+        self.convict(100.0)
+        later = 103.0 + request_quarantine.END_SECONDS
+        for number in range(LIMIT):
+            self.quarantine.record_end(f"e-{number}", 1, later)
+        self.assertFalse(self.is_quarantined(later, "p"))
+
+    def test_peer_that_missed_a_survival_does_not_convict_again(self):
+        self.convict(100.0)
+        self.quarantine.record_survival("e-1", 1, 103.0)
+        self.quarantine.accept(frozenset({"p"}), 500.0, 104.0)
+        self.assertFalse(self.is_quarantined(104.0, "p"))
+
+    def test_withdrawn_evidence_is_not_reported(self):
+        self.convict(100.0)
+        self.quarantine.record_survival("e-1", 1, 103.0)
+        reported = self.quarantine.crashes(103.0)
+        self.assertEqual(
+            {"e-0", "e-2"}, {crash.target for crash, _ in reported}
+        )
+        self.assertEqual([("e-1", 1, 1.0)], self.quarantine.survivors(104.0))
+
+
+class TrialTests(QuarantineTestCase):
+    """Requests that are let through a quarantine."""
+
+    PAUSES = request_quarantine.TRIAL_PAUSES_SECONDS
+    COMBINATION = frozenset({"p"})
+
+    def setUp(self):
+        super().setUp()
+        for number in range(LIMIT):
+            self.crash(97.0 + number, "p")
+        self.convicted_at = 96.0 + LIMIT
+
+    def begin(self, now):
+        return bool(self.quarantine.begin_trial(("own", "p"), now))
+
+    def test_one_request_is_let_through_after_a_pause(self):
+        due = self.convicted_at + self.PAUSES[0]
+        self.assertFalse(self.begin(due - 0.1))
+        self.assertTrue(self.begin(due))
+        self.assertFalse(self.begin(due + 0.5))
+        self.assertTrue(self.is_quarantined(due, "p"))
+
+    def test_trials_that_crash_engines_are_few(self):
+        begun = 0
+        for step in range(5_900):
+            now = self.convicted_at + 0.1 * step
+            if self.begin(now):
+                begun += 1
+                self.crash(now, "p", "own")
+        self.assertEqual(len(self.PAUSES), begun)
+
+    def test_crash_of_a_request_that_ran_already_saves_a_trial(self):
+        self.crash(self.convicted_at + 0.3, "p")
+        self.assertFalse(self.begin(self.convicted_at + self.PAUSES[0]))
+
+    def test_trial_without_an_outcome_is_repeated(self):
+        now = self.convicted_at + self.PAUSES[0]
+        self.assertTrue(self.begin(now))
+        later = now + request_quarantine.TRIAL_SECONDS
+        self.assertTrue(self.begin(later))
+        self.assertFalse(self.begin(later + request_quarantine.TRIAL_SECONDS))
+
+    def test_trial_of_a_peer_counts(self):
+        now = self.convicted_at + self.PAUSES[0]
+        self.assertTrue(
+            self.quarantine.merge_trial(self.COMBINATION, 1, now + 2.0)
+        )
+        self.assertFalse(self.begin(now))
+        self.assertFalse(
+            self.quarantine.merge_trial(self.COMBINATION, 1, now + 2.0)
+        )
+
+    def test_trial_whose_engine_lives_on_is_repeated(self):
+        now = self.convicted_at + self.PAUSES[0]
+        self.begin(now)
+        self.crash(now, "p", target="e-living")
+        self.quarantine.record_survival("e-living", 1, now + 0.2)
+        self.assertTrue(self.begin(now + 0.2 + self.PAUSES[0]))
+
+    def test_renewed_quarantine_has_no_trials(self):
+        later = self.convicted_at + 1.0
+        later += request_quarantine.QUARANTINE_SECONDS
+        self.quarantine.expire(later)
+        self.crash(later, "p")
+        self.assertTrue(self.is_quarantined(later, "p"))
+        self.assertFalse(self.begin(later + 500.0))
+
+
 class ReportTests(QuarantineTestCase):
 
     def test_crashes_that_speak_against_no_part_are_not_reported(self):
@@ -380,6 +506,13 @@
         quarantine = self.fleet.router(address).quarantine
         return quarantine.find(traits, self.fleet.now) is not None
 
+    def is_refused(self, address, traits):
+        """Returns whether an instance refuses a request; trials are not."""
+        actor = self.fleet.actors[address]
+        return self.is_quarantined(address, traits) and not actor.begin_trial(
+            traits
+        )
+
     def choose_instance(self):
         return self.rng.choice(sorted(self.fleet.actors))
 
@@ -387,7 +520,7 @@
         address = self.choose_instance()
         own = self.name(b"sound%d" % number)
         traits = (own, "common", f"tenant{number % 10}")
-        if self.is_quarantined(address, traits):
+        if self.is_refused(address, traits):
             self.refused += 1
             return
         actor = self.fleet.actors[address]
@@ -407,7 +540,7 @@
     def send_bad(self, number, sends=2):
         address = self.choose_instance()
         bad, traits = self.make_bad_traits(number)
-        if self.is_quarantined(address, traits):
+        if self.is_refused(address, traits):
             return
         self.arrivals[bad].append(self.fleet.now)
 
@@ -541,3 +674,136 @@
     def make_bad_traits(self, number):
         own = self.name(b"bad%d" % (number % 2))
         return own, (own, "common", f"tenant{number % 2}")
+
+
+class OtherDeathsTests(FleetTestCase):
+    """Engines end one after the other, for reasons of their own."""
+
+    ENGINES = 23
+    DEATHS = 1_000
+    DEATH_PAUSE_SECONDS = 0.5
+    BACK_SECONDS = 3.0
+    MAX_REFUSED_SECONDS = 1.0
+    ZONE_SIZES = {"za": 2, "zb": 2, "zc": 2}
+
+    def setUp(self):
+        super().setUp()
+        self.run_seconds = (0.05, 0.6)
+        self.up_at = {}
+        self.running = collections.defaultdict(dict)
+        self.sent = 0
+        self.served = 0
+        self.crash_count = 0
+        self.first_refused_at = {}
+        self.longest_refusal = 0.0
+
+    def play_deaths(self, equal_per_second, seed):
+        """Plays deaths beside sound requests, some of them equal."""
+        self.rng = random.Random(seed)
+        self.fleet = virtual_fleet.VirtualFleet(
+            self.ZONE_SIZES, [builders.make_target("e-1")]
+        )
+        self.fleet.run(5.0)
+        seconds = self.DEATHS * self.DEATH_PAUSE_SECONDS
+        for number in range(self.DEATHS):
+            at = number * self.DEATH_PAUSE_SECONDS
+            jitter = self.rng.uniform(0.0, self.DEATH_PAUSE_SECONDS)
+            self.fleet.at(at + jitter, self.kill_engine)
+        for number in range(int(seconds * equal_per_second)):
+            at = number / equal_per_second
+            self.fleet.at(at, self.send, self.name(b"same"), 1)
+        for number in range(int(seconds * 10)):
+            name = self.name(b"other%d" % number)
+            self.fleet.at(number / 10, self.send, name, 1)
+        self.fleet.run(seconds + 5.0)
+
+    def send(self, name, sends, address=None, engine=None):
+        address = address or self.choose_instance()
+        traits = (name, "common")
+        now = self.fleet.now
+        if self.is_refused(address, traits):
+            since = self.first_refused_at.setdefault(name, now)
+            self.longest_refusal = max(self.longest_refusal, now - since)
+            return
+        engines = [
+            number
+            for number in range(self.ENGINES)
+            if self.up_at.get(number, 0.0) <= now and number != engine
+        ]
+        chosen = self.rng.choice(engines)
+        self.sent += 1
+        self.running[chosen][self.sent] = (address, name, sends)
+        length = self.rng.uniform(*self.run_seconds)
+        self.fleet.at(length, self.answer, chosen, self.sent, traits)
+
+    def answer(self, engine, key, traits):
+        request = self.running[engine].pop(key, None)
+        if request is None:
+            return
+        address, name, _ = request
+        self.served += 1
+        quarantine = self.fleet.router(address).quarantine
+        actor = self.fleet.actors[address]
+        actor.record_request_proof(quarantine.select_provable(traits))
+        self.first_refused_at.pop(name, None)
+
+    def kill_engine(self):
+        now = self.fleet.now
+        alive = [
+            number
+            for number in range(self.ENGINES)
+            if self.up_at.get(number, 0.0) <= now
+        ]
+        engine = self.rng.choice(alive)
+        self.up_at[engine] = now + self.BACK_SECONDS
+        broken = self.running.pop(engine, {})
+        for address, name, sends in broken.values():
+            self.crash_count += 1
+            crash = request_quarantine.EngineCrash(
+                f"e-{engine}", int(now * 1000), (name, "common"), False
+            )
+            self.fleet.actors[address].record_request_crash(crash)
+            if sends < 2:
+                self.send(name, sends + 1, address, engine)
+
+    def make_bad_traits(self, number):
+        """Returns the equal requests, which are sound."""
+        return "same", (self.name(b"same"), "common")
+
+    def check(self, equal_per_second, seed, run_seconds=(0.05, 0.6)):
+        self.run_seconds = run_seconds
+        self.play_deaths(equal_per_second, seed)
+        self.assertGreater(self.crash_count, 100)
+        self.assertLessEqual(self.longest_refusal, self.MAX_REFUSED_SECONDS)
+
+    def test_frequent_equal_requests_stay_served(self):
+        self.check(25.0, seed=1)
+
+    def test_rare_equal_requests_stay_served(self):
+        self.check(2.0, seed=2)
+
+    def test_equal_requests_that_last_longer_stay_served(self):
+        self.check(5.0, seed=4, run_seconds=(0.5, 2.0))
+
+    def test_request_under_which_engines_ended_by_chance_is_served_again(self):
+        self.fleet = virtual_fleet.VirtualFleet(
+            self.ZONE_SIZES, [builders.make_target("e-1")]
+        )
+        self.fleet.run(5.0)
+        _, traits = self.make_bad_traits(0)
+        for number in range(LIMIT):
+            self.fleet.run(0.5)
+            self.break_off(self.choose_instance(), f"e-{number}", traits, False)
+        ended_at = self.fleet.now
+        self.fleet.run(0.01)
+        self.assertTrue(self.is_quarantined("10.0.0.1", traits))
+        for number in range(200):
+            self.fleet.at(0.1 * number, self.send, self.name(b"same"), 1)
+        self.fleet.run(self.MAX_REFUSED_SECONDS + 0.2)
+        before = self.fleet.now
+        self.assertLess(before - ended_at, 2 * self.MAX_REFUSED_SECONDS)
+        self.assertLessEqual(self.longest_refusal, self.MAX_REFUSED_SECONDS)
+        for address in self.fleet.actors:
+            self.assertFalse(self.is_quarantined(address, traits))
+        self.fleet.run(20.0)
+        self.assertGreater(self.served, 180)
