Second trials of quarantined requests begin within three seconds

After a crash on trial the next trial now begins within three seconds of the quarantine or not at all (TrialTests, test_request_that_comes_seldom_has_one_trial).

--- a/catkintrail/core/request_quarantine.py
+++ b/catkintrail/core/request_quarantine.py
@@ -38,6 +38,9 @@
 # Pauses before the trials: after the quarantine began, and after each trial
 # that has crashed an engine.
 TRIAL_PAUSES_SECONDS = (0.5, 1.0)
+# After a crash on trial, the next trial begins this long after the quarantine
+# at the latest.
+TRIAL_WINDOW_SECONDS = 3.0
 # How long the outcome of a trial is awaited; doubles with each one.
 TRIAL_SECONDS = 2.0
 # An engine that is gone this long after it ended a connection has ended then.
@@ -119,11 +122,13 @@
         begun: Number of requests that were let through.
         failed: Number of crashes since the quarantine began.
         next_at: Time in seconds from which a request is let through.
+        last_at: Time in seconds until which one is.
     """
 
     begun: int
     failed: int
     next_at: float
+    last_at: float = float("inf")
 
 
 class _Evidence(NamedTuple):
@@ -332,7 +337,10 @@
         known = frozenset(traits)
         trials = self.trials
         return all(
-            combination in trials and trials[combination].next_at <= now
+            combination in trials
+            and trials[combination].next_at
+            <= now
+            <= trials[combination].last_at
             for combination, until in self.quarantined.items()
             if combination <= known and until > now
         )
@@ -440,7 +448,7 @@
             and combination not in self._withdrawn_at
         ):
             self._add(combination, now + min(seconds, QUARANTINE_SECONDS))
-            self.trials[combination] = _make_trial(failed, now)
+            self._set_trial(combination, failed, now)
         return True
 
     def restore(
@@ -458,7 +466,10 @@
             return False
         failed = len(TRIAL_PAUSES_SECONDS) - (0 if remainder.failed else 1)
         self.accept(combination, remainder.seconds, now, failed)
-        return combination in self.quarantined
+        if combination not in self.quarantined:
+            return False
+        self.trials[combination] = _make_trial(failed, now)
+        return True
 
     def crashes(
         self, now: float, max_age_seconds: float = EVIDENCE_SECONDS
@@ -583,14 +594,22 @@
     def _fail_trials(self, traits: Traits, now: float) -> None:
         for combination, trial in list(self.trials.items()):
             if combination <= traits:
-                failed = _make_trial(trial.failed + 1, now)
-                self.trials[combination] = failed._replace(begun=trial.begun)
+                self._set_trial(combination, trial.failed + 1, now)
 
     def _restore_trial(self, combination: Traits, now: float) -> None:
         """Repeats a trial whose engine was found to live on."""
         trial = self.trials[combination]
-        restored = _make_trial(max(0, trial.failed - 1), now)
-        self.trials[combination] = restored._replace(begun=trial.begun)
+        self._set_trial(combination, max(0, trial.failed - 1), now)
+
+    def _set_trial(self, combination: Traits, failed: int, now: float) -> None:
+        """Sets when the next trial may begin after some have failed."""
+        trial = _make_trial(failed, now)
+        if combination in self.trials:
+            trial = trial._replace(begun=self.trials[combination].begun)
+        if failed:
+            begun_at = self.quarantined[combination] - QUARANTINE_SECONDS
+            trial = trial._replace(last_at=begun_at + TRIAL_WINDOW_SECONDS)
+        self.trials[combination] = trial
 
     def _find_guilty(self, suspects: Traits) -> Traits | None:
         """Returns the suspects with the most crashes, if there are too many."""
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -343,6 +343,15 @@
                 self.crash(now, "p", "own")
         self.assertEqual(len(self.PAUSES), begun)
 
+    def test_request_that_comes_seldom_has_one_trial(self):
+        begun = 0
+        for step in range(130):
+            now = self.convicted_at + 4.5 * (step + 1)
+            if self.begin(now):
+                begun += 1
+                self.crash(now, "p", "own")
+        self.assertEqual(1, begun)
+
     def test_crash_of_a_request_that_ran_already_saves_a_trial(self):
         self.crash(self.convicted_at + 0.3, "p")
         self.assertFalse(self.begin(self.convicted_at + self.PAUSES[0]))
