--- a/catkintrail/core/service_retry_budget.py
+++ b/catkintrail/core/service_retry_budget.py
@@ -2,9 +2,11 @@
 
 The bound applies to all instances together. Each instance applies the ratio to
 its own first sends and takes an equal share of the extra retries, so that the
-instances need not coordinate. An instance that has just started takes no share,
-because the process that it replaces may have used it in the same window; until
-then it uses what its peers lend it of their shares.
+instances need not coordinate.
+
+An instance that started within the last window takes no share, and little of
+its ratio, because the process that it replaces may have used both in the same
+window. Meanwhile it uses what its peers lend it.
 """
 
 import bisect
@@ -19,8 +21,8 @@
 # Early retries use at most this part of what may be used; the rest is kept for
 # requests that failed.
 EARLY_RETRY_PART = 0.5
-# The same for an instance in its first window. What it and its predecessor use
-# together stays within the bound.
+# Share of the ratio that an instance uses in its first window: the process that
+# it replaces may have used SAFETY_SHARE in the same window.
 FIRST_WINDOW_SHARE = 0.1
 # An instance lends at most this part of what it may use.
 MAX_LENT_PART = 0.5
