Failing test of a quarantine that is renewed as it ends

The keeper looks every 0.5 s. A quarantine that ends and is renewed by a further crash between two looks counts as stored, though the object states the old end; after a loss of all instances it is unknown again.

--- a/tests/test_quarantine_keeper.py
+++ b/tests/test_quarantine_keeper.py
@@ -116,6 +116,19 @@
         self.assertIsNone(self.find(self.restart(), *BAD))
         self.assertEqual(set(), self.store.names(KIND))
 
+    def test_quarantine_that_is_renewed_at_its_end_outlasts_all_instances(self):
+        keeper = self.start_with_a_stored_quarantine()
+        self.now += LENGTH_SECONDS
+        keeper.router.proxy.tick().get()
+        self.now += 0.1
+        crash = request_quarantine.EngineCrash("e-9", 1, tuple(BAD), True)
+        keeper.router.proxy.record_request_crash(crash).get()
+        self.assertIsNotNone(self.find(keeper, *BAD))
+        for _ in range(6):
+            self.now += 1.0
+            keeper.synchronise()
+        self.assertIsNotNone(self.find(self.restart(), *BAD))
+
     def test_odd_entries_cost_themselves_only(self):
         self.start_with_a_stored_quarantine()
         (name,) = self.store.names(KIND)
