Use of the retry budget is computed for the metrics only

It was part of the router's status, which several threads read a few times a second each; only the page of metrics needs it. No change of behaviour.

--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -102,8 +102,6 @@
             that the store had.
         newest_targets_position: Newest position at which a peer knows the
             targets.
-        retry_usage: How much of its retry budget the instance has used, by
-            service.
     """
 
     is_ready: bool
@@ -119,7 +117,6 @@
     slow_targets: int
     targets_age_seconds: float
     newest_targets_position: store_views.Position
-    retry_usage: dict[str, service_retry_budget.BudgetUsage]
 
 
 class QuarantineStatus(NamedTuple):
@@ -744,9 +741,12 @@
             len(self._suspects),
             now - router.fleet_state.targets_complete_at,
             router.fleet_state.newest_targets_position,
-            router.retry_usage(now),
         )
 
+    def retry_usage(self) -> dict[str, service_retry_budget.BudgetUsage]:
+        """Returns how much of the retry budget of each service is used."""
+        return self._router.retry_usage(self._clock())
+
     def clear_newer_peer(self, address: str) -> None:
         """Clears `newer_peer` after that peer has been asked for its state."""
         if self._router.fleet_state.newer_peer == address:
--- a/catkintrail/adapters/router_client.py
+++ b/catkintrail/adapters/router_client.py
@@ -8,6 +8,7 @@
 from catkintrail.adapters import router_actor
 from catkintrail.core import request_quarantine
 from catkintrail.core import request_router
+from catkintrail.core import service_retry_budget
 from catkintrail.core import target_notices
 from catkintrail.core import targets as target_records
 
@@ -195,6 +196,10 @@
         """Returns the actor's status."""
         return _await_result(self.proxy.status())
 
+    def retry_usage(self) -> dict[str, service_retry_budget.BudgetUsage]:
+        """Returns how much of the retry budget of each service is used."""
+        return _await_result(self.proxy.retry_usage())
+
     def peer_state(self, known_version: int = -1) -> router_actor.PeerState:
         """Returns the state that another instance fetches from this one.
 
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -419,7 +419,7 @@
         }
         for name, value in gauges.items():
             self.metrics.set(name, float(value), {})
-        for service, usage in status.retry_usage.items():
+        for service, usage in self.router.retry_usage().items():
             labels = {"service": service}
             self.metrics.set("catkintrail_retries", usage.retries, labels)
             self.metrics.set(
