One look at a socket's events serves callers and engines

callers.py had written again what engines.py had for kept connections, and once more for callers that have left: adapters/sockets.has_event now. No change of behaviour.

--- a/catkintrail/adapters/sockets.py
+++ b/catkintrail/adapters/sockets.py
@@ -1,8 +1,9 @@
-"""Sockets whose class is chosen after they were opened."""
+"""Sockets whose class is chosen after they were opened, and their state."""
 
+import select
 import socket
 
-__all__ = ["AdoptedSocket"]
+__all__ = ["AdoptedSocket", "has_event"]
 
 
 class AdoptedSocket(socket.socket):
@@ -17,3 +18,10 @@
             fileno=original.detach(),
         )
         self.settimeout(timeout)
+
+
+def has_event(connection: socket.socket, events: int) -> bool:
+    """Returns whether a socket has one of some events of `poll` now."""
+    poll = select.poll()
+    poll.register(connection, events)
+    return bool(poll.poll(0))
--- a/catkintrail/platform/callers.py
+++ b/catkintrail/platform/callers.py
@@ -19,6 +19,7 @@
 from catkintrail import errors
 from catkintrail import verdict as verdicts
 from catkintrail.adapters import caller_watch
+from catkintrail.adapters import sockets
 from catkintrail.core import route_table
 from catkintrail.platform import wire
 from catkintrail.ports import relaying
@@ -329,7 +330,9 @@
         """Accepts the connections that wait; returns the last one."""
         connection = super()._from_server_socket(server_socket)
         for _ in range(LISTEN_BACKLOG):
-            if connection is None or not _is_readable(server_socket):
+            if connection is None or not sockets.has_event(
+                server_socket, select.POLLIN
+            ):
                 break
             self.server.process_conn(connection)
             connection = super()._from_server_socket(server_socket)
@@ -340,7 +343,7 @@
         super().stop()
         listener = self.server.socket
         with contextlib.suppress(OSError):
-            if _is_readable(listener):
+            if sockets.has_event(listener, select.POLLIN):
                 connection = self._from_server_socket(listener)
                 if connection is not None:
                     self.server.process_conn(connection)
@@ -538,7 +541,7 @@
             _refuse_late(parsed, writer)
             return
         connection = request.conn.socket
-        if _has_left(connection):
+        if sockets.has_event(connection, select.POLLRDHUP):
             _LOG.info(
                 "request_abandoned", extra={"request_id": parsed.request_id}
             )
@@ -670,19 +673,6 @@
     return ""
 
 
-def _is_readable(connection: socket.socket) -> bool:
-    poll = select.poll()
-    poll.register(connection, select.POLLIN)
-    return bool(poll.poll(0))
-
-
-def _has_left(connection: socket.socket) -> bool:
-    """Returns whether a caller has closed its connection."""
-    poll = select.poll()
-    poll.register(connection, select.POLLRDHUP)
-    return bool(poll.poll(0))
-
-
 def _log_error(
     message: str = "", level: int = 20, traceback: bool = False
 ) -> None:
--- a/catkintrail/platform/engines.py
+++ b/catkintrail/platform/engines.py
@@ -18,6 +18,7 @@
 from catkintrail import verdict as verdicts
 from catkintrail.adapters import keep_alive
 from catkintrail.adapters import peer_tunnels
+from catkintrail.adapters import sockets
 from catkintrail.adapters import target_connector
 from catkintrail.core import target_notices
 from catkintrail.core import target_pauses
@@ -675,8 +676,6 @@
 
 
 def _is_readable(connection: socket.socket) -> bool:
-    if peer_tunnels.has_unread_frames(connection):
-        return True
-    poll = select.poll()
-    poll.register(connection, select.POLLIN)
-    return bool(poll.poll(0))
+    return peer_tunnels.has_unread_frames(connection) or sockets.has_event(
+        connection, select.POLLIN
+    )
