Tests: one wait for a condition, one valid settings file

test_platform_callers had written again what test_peer_tunnels had, and test_platform_wire built the same settings twice. Assertions are unchanged.

--- a/tests/test_peer_tunnels.py
+++ b/tests/test_peer_tunnels.py
@@ -19,6 +19,7 @@
 from tests import processes
 from tests import relaying as builders
 from tests import test_platform_engines as engine_tests
+from tests import waits
 
 HEAD = (
     b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nEngine-Stamp: s\r\n"
@@ -103,17 +104,9 @@
         tunnel = peer_tunnels.open_tunnel("127.0.0.1", self.port, name, 1.0)
         if tunnel is not None:
             self.addCleanup(tunnel.close)
-            self.assertTrue(self.wait_until(lambda: self.accepted))
+            self.assertTrue(waits.wait_until(lambda: self.accepted))
         return tunnel
 
-    def wait_until(self, condition, seconds=5.0):
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            if condition():
-                return True
-            time.sleep(0.005)
-        return False
-
 
 class CopyTests(TunnelTestCase):
 
@@ -158,7 +151,7 @@
             self.assertEqual(b"", self.accepted[0].recv(1))
         except ConnectionResetError:
             pass
-        self.assertTrue(self.wait_until(lambda: not self.peer.count))
+        self.assertTrue(waits.wait_until(lambda: not self.peer.count))
 
     def test_parts_of_frames_are_put_together(self):
         near, far = socket.socketpair()
@@ -227,7 +220,7 @@
         self.assertNotIn(None, tunnels)
         self.assertIsNone(self.open())
         tunnels[0].close()
-        self.assertTrue(self.wait_until(lambda: self.open() is not None))
+        self.assertTrue(waits.wait_until(lambda: self.open() is not None))
 
     def test_malformed_requests_are_dropped(self):
         for request in (
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -12,6 +12,7 @@
 from catkintrail.core import route_table
 from catkintrail.platform import callers
 from tests import processes
+from tests import waits
 
 HEAD = (
     b"POST /ask/a?x=1 HTTP/1.1\r\nHost: wells.example\r\n"
@@ -21,15 +22,6 @@
 LIMITS = route_table.CallerLimits(2_000, 5_000, 600, 15_000)
 
 
-def wait_until(condition, seconds=5.0):
-    end = time.monotonic() + seconds
-    while time.monotonic() < end:
-        if condition():
-            return True
-        time.sleep(0.01)
-    return False
-
-
 class CallerServerTestCase(testtools.TestCase):
 
     def setUp(self):
@@ -217,7 +209,7 @@
         self.stop(5.0)
         for connection in connections:
             self.assertIn(b" 200 ", self.read_response(connection))
-        self.assertTrue(wait_until(self.is_refused))
+        self.assertTrue(waits.wait_until(self.is_refused))
 
     def test_requests_that_wait_on_kept_connections_are_served(self):
         # Guards against requests that are closed unread with their connections.
@@ -257,7 +249,7 @@
         self.handler = wait
         connection = self.connect()
         connection.sendall(HEAD + b"Content-Length: 0\r\n\r\n")
-        self.assertTrue(wait_until(lambda: self.server.in_flight))
+        self.assertTrue(waits.wait_until(lambda: self.server.in_flight))
         with self.assertLogs("catkintrail.callers") as logs:
             self.server.answer_unfinished()
         response = self.read_response(connection)
@@ -474,7 +466,7 @@
         connections = [self.connect() for _ in range(5)]
         for connection in connections[:4]:
             connection.sendall(HEAD + b"Content-Length: 0\r\n\r\n")
-        self.assertTrue(wait_until(lambda: self.server.in_flight == 4))
+        self.assertTrue(waits.wait_until(lambda: self.server.in_flight == 4))
         pool = self.server._server.requests
         spawn = pool._spawn_worker
         may_go_on = threading.Event()
@@ -489,7 +481,7 @@
         growth.start()
         head = HEAD.replace(b"/ask/a?x=1", b"/new")
         connections[4].sendall(head + b"Content-Length: 0\r\n\r\n")
-        self.assertTrue(wait_until(lambda: self.server.in_flight == 5))
+        self.assertTrue(waits.wait_until(lambda: self.server.in_flight == 5))
         stop = threading.Thread(target=self.server.stop, args=(5.0,))
         stop.start()
         time.sleep(0.7)
@@ -517,7 +509,7 @@
         connections = [self.connect() for _ in range(4)]
         for connection in connections:
             connection.sendall(request)
-        self.assertTrue(wait_until(lambda: self.server.in_flight == 4))
+        self.assertTrue(waits.wait_until(lambda: self.server.in_flight == 4))
         left = [self.connect() for _ in range(20)]
         for connection in left:
             connection.sendall(request)
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -115,6 +115,15 @@
 
 class SettingsTests(testtools.TestCase):
 
+    def make_valid_settings(self):
+        return platform_standins.make_settings(
+            "i-1",
+            "127.0.0.1",
+            dict.fromkeys(platform_standins.PORT_NAMES, 8000),
+            ("127.0.0.1",),
+            "127.0.0.1:8223",
+        )
+
     def test_missing_fields_are_named_in_the_error(self):
         error = self.assertRaises(errors.CheckError, boot.decode_settings, {})
         self.assertIn("bounds", str(error))
@@ -127,13 +136,7 @@
 
     def test_settings_of_another_form_are_an_error_that_is_handled(self):
         # Guards against a process that ends when its settings are reloaded.
-        valid = platform_standins.make_settings(
-            "i-1",
-            "127.0.0.1",
-            dict.fromkeys(platform_standins.PORT_NAMES, 8000),
-            ("127.0.0.1",),
-            "127.0.0.1:8223",
-        )
+        valid = self.make_valid_settings()
         settings = boot.parse_settings(valid, "file")
         self.assertEqual("i-1", settings.name)
         for odd in (
@@ -149,13 +152,7 @@
             )
 
     def test_number_of_zones_is_known(self):
-        valid = platform_standins.make_settings(
-            "i-1",
-            "127.0.0.1",
-            dict.fromkeys(platform_standins.PORT_NAMES, 8000),
-            ("127.0.0.1",),
-            "127.0.0.1:8223",
-        )
+        valid = self.make_valid_settings()
         zones = '[zones]\nza = "east"\nzb = "east"\nzc = "west"\n'
         self.assertEqual(0, boot.parse_settings(valid, "file").zone_count)
         parsed = boot.parse_settings(valid + zones, "file")
