Instances start from bytecode that the build compiles

Instances have no writable disk, so that the interpreter cannot keep the bytecode of the package: each start compiled its 70 modules again, while the dependencies were compiled when they were installed. The bytecode is checked against a hash of the source, as copies of a build may have other modification times.

The test counts compilations with an audit hook: over 60 before, 0 after the build.

--- /dev/null
+++ b/tests/test_startup_imports.py
@@ -0,0 +1,62 @@
+"""Tests of what an instance loads when it starts."""
+
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+import tomllib
+
+import testtools
+
+ROOT = pathlib.Path(__file__).parent.parent
+COUNT_COMPILED = """
+import sys
+compiled = []
+def record(event, arguments):
+    if event == "compile" and "catkintrail" in str(arguments[1]):
+        compiled.append(arguments[1])
+sys.addaudithook(record)
+from catkintrail import relay_daemon
+assert relay_daemon.__file__.startswith({folder!r}), relay_daemon.__file__
+print(len(compiled))
+"""
+
+
+def run_python(code, folder=ROOT):
+    """Returns what a new interpreter prints, which may write no bytecode."""
+    environment = {**os.environ, "PYTHONDONTWRITEBYTECODE": "1"}
+    environment.pop("PYTHONPYCACHEPREFIX", None)
+    return subprocess.run(
+        [sys.executable, "-c", code],
+        cwd=folder,
+        env=environment,
+        check=True,
+        capture_output=True,
+        text=True,
+    ).stdout
+
+
+class BuildTests(testtools.TestCase):
+
+    def test_instances_start_from_bytecode_of_the_build(self):
+        # Instances without a writable disk compiled 70 modules at each start,
+        # which took a third of the start's processor time.
+        path = ROOT / "deploy" / "system.toml"
+        build = tomllib.loads(path.read_text(encoding="utf-8"))["build"]
+        _, _, compilation = build.rpartition("&&")
+        with tempfile.TemporaryDirectory() as folder:
+            shutil.copytree(
+                ROOT / "catkintrail",
+                pathlib.Path(folder) / "catkintrail",
+                ignore=shutil.ignore_patterns("__pycache__"),
+            )
+            code = COUNT_COMPILED.format(folder=folder)
+            self.assertLess(60, int(run_python(code, folder)))
+            command = compilation.replace("python3", sys.executable)
+            subprocess.run(command, shell=True, cwd=folder, check=True)
+            # A copy of the build may have other modification times.
+            for source in pathlib.Path(folder).rglob("*.py"):
+                os.utime(source, (1, 1))
+            self.assertEqual(0, int(run_python(code, folder)))
