Callers are served before metrics and tunnels are loaded

A start loaded asyncio for tunnels of peers, and the metrics library, before it served callers, though no request needs them. Both are now loaded, and the ports for peers and metrics opened, after the ports for callers and the readiness check are open. What requests record until then is kept and recorded when the library is there. The tunnel server has its own module, as the client side is needed by every connection to a target. The store is read before the other threads are started.

--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -17,14 +17,13 @@
 from catkintrail import memory_leases
 from catkintrail import quarantine_keeper
 from catkintrail import relay as relays
+from catkintrail import relay_metrics
 from catkintrail import relay_settings
 from catkintrail.adapters import bounded_http
 from catkintrail.adapters import caller_watch
 from catkintrail.adapters import clock
 from catkintrail.adapters import datagrams
 from catkintrail.adapters import logs
-from catkintrail.adapters import metrics as metrics_module
-from catkintrail.adapters import peer_tunnels
 from catkintrail.adapters import router_actor
 from catkintrail.adapters import router_client
 from catkintrail.adapters import stop_request
@@ -97,7 +96,7 @@
         self.log_handler = log_handler
         self.is_draining = False
         rng = random.Random(os.urandom(16))
-        self.metrics = metrics_module.Metrics()
+        self.metrics = relay_metrics.RelayMetrics()
         self.datagrams = datagrams.DatagramTransport(
             settings.address, settings.datagram_port, self._receive_datagram
         )
@@ -125,14 +124,8 @@
             self.router.proxy.record_survival.defer,
             clock.boot_seconds,
         ).probe
-        self.tunnels = peer_tunnels.TunnelServer(
-            settings.address,
-            # The TCP port with the number of the UDP port.
-            settings.datagram_port,
-            self.router.find_target,
-            lambda: not self.connector.is_cut_off(),
-            self.connector.record_own_link,
-        )
+        # An adapters.tunnel_server.TunnelServer, once that is loaded.
+        self.tunnels: Any = None
         self.client = engines.EngineClient(
             clock.boot_seconds,
             router.notices,
@@ -167,7 +160,7 @@
             self.router,
             self.client,
             self.leases,
-            _RelayMetrics(self.metrics),
+            self.metrics,
             clock.boot_seconds,
             rng,
         )
@@ -185,23 +178,19 @@
         self._services: dict[str, route_table.Service] = {}
 
     def start(self) -> None:
-        """Opens all ports and starts all threads."""
-        self.datagrams.start()
-        self.tunnels.start()
-        self.connector.start()
+        """Opens all ports and starts all threads.
+
+        What requests do not need is loaded when callers are served.
+        """
         self.state_updater.start()
         self.quarantine_keeper.start()
-        self.watch.start()
-        self.leases.start()
-        if self.settings.peer_address:
-            _start_server(
-                self.settings.peer_address, self._handle_peer, PEER_THREADS
-            )
-        metrics_address = f"{self.settings.address}:{METRICS_PORT}"
-        _start_server(metrics_address, self._handle_metrics, 1)
+        self.datagrams.start()
         threading.Thread(
             target=self._run_ticks, name="tick", daemon=True
         ).start()
+        self.connector.start()
+        self.watch.start()
+        self.leases.start()
         # Until the configuration and the targets are known, every request would
         # be refused; until the quarantines are, requests may crash targets.
         self._await_initial_state()
@@ -217,6 +206,28 @@
                 "store": self.settings.store_address,
             },
         )
+        self._start_tunnels()
+        self.metrics.load()
+        if self.settings.peer_address:
+            _start_server(
+                self.settings.peer_address, self._handle_peer, PEER_THREADS
+            )
+        metrics_address = f"{self.settings.address}:{METRICS_PORT}"
+        _start_server(metrics_address, self._handle_metrics, 1)
+
+    def _start_tunnels(self) -> None:
+        # pylint: disable-next=import-outside-toplevel
+        from catkintrail.adapters import tunnel_server
+
+        self.tunnels = tunnel_server.TunnelServer(
+            self.settings.address,
+            # The TCP port with the number of the UDP port.
+            self.settings.datagram_port,
+            self.router.find_target,
+            lambda: not self.connector.is_cut_off(),
+            self.connector.record_own_link,
+        )
+        self.tunnels.start()
 
     def _await_initial_state(self) -> None:
         started = clock.boot_seconds()
@@ -417,40 +428,13 @@
             "catkintrail_memory_orders": self.orders.order_count,
             "catkintrail_datagrams_dropped": self.datagrams.dropped,
         }
-        for name, value in gauges.items():
-            self.metrics.set(name, float(value), {})
-        for service, usage in self.router.retry_usage().items():
-            labels = {"service": service}
-            self.metrics.set("catkintrail_retries", usage.retries, labels)
-            self.metrics.set(
-                "catkintrail_retries_allowed", usage.allowed, labels
-            )
-        body, headers = self.metrics.render([request.headers.get("accept", "")])
+        body, headers = self.metrics.render(
+            gauges, self.router.retry_usage(), request.headers.get("accept", "")
+        )
         pairs = list(headers.items()) + [("Content-Length", str(len(body)))]
         return wsgi.Response(200, pairs, [body])
 
 
-class _RelayMetrics:
-    """Records the outcomes of requests and sends."""
-
-    def __init__(self, metrics: metrics_module.Metrics) -> None:
-        self._metrics = metrics
-
-    def record_request(self, outcome: str, seconds: float) -> None:
-        """Counts a finished request and records its duration."""
-        labels = {"outcome": outcome}
-        self._metrics.increment("catkintrail_relayed_total", labels)
-        self._metrics.observe("catkintrail_relay_seconds", seconds, labels)
-
-    def record_first_event(self, seconds: float) -> None:
-        """Records the time from a request to its first event."""
-        self._metrics.observe("catkintrail_first_token_seconds", seconds, {})
-
-    def record_send(self, outcome: str) -> None:
-        """Counts a finished send."""
-        self._metrics.increment("catkintrail_sends_total", {"outcome": outcome})
-
-
 def run() -> int:
     """Runs an instance until SIGTERM.
 
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -145,6 +145,14 @@
     return False
 
 
+def accepts_connections(address):
+    try:
+        socket.create_connection(address, 5.0).close()
+    except ConnectionRefusedError:
+        return False
+    return True
+
+
 class StartTests(testtools.TestCase):
 
     def test_sighup_is_ignored_before_slow_modules_are_imported(self):
@@ -466,6 +474,9 @@
 
     def test_metrics_are_served(self):
         self.relay.request("/ask/a", "r1")
+        # The port opens after those for callers and the readiness check.
+        address = "127.0.0.1", self.ports["control"]
+        self.assertTrue(wait_until(lambda: accepts_connections(address)))
         url = f"http://127.0.0.1:{self.ports['control']}/metrics"
         with urllib.request.urlopen(url, timeout=5.0) as response:
             text = response.read().decode()
--- a/tests/test_startup_imports.py
+++ b/tests/test_startup_imports.py
@@ -10,6 +10,8 @@
 
 import testtools
 
+from catkintrail import relay_metrics
+
 ROOT = pathlib.Path(__file__).parent.parent
 COUNT_COMPILED = """
 import sys
@@ -34,6 +36,18 @@
 except errors.CheckError:
     print(count() - before, gc.get_freeze_count(), gc.isenabled())
 """
+# Modules that no request needs.
+LATE_MODULES = {
+    "aioprometheus",
+    "asyncio",
+    "json5",
+    "orjson",
+}
+PRINT_MODULES = """
+import sys
+from catkintrail import relay_daemon
+print(*sys.modules)
+"""
 
 
 def run_python(code, folder=ROOT):
@@ -89,3 +103,29 @@
         self.assertLess(int(collections), 5)
         self.assertLess(20_000, int(frozen))
         self.assertEqual("True", is_enabled)
+
+    def test_modules_that_no_request_needs_are_loaded_later(self):
+        # Loading them took a tenth of the time until callers were served.
+        loaded = set(run_python(PRINT_MODULES).split())
+        self.assertIn("catkintrail.relay", loaded)
+        self.assertEqual(set(), loaded & LATE_MODULES)
+
+
+class MetricsTests(testtools.TestCase):
+
+    def test_requests_before_the_library_is_loaded_are_counted(self):
+        metrics = relay_metrics.RelayMetrics()
+        metrics.record_send("answered")
+        metrics.record_first_event(0.1)
+        metrics.record_request("answered", 0.2)
+        metrics.load()
+        metrics.record_request("answered", 0.2)
+        body, _ = metrics.render({"catkintrail_peers": 2}, {}, "")
+        text = body.decode()
+        for line in (
+            'catkintrail_relayed_total{outcome="answered"} 2',
+            'catkintrail_sends_total{outcome="answered"} 1',
+            "catkintrail_first_token_seconds_count 1",
+            "catkintrail_peers 2",
+        ):
+            self.assertIn(line, text)
