Long prompts leave engines with short streams alone during bursts

Cause: an earlier first event within the goal was rewarded in proportion to the weight of the request, so that long prompts were divided over more engines than they needed and read where short streams run. Short streams spread evenly over all engines that a burst had opened, so that these never became free. Parts of other prompts were taken for streams that will start, and parts that delay waiting prompts cost nothing.

Change: the reward no longer grows with the weight. Streams gather on the engine with most of them. Parts for other engines are known to precede the engine's own prompts; what they delay is charged to them, and the expected ends of the delayed prefills move. The streams that will start while a prompt is read are predicted from the arrivals of the last second, and those without a slot elsewhere count as late. Harm to a more urgent kind counts twice. The costs moved to core/scheduling.

--- a/catkintrail/core/engine_placement.py
+++ b/catkintrail/core/engine_placement.py
@@ -8,13 +8,15 @@
 tokens share engines.
 """
 
-from typing import Callable, NamedTuple, Sequence
+from typing import NamedTuple, Sequence
 
 from catkintrail.core import engine_cost
 from catkintrail.core import fleet_load
 from catkintrail.core import route_table
-from catkintrail.core import target_health
 from catkintrail.core import targets as target_records
+from catkintrail.core.scheduling import engine_state
+from catkintrail.core.scheduling import placement_cost
+from catkintrail.core.scheduling import stream_demand
 
 __all__ = [
     "Choice",
@@ -28,37 +30,6 @@
 # Numbers of engines among which a prompt may be divided. The protocol allows 16
 # helpers.
 PART_COUNTS = (1, 2, 3, 4, 6, 8, 12, 16)
-# Cost of a late answer or a stream with too long an event gap, as a share of
-# the request's weight: the users' measure credits late answers with a quarter.
-LATE_COST = 0.75
-# A predicted event gap counts as too long above this share of the goal, because
-# predictions do not include network transit time.
-GAP_GOAL_SHARE = 0.85
-# Event gap at which callers of the shortest streams disconnect, as specified by
-# the platform.
-CALLER_TIMEOUT_GAP_MS = 2_000.0
-# The first event is planned for this share of its goal, because predictions do
-# not include network transit time.
-FIRST_TOKEN_GOAL_SHARE = 0.8
-# Cost of a delay as long as the goal, and less for shorter delays, so that the
-# sooner of two answers in time is preferred.
-WITHIN_GOAL_COST = 0.15
-# Cost, on top of `LATE_COST`, of each further delay as long as the goal.
-OVERDUE_COST_SLOPE = 0.25
-# Limit of the cost that grows with lateness: the remaining value of a late
-# answer.
-MAX_OVERDUE_COST = 0.5
-# Cost of each helper, relative to a request of mean length: transferring its
-# part disturbs the other requests of the engine.
-HELPER_COST = 0.02
-# Cost of the first stream on an engine: engines without streams are kept free
-# for long prompts, whose prefill would delay streams elsewhere.
-FIRST_STREAM_COST = 0.12
-# Cost of an engine in another availability zone, for traffic between zones.
-OTHER_ZONE_COST = 0.03
-# Cost of each request beyond the engine's slots, which waits for another
-# request to end.
-QUEUED_COST = 1.0
 # Share of an engine's KV cache that prompts and predicted outputs may fill.
 USABLE_KV_SHARE = 0.95
 # A first token counts as overdue this long after its predicted time. Reports
@@ -66,56 +37,9 @@
 OVERDUE_TOLERANCE_MS = 60.0
 OTHER_ZONE_OVERDUE_TOLERANCE_MS = 300.0
 OVERDUE_TOLERANCE_SHARE = 0.5
-# Cost of another request on a suspect engine before its next first token has
-# arrived.
-SUSPECT_COST = 0.5
-# Mean wait for the end of the running pass, as a share of a pass.
-MEAN_PASS_WAIT_SHARE = 0.5
 
-
-class RequestDemand(NamedTuple):
-    """The resources and response time that a request needs.
-
-    Attributes:
-        prompt_tokens: Length of the prompt.
-        output_tokens: Maximum number of output tokens.
-        goal_ms: Goal for the time from the request's arrival to its first
-            event.
-        elapsed_ms: Time since the request arrived.
-        gap_goal_ms: Goal for the longest gap between events; 0 for none.
-    """
-
-    prompt_tokens: int
-    output_tokens: int
-    goal_ms: float
-    elapsed_ms: float
-    gap_goal_ms: float = 0.0
-
-
-class EngineState(NamedTuple):
-    """An engine and its known load.
-
-    Attributes:
-        target: The engine.
-        attempts: Attempts in progress on the engine.
-        backlog_ms: Time until the queued prefills are done.
-        pass_ms: Duration of a decoding pass without prefills; 0 if no request
-            is being decoded.
-        kv_tokens: KV cache in use, in tokens.
-        slowness: Ratio of measured to predicted time; 1 if the engine is as
-            fast as published.
-        penalty: Cost of using the engine because of recent failures.
-        is_local: Whether the engine is in this instance's availability zone.
-    """
-
-    target: target_records.Target
-    attempts: Sequence[fleet_load.Attempt]
-    backlog_ms: float
-    pass_ms: float
-    kv_tokens: int
-    slowness: float
-    penalty: float
-    is_local: bool
+RequestDemand = engine_state.RequestDemand
+EngineState = engine_state.EngineState
 
 
 class Choice(NamedTuple):
@@ -159,6 +83,7 @@
         is_local: Whether the engine is in this instance's availability zone.
     """
     prefill_backlog_ms = 0.0
+    helper_backlog_ms = 0.0
     decoding_requests = 0
     context_tokens = 0
     kv_tokens = 0
@@ -169,9 +94,10 @@
             decoding_requests += 1
             context_tokens += tokens
         else:
-            prefill_backlog_ms = max(
-                prefill_backlog_ms, (attempt.prefill_end - now) * 1000.0
-            )
+            left_ms = (attempt.prefill_end - now) * 1000.0
+            prefill_backlog_ms = max(prefill_backlog_ms, left_ms)
+            if attempt.targets[0] != target.name:
+                helper_backlog_ms = max(helper_backlog_ms, left_ms)
     overdue_ms, overdue_ratio = _overdue(attempts, now, is_local)
     prefill_backlog_ms = max(prefill_backlog_ms, overdue_ms)
     slowness = max(slowness, overdue_ratio)
@@ -189,6 +115,7 @@
         slowness,
         penalty,
         is_local,
+        max(helper_backlog_ms, overdue_ms),
     )
 
 
@@ -231,6 +158,8 @@
     engines: Sequence[EngineState],
     figures: route_table.EngineFigures,
     max_parts: int = PART_COUNTS[-1],
+    expected: Sequence[stream_demand.ExpectedStreams] = (),
+    now: float = 0.0,
 ) -> Choice | None:
     """Chooses the engines with the lowest placement cost.
 
@@ -239,41 +168,49 @@
         engines: The candidate engines.
         figures: Published figures of the engines.
         max_parts: Maximum number of engines among which the prompt is divided.
+        expected: Streams that are expected to start on these engines.
+        now: Time in seconds.
 
     Returns:
         The choice; None if the engines do not have enough free memory.
     """
-    own_weight = engine_cost.request_weight(figures, demand.prompt_tokens)
     single_engine_ms = engine_cost.prefill_ms(figures, demand.prompt_tokens)
     pass_prefill_ms = engine_cost.max_prefill_per_pass_ms(
         figures, demand.prompt_tokens
     )
-    stream_pass_ms = engine_cost.decode_pass_ms(
-        figures, 1, demand.prompt_tokens
-    )
     required_tokens = demand.prompt_tokens + demand.output_tokens
     usable_tokens = int(figures.kv_tokens * USABLE_KV_SHARE)
+    goals = {kind.gap_goal_ms: kind.goal_ms for kind in expected}
     best: Choice | None = None
     for parts in PART_COUNTS:
         if parts > min(max_parts, len(engines)):
             break
         part_ms = single_engine_ms / parts
+        part_pass_ms = min(part_ms, pass_prefill_ms)
+        division = _Division(
+            demand,
+            figures,
+            parts,
+            part_ms,
+            placement_cost.Interference(
+                part_ms, part_pass_ms, demand.gap_goal_ms, goals, now
+            ),
+        )
         for group in _candidate_groups(engines, parts):
             holders = _find_memory_holders(
                 group, required_tokens, usable_tokens, parts
             )
             if not holders:
                 continue
-            choice = _choose_parts(
-                demand,
-                holders,
+            reservation = placement_cost.Reservation(
                 group,
-                parts,
+                figures,
+                expected,
                 part_ms,
-                min(part_ms, pass_prefill_ms),
-                stream_pass_ms,
-                own_weight,
+                part_pass_ms,
+                demand.gap_goal_ms,
             )
+            choice = division.choose(holders, group, reservation)
             if best is None or choice.cost < best.cost:
                 best = choice
         # Smaller parts gain nothing once a part takes less time than the
@@ -293,77 +230,151 @@
     Other engines could then only be slightly better.
     """
     weight = engine_cost.request_weight(figures, demand.prompt_tokens)
-    engine_cost_limit = FIRST_STREAM_COST + HELPER_COST + OTHER_ZONE_COST
+    engine_cost_limit = (
+        placement_cost.FIRST_STREAM_COST
+        + placement_cost.HELPER_COST
+        + placement_cost.OTHER_ZONE_COST
+    )
     return (
         choice.cost
-        <= weight * WITHIN_GOAL_COST + len(choice.engines) * engine_cost_limit
+        <= min(1.0, weight) * placement_cost.WITHIN_GOAL_COST
+        + len(choice.engines) * engine_cost_limit
     )
 
 
-def _choose_parts(
-    demand: RequestDemand,
-    holders: "_MemoryHolders",
-    engines: Sequence[EngineState],
-    parts: int,
-    part_ms: float,
-    pass_prefill_ms: float,
-    stream_pass_ms: float,
-    own_weight: float,
-) -> Choice:
-    interference = _interference_cost(part_ms, pass_prefill_ms)
-
-    def primary_cost(engine: EngineState) -> float:
-        delay_ms = _first_token_ms(engine, part_ms)
-        opening_cost = 0.0 if engine.pass_ms else FIRST_STREAM_COST
-        if parts > 1:
-            opening_cost += own_weight * _suspicion_cost(engine)
-        return (
-            own_weight * _delay_cost(delay_ms, demand)
-            + own_weight * _own_gap_cost(engine, stream_pass_ms, demand)
-            + interference(engine)
-            + opening_cost
-            + _usage_cost(engine)
+class _Division:
+    """The division of a prompt into a number of parts.
+
+    Attributes:
+        demand: The demand of the request.
+        weight: Weight of the request.
+        parts: Number of parts.
+        part_ms: Prefill time of each part.
+        stream_pass_ms: Duration of a pass that decodes only this request.
+        interference: Costs of a part to the other requests of an engine.
+    """
+
+    def __init__(
+        self,
+        demand: RequestDemand,
+        figures: route_table.EngineFigures,
+        parts: int,
+        part_ms: float,
+        interference: placement_cost.Interference,
+    ) -> None:
+        self.demand = demand
+        self.weight = engine_cost.request_weight(figures, demand.prompt_tokens)
+        self.parts = parts
+        self.part_ms = part_ms
+        self.stream_pass_ms = engine_cost.decode_pass_ms(
+            figures, 1, demand.prompt_tokens
+        )
+        self.interference = interference
+
+    def choose(
+        self,
+        holders: "_MemoryHolders",
+        engines: Sequence[EngineState],
+        reservation: placement_cost.Reservation,
+    ) -> Choice:
+        """Returns the engines of a group with the lowest cost."""
+        ranked = sorted(
+            (self._primary_cost(engine) + reservation.cost(engine), number)
+            for number, engine in enumerate(holders.engines)
+        )
+        cost, number = ranked[0]
+        primary = holders.engines[number]
+        primary_delay_ms = delay_ms = primary.first_token_ms(self.part_ms)
+        chosen = [primary]
+        if self.parts > 1:
+            reservation.take(primary)
+            helpers = self._choose_helpers(
+                holders, engines, primary, reservation
+            )
+            for helper_cost, engine in helpers:
+                chosen.append(engine)
+                cost += helper_cost + placement_cost.HELPER_COST
+                delay_ms = max(delay_ms, engine.helper_ready_ms(self.part_ms))
+            cost += self._delay_cost(delay_ms)
+            cost -= self._delay_cost(primary_delay_ms)
+        memory = [0] * len(chosen)
+        memory[: holders.count] = [holders.tokens] * holders.count
+        return Choice(
+            tuple(e.target for e in chosen), tuple(memory), delay_ms, cost
         )
 
-    ranked = sorted(holders.engines, key=primary_cost)
-    primary = ranked[0]
-    primary_delay_ms = delay_ms = _first_token_ms(primary, part_ms)
-    cost = primary_cost(primary)
-    chosen = [primary]
-    if parts > 1:
-
-        def helper_cost(engine: EngineState) -> float:
-            ready_ms = _part_ready_ms(engine, part_ms)
-            return (
-                own_weight * _delay_cost(ready_ms, demand) / parts
-                + own_weight * _suspicion_cost(engine)
-                + interference(engine)
-                + _usage_cost(engine)
+    def _choose_helpers(
+        self,
+        holders: "_MemoryHolders",
+        engines: Sequence[EngineState],
+        primary: EngineState,
+        reservation: placement_cost.Reservation,
+    ) -> list[tuple[float, EngineState]]:
+        """Returns the helpers with their costs, holders of memory first."""
+        helpers: list[tuple[float, EngineState]] = []
+        names = {primary.target.name}
+        for candidates, count in (
+            (holders.engines, holders.count - 1),
+            (engines, self.parts - 1),
+        ):
+            found = sorted(
+                (
+                    self._helper_rank(engine) + reservation.cost(engine),
+                    number,
+                )
+                for number, engine in enumerate(candidates)
+                if engine.target.name not in names
             )
+            while len(helpers) < count:
+                # The costs of engines with usable slots grow with each one
+                # that is taken.
+                _, number = found.pop(0)
+                engine = candidates[number]
+                helpers.append(
+                    (
+                        self._helper_cost(engine) + reservation.cost(engine),
+                        engine,
+                    )
+                )
+                names.add(engine.target.name)
+                if reservation.take(engine):
+                    found = sorted(
+                        (
+                            self._helper_rank(candidates[other])
+                            + reservation.cost(candidates[other]),
+                            other,
+                        )
+                        for _, other in found
+                    )
+        return helpers
+
+    def _delay_cost(self, delay_ms: float) -> float:
+        return placement_cost.delay_cost(delay_ms, self.demand, self.weight)
+
+    def _primary_cost(self, engine: EngineState) -> float:
+        cost = self._delay_cost(engine.first_token_ms(self.part_ms))
+        cost += self.weight * placement_cost.own_gap_cost(
+            engine, self.stream_pass_ms, self.demand
+        )
+        cost += self.interference.cost(engine, False)
+        cost += placement_cost.opening_cost(engine)
+        cost += placement_cost.usage_cost(engine)
+        if self.parts > 1:
+            cost += self.weight * placement_cost.suspicion_cost(engine)
+        return cost
 
-        memory_helpers = sorted(ranked[1:], key=helper_cost)[
-            : holders.count - 1
-        ]
-        other_helpers = [
-            e for e in engines if e is not primary and e not in memory_helpers
-        ]
-        other_helpers.sort(key=helper_cost)
-        helpers = (
-            memory_helpers + other_helpers[: parts - 1 - len(memory_helpers)]
+    def _helper_cost(self, engine: EngineState) -> float:
+        return self.interference.cost(engine, True) + placement_cost.usage_cost(
+            engine
         )
-        chosen += helpers
-        for engine in helpers:
-            delay_ms = max(delay_ms, _part_ready_ms(engine, part_ms))
-            cost += interference(engine) + _usage_cost(engine) + HELPER_COST
-        cost += own_weight * (
-            _delay_cost(delay_ms, demand)
-            - _delay_cost(primary_delay_ms, demand)
+
+    def _helper_rank(self, engine: EngineState) -> float:
+        ready_ms = engine.helper_ready_ms(self.part_ms)
+        return (
+            self._helper_cost(engine)
+            + self._delay_cost(ready_ms) / self.parts
+            + self.weight * placement_cost.suspicion_cost(engine)
         )
-    memory = [0] * len(chosen)
-    memory[: holders.count] = [holders.tokens] * holders.count
-    return Choice(
-        tuple(e.target for e in chosen), tuple(memory), delay_ms, cost
-    )
 
 
 def _candidate_groups(
@@ -421,105 +432,3 @@
         if len(eligible) >= count:
             return _MemoryHolders(eligible, count, tokens)
     return None
-
-
-def _part_ready_ms(engine: EngineState, part_ms: float) -> float:
-    """Returns the time until a helper has prefilled its part."""
-    return part_ms * engine.slowness + engine.pass_ms + engine.backlog_ms
-
-
-def _queued_requests(engine: EngineState) -> int:
-    """Returns how many requests would wait for a slot after one more."""
-    return max(0, len(engine.attempts) + 1 - engine.target.slots)
-
-
-def _first_token_ms(engine: EngineState, part_ms: float) -> float:
-    slot_wait_ms = _queued_requests(engine) * engine.pass_ms * 4
-    pass_wait_ms = engine.pass_ms * (1 + MEAN_PASS_WAIT_SHARE)
-    return (
-        slot_wait_ms
-        + engine.backlog_ms
-        + part_ms * engine.slowness
-        + pass_wait_ms
-    )
-
-
-def _delay_cost(delay_ms: float, demand: RequestDemand) -> float:
-    """Returns the cost of a delay, as a share of the request's weight."""
-    share = (demand.elapsed_ms + delay_ms) / (
-        demand.goal_ms * FIRST_TOKEN_GOAL_SHARE
-    )
-    if share <= 1.0:
-        return WITHIN_GOAL_COST * share * share
-    lateness = min(1.0, (share - 1.0) * 4.0)
-    overdue_cost = min(MAX_OVERDUE_COST, OVERDUE_COST_SLOPE * (share - 1.0))
-    return WITHIN_GOAL_COST + LATE_COST * lateness + overdue_cost
-
-
-def _own_gap_cost(
-    engine: EngineState, stream_pass_ms: float, demand: RequestDemand
-) -> float:
-    """Returns the cost of too long event gaps, as a share of the weight."""
-    gap_ms = max(engine.pass_ms, stream_pass_ms * engine.slowness)
-    is_late = gap_ms > demand.gap_goal_ms * GAP_GOAL_SHARE
-    return LATE_COST if demand.gap_goal_ms and is_late else 0.0
-
-
-def _suspicion_cost(engine: EngineState) -> float:
-    """Returns the cost of a suspect engine, as a share of the weight.
-
-    All engines of a divided prompt wait for the slowest. Short prompts show
-    sooner and at less cost whether a suspect engine is fast again.
-    """
-    return LATE_COST if _is_suspect(engine) else 0.0
-
-
-def _is_suspect(engine: EngineState) -> bool:
-    return engine.slowness > target_health.SUSPECT_SLOWNESS
-
-
-def _usage_cost(engine: EngineState) -> float:
-    cost = engine.penalty + QUEUED_COST * _queued_requests(engine)
-    if _is_suspect(engine) and any(
-        not attempt.is_decoding for attempt in engine.attempts
-    ):
-        cost += SUSPECT_COST
-    if not engine.is_local:
-        cost += OTHER_ZONE_COST
-    return cost
-
-
-def _interference_cost(
-    part_ms: float, pass_prefill_ms: float
-) -> Callable[[EngineState], float]:
-    """Returns a function for the cost of a prefill to an engine's streams.
-
-    Args:
-        part_ms: Prefill time of the part.
-        pass_prefill_ms: Longest prefill time of the part in one pass.
-
-    Returns:
-        A function that returns the cost for the streams of an engine.
-    """
-
-    def interference(engine: EngineState) -> float:
-        cost = 0.0
-        for attempt in engine.attempts:
-            if not attempt.gap_goal_ms:
-                continue
-            gap_limit_ms = attempt.gap_goal_ms * GAP_GOAL_SHARE
-            gap_before_ms = engine.pass_ms + min(engine.backlog_ms, part_ms)
-            gap_after_ms = engine.pass_ms + pass_prefill_ms * engine.slowness
-            if attempt.is_decoding:
-                if gap_after_ms > CALLER_TIMEOUT_GAP_MS:
-                    cost += attempt.weight
-                elif gap_after_ms > gap_limit_ms:
-                    cost += attempt.weight * LATE_COST
-                elif gap_before_ms + pass_prefill_ms > gap_limit_ms:
-                    cost += attempt.weight * LATE_COST * 0.5
-            elif gap_after_ms > gap_limit_ms:
-                # The stream may start while this prompt is prefilled.
-                cost += attempt.weight * LATE_COST * 0.5
-        return cost
-
-    return interference
--- /dev/null
+++ b/catkintrail/core/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which of competing requests get which share of the engines."""
--- a/catkintrail/core/target_choice.py
+++ b/catkintrail/core/target_choice.py
@@ -21,6 +21,7 @@
 from catkintrail.core import target_health
 from catkintrail.core import target_notices
 from catkintrail.core import targets as target_records
+from catkintrail.core.scheduling import stream_demand
 
 __all__ = [
     "NOT_READY_RETRY_SECONDS",
@@ -54,6 +55,7 @@
         load: Attempts in progress.
         health: Failures and response times of targets.
         notices: What targets have stated of themselves.
+        demand: Arrivals of requests for engines.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         self.load = load
         self.health = health
         self.notices = notices
+        self.demand = stream_demand.StreamDemand()
 
     def answer_query(
         self, query: messages.PlacementQuery, now: float
@@ -173,10 +176,15 @@
             query.gap_goal_ms,
         )
         choice = None
+        # Later sends of a request are no further demand.
+        is_recorded = bool(query.tried)
         compared: list[target_records.Target] = []
         for compared in self._candidate_sets(candidates):
             engines = self._describe_engines(compared, figures, now)
-            choice = self._choose_group(demand, engines, figures)
+            if not is_recorded:
+                self._record_demand(query, engines, figures, now)
+                is_recorded = True
+            choice = self._choose_group(demand, engines, figures, now)
             if choice is not None and engine_placement.is_untroubled(
                 choice, demand, figures
             ):
@@ -199,25 +207,48 @@
         self.record_attempt(query, answer, now)
         return answer
 
+    def _record_demand(
+        self,
+        query: messages.PlacementQuery,
+        engines: list[engine_placement.EngineState],
+        figures: route_table.EngineFigures,
+        now: float,
+    ) -> None:
+        running = stream_demand.count_streams(e for e in engines if e.is_local)
+        self.demand.record(
+            query.goal_ms,
+            query.gap_goal_ms,
+            engine_cost.request_weight(figures, query.prompt_tokens),
+            running.get(query.gap_goal_ms, 0),
+            now,
+        )
+
     def _choose_group(
         self,
         demand: engine_placement.RequestDemand,
         engines: list[engine_placement.EngineState],
         figures: route_table.EngineFigures,
+        now: float,
     ) -> engine_placement.Choice | None:
         """Chooses engines; for divided prompts, those without a limit first.
 
         A part of a prompt counts as a request at its engine, and a group whose
         engines all need permits would seldom get them at the same time.
         """
-        choice = engine_placement.choose(demand, engines, figures)
+        expected = self.demand.expect(engines, now)
+        choice = engine_placement.choose(
+            demand, engines, figures, expected=expected, now=now
+        )
         if choice is None or len(choice.engines) == 1:
             return choice
         limits = self.notices.limits
         if all(limits.find(engine) is None for engine in choice.engines):
             return choice
         unlimited = [e for e in engines if limits.find(e.target) is None]
-        return engine_placement.choose(demand, unlimited, figures) or choice
+        other_choice = engine_placement.choose(
+            demand, unlimited, figures, expected=expected, now=now
+        )
+        return other_choice or choice
 
     def _candidate_sets(
         self, candidates: list[target_records.Target]
@@ -332,6 +363,12 @@
             now,
         )
         self.load.put(query.sender, attempt)
+        if figures is not None and len(attempt.targets) > 1:
+            # The parts precede the prompts that wait at the helpers.
+            prefill_ms = engine_cost.prefill_ms(figures, query.prompt_tokens)
+            part_seconds = prefill_ms / len(attempt.targets) / 1000.0
+            for helper in attempt.targets[1:]:
+                self.load.delay_prefills(helper, attempt.key, part_seconds)
 
     def _engine_figures(self, service: str) -> route_table.EngineFigures | None:
         table = self.fleet_state.configuration.table
