Nothing is sent to the targets of an evacuated zone

The operator could not empty an availability zone: only targets that leave by themselves, or fail, were left out.

Objects of the kind `evacuations` are now watched by the watchers of each zone, and their state, with the position of the store, travels in a message of its own, in heartbeats and their answers, and in the state that a starting instance fetches. The newest position wins. Placement leaves such targets out, and `find_obstacle` names the zone right before the first byte of each send, before each order that reserves memory, and at a peer that is asked for a connection. A watch that the store never answers is found from the revision of the whole store. Active only with `evacuate-ms`.

`test_layering` now also reads the folders below `core` and `ports`.

--- a/catkintrail/adapters/metrics.py
+++ b/catkintrail/adapters/metrics.py
@@ -148,6 +148,14 @@
         aioprometheus.Gauge,
         "Messages to or from peers that were dropped since the start.",
     ),
+    "catkintrail_evacuated_zones": (
+        aioprometheus.Gauge,
+        "Zones to whose targets nothing is sent.",
+    ),
+    "catkintrail_evacuation_age_seconds": (
+        aioprometheus.Gauge,
+        "Time since this instance learned of an evacuation; 0 after its end.",
+    ),
     "catkintrail_orders_total": (
         aioprometheus.Counter,
         "Orders given to engines, by outcome.",
--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -13,6 +13,7 @@
 from catkintrail import messages
 from catkintrail import relay_settings
 from catkintrail import verdict as verdicts
+from catkintrail.adapters import evacuation_exchange
 from catkintrail.adapters import fleet_broadcast
 from catkintrail.adapters import limit_exchange
 from catkintrail.adapters import permit_exchange
@@ -26,6 +27,7 @@
 from catkintrail.core import store_views
 from catkintrail.core import target_paths
 from catkintrail.core import targets as target_records
+from catkintrail.core.zones import evacuation
 from catkintrail.ports import fleet_state_source
 
 __all__ = [
@@ -71,6 +73,7 @@
             be the newest.
         targets: The listed targets.
         targets_position: Position of the store that the targets reflect.
+        evacuations: The evacuated zones.
     """
 
     version: int
@@ -78,6 +81,7 @@
     proof_age_seconds: float
     targets: tuple[target_records.Target, ...]
     targets_position: store_views.Position
+    evacuations: evacuation.EvacuationState = evacuation.UNKNOWN_STATE
 
 
 class RouterStatus(NamedTuple):
@@ -194,6 +198,9 @@
             router, send
         )
         self._limit_exchange = limit_exchange.LimitExchange(router, send)
+        self._evacuation_exchange = evacuation_exchange.EvacuationExchange(
+            router, send
+        )
         self._permit_exchange = permit_exchange.PermitExchange(router, send)
         self._started_at = clock()
         self._next_heartbeat = 0.0
@@ -557,6 +564,16 @@
         """Records that no change of the targets precedes a later position."""
         self._router.fleet_state.advance_targets(position)
 
+    def apply_evacuations(
+        self, state: evacuation.EvacuationState, source: str
+    ) -> None:
+        """Applies evacuated zones that the store or a peer has reported."""
+        now = self._clock()
+        if source == STORE_SOURCE:
+            self._evacuation_exchange.apply_store_state(state, source, now)
+        else:
+            self._evacuation_exchange.apply_peer_state(state, source, now)
+
     def record_store_state(self, is_up: bool) -> None:
         """Records whether the store responded."""
         self._router.fleet_state.record_store_state(is_up, self._clock())
@@ -582,6 +599,9 @@
                 address, message, now
             )
             self._apply_changes(changes, f"peer {message.sender}")
+            self._evacuation_exchange.apply_peer_state(
+                message.evacuations, f"peer {message.sender}", now
+            )
             _log_peer(address, message.sender, news)
             self._send(
                 [address], router.fleet_state.answer_heartbeat(message, now)
@@ -591,8 +611,15 @@
             news = router.fleet_state.handle_heartbeat_answer(
                 address, message, now
             )
+            self._evacuation_exchange.apply_peer_state(
+                message.evacuations, f"peer {message.sender}", now
+            )
             _log_peer(address, message.sender, news)
             self._greet_peer(address, news, now)
+        elif isinstance(message, messages.EvacuationNews):
+            self._evacuation_exchange.apply_peer_state(
+                message.state, f"peer {message.sender}", now
+            )
         elif isinstance(message, messages.FleetNews):
             changes = router.fleet_state.handle_fleet_news(
                 address, message, now
@@ -689,6 +716,7 @@
         self._load_recipients = recipients
         self._send_batches(now)
         self._log_suspects(now)
+        self._evacuation_exchange.log_unknown_zones()
 
     def _log_suspects(self, now: float) -> None:
         """Logs which targets have turned slow or fast since the last call."""
@@ -718,6 +746,7 @@
             age,
             tuple(router.fleet_state.targets.targets.values()),
             router.fleet_state.targets_position,
+            router.fleet_state.evacuations.state,
         )
 
     def status(self) -> RouterStatus:
--- a/catkintrail/core/fleet_state.py
+++ b/catkintrail/core/fleet_state.py
@@ -13,6 +13,7 @@
 from catkintrail.core import route_table
 from catkintrail.core import store_views
 from catkintrail.core import targets as target_records
+from catkintrail.core.zones import evacuation
 
 __all__ = ["FleetState"]
 
@@ -50,6 +51,7 @@
         newest_peer_version: The newest configuration version reported by any
             peer.
         newer_peer: Address of a peer with newer state; "" if there is none.
+        evacuations: Zones to whose targets nothing may be sent.
     """
 
     def __init__(
@@ -78,6 +80,9 @@
         self.store_recovered_at = float("-inf")
         self.newest_peer_version = -1
         self.newer_peer = ""
+        self.evacuations = evacuation.ZoneEvacuations(
+            settings.evacuation_seconds > 0
+        )
         self._rng = rng
         self._mismatch_since: dict[str, float] = {}
         self._leaving: dict[str, tuple[int, float]] = {}
@@ -260,6 +265,7 @@
             tuple((name, born) for name, (born, _) in self._leaving.items()),
             self.peers.sample_addresses(self._rng),
             self.peers.standing(),
+            self.evacuations.state,
         )
 
     def answer_heartbeat(
@@ -282,6 +288,7 @@
             (now - self.targets_complete_at) * 1000.0
             if self.has_target_list
             else -1.0,
+            self.evacuations.state,
         )
 
     def handle_heartbeat(
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -164,7 +164,7 @@
         self.load = fleet_load.FleetLoad()
         self.health = target_health.TargetHealth()
         self.notices = target_notices.TargetNotices(
-            self.fleet_state.targets.departures
+            self.fleet_state.targets.departures, self.fleet_state.evacuations
         )
         self.chooser = target_choice.TargetChooser(
             settings,
@@ -466,6 +466,7 @@
         """Applies reloaded settings; changes of addresses have no effect."""
         self.settings = settings
         self.fleet_state.settings = settings
+        self.fleet_state.evacuations.is_active = settings.evacuation_seconds > 0
         for budget in self._retry_budgets.values():
             budget.set_bounds(
                 settings.retry_ratio,
--- a/catkintrail/core/target_choice.py
+++ b/catkintrail/core/target_choice.py
@@ -41,6 +41,9 @@
 OTHER_ZONE_ENGINES = 8
 # Retry-After of requests for which no target is available.
 NO_TARGET_RETRY_SECONDS = 0.4
+# Retry-After while all targets are in evacuated zones. The end of an evacuation
+# is in force within some seconds.
+EVACUATED_RETRY_SECONDS = 2.0
 
 
 class TargetChooser:
@@ -97,6 +100,20 @@
         listed = list(
             self.fleet_state.targets.by_service.get(query.service, {}).values()
         )
+        known_count = len(listed)
+        evacuations = self.notices.evacuations
+        listed = [
+            t
+            for t in listed
+            if not evacuations.is_evacuated(t.availability_zone)
+        ]
+        if known_count and not listed:
+            return self._decline(
+                query,
+                verdicts.Reason.NO_TARGET,
+                f"all {known_count} targets are in evacuated zones",
+                EVACUATED_RETRY_SECONDS,
+            )
         waits = [self.notices.wait_seconds(t, now) for t in listed]
         if listed and all(waits):
             return self._decline(
--- a/catkintrail/core/target_notices.py
+++ b/catkintrail/core/target_notices.py
@@ -11,6 +11,7 @@
 from catkintrail.core import target_limits
 from catkintrail.core import target_pauses
 from catkintrail.core import targets as target_records
+from catkintrail.core.zones import evacuation
 
 __all__ = ["TargetNotices", "TargetStatement"]
 
@@ -42,14 +43,18 @@
         departures: Targets that are leaving or were removed.
         pauses: Targets that asked to be sent nothing for some time.
         limits: Targets that take a limited rate of requests.
+        evacuations: Zones to whose targets nothing may be sent.
     """
 
     def __init__(
-        self, departures: departure_records.DepartureRecord | None = None
+        self,
+        departures: departure_records.DepartureRecord | None = None,
+        evacuations: evacuation.ZoneEvacuations | None = None,
     ) -> None:
         self.departures = departures or departure_records.DepartureRecord()
         self.pauses = target_pauses.TargetPauses()
         self.limits = target_limits.TargetLimits()
+        self.evacuations = evacuations or evacuation.ZoneEvacuations()
 
     def record(
         self,
@@ -92,6 +97,11 @@
             permits: Names of the targets for which the request has a permit.
             now: Time in seconds.
         """
+        if self.evacuations.is_evacuated(target.availability_zone):
+            return (
+                f"the zone {target.availability_zone} of {target.name} is"
+                " evacuated"
+            )
         if self.departures.contains(target):
             return f"{target.name} is leaving"
         if self.pauses.remaining_seconds(target, now):
--- /dev/null
+++ b/catkintrail/core/zones/__init__.py
@@ -0,0 +1,1 @@
+"""Rules that bind whole availability zones and regions of targets."""
--- a/catkintrail/fleet_state_updater.py
+++ b/catkintrail/fleet_state_updater.py
@@ -11,7 +11,7 @@
 import logging
 import random
 import threading
-from typing import Any, Callable, Iterator, NamedTuple
+from typing import Any, Callable, Iterable, Iterator, NamedTuple
 
 from catkintrail import errors
 from catkintrail.adapters import router_actor
@@ -70,6 +70,7 @@
 PEER_ROUND_SECONDS = 0.45
 
 PeerReader = Callable[[str, int, float], router_actor.PeerState]
+PositionObserver = Callable[[store_views.Position, Iterable[int]], None]
 
 
 class _Backoff:
@@ -126,6 +127,8 @@
         clock: Returns the time in seconds.
         is_store_up: Whether the last call to the store succeeded; None before
             the first.
+        observe: Takes positions of the whole store, and revisions up to there
+            that are changes of the configuration or the targets.
     """
 
     def __init__(
@@ -142,6 +145,7 @@
         self.clock = clock
         self.rng = rng
         self.is_store_up: bool | None = None
+        self.observe: PositionObserver = lambda position, revisions: None
         self._stop = threading.Event()
         self._lock = threading.Lock()
         # Guarded by the lock.
@@ -321,6 +325,7 @@
             )
             proxy.confirm_targets.defer(update.position, called_at)
 
+        self.observe(update.position, update.revisions)
         return _FetchResult(
             update.position,
             update.position,
@@ -337,6 +342,7 @@
             update: The response, whose position is that of the whole store.
             at: Time at which the store had that position, in seconds.
         """
+        self.observe(update.position, update.revisions)
         progress = self._progress[fleet_state_source.TARGETS]
         with self._lock:
             known = progress.mark
@@ -526,6 +532,7 @@
         # that the transit time cannot make the proof look newer.
         proven_at = sent_at - state.proof_age_seconds
         proxy.update_configuration.defer(state.configuration, proven_at, source)
+        proxy.apply_evacuations.defer(state.evacuations, source)
         # A watcher's own targets are newer, unless the store is unavailable.
         if state.targets and not (status.is_watcher and self.is_store_up):
             events = tuple(
--- a/catkintrail/log_commands.py
+++ b/catkintrail/log_commands.py
@@ -71,6 +71,12 @@
     print("configuration in force:")
     for (zone, version), count in sorted(summary.versions.items()):
         print(f"  {zone or '-'}: version {version} on {count} instances")
+    for zone in summary.evacuations:
+        print(
+            f"zone {zone.zone} was evacuated: lines from {zone.first} to"
+            f" {zone.last}; at the end evacuated on {zone.evacuated} instances,"
+            f" returned on {zone.returned}"
+        )
     return OK
 
 
--- a/catkintrail/messages.py
+++ b/catkintrail/messages.py
@@ -10,6 +10,7 @@
 
 from catkintrail import errors
 from catkintrail.core import targets
+from catkintrail.core.zones import evacuation
 
 __all__ = [
     "Batch",
@@ -21,6 +22,7 @@
     "ConfigHead",
     "ConfigRequest",
     "Declined",
+    "EvacuationNews",
     "FleetHeartbeat",
     "FleetHeartbeatAnswer",
     "FleetNews",
@@ -508,6 +510,7 @@
             left recently.
         addresses: Addresses of some live peers, for peer discovery.
         standing: The sender's processing power and knowledge of the fleet.
+        evacuations: The evacuated zones known to the instance.
     """
 
     sender: str
@@ -521,6 +524,7 @@
     left: tuple[tuple[str, int], ...]
     addresses: tuple[str, ...]
     standing: Standing
+    evacuations: evacuation.EvacuationState = evacuation.UNKNOWN_STATE
 
 
 class FleetHeartbeatAnswer(NamedTuple):
@@ -541,6 +545,7 @@
             to the instance reflect.
         targets_age_ms: Time since these were known to be all changes of
             targets; -1 where unknown.
+        evacuations: The evacuated zones known to the instance.
     """
 
     sender: str
@@ -553,6 +558,19 @@
     standing: Standing
     targets_position: tuple[int, int] = (-1, -1)
     targets_age_ms: float = -1.0
+    evacuations: evacuation.EvacuationState = evacuation.UNKNOWN_STATE
+
+
+class EvacuationNews(NamedTuple):
+    """A change of the evacuated zones.
+
+    Attributes:
+        sender: Name of the instance.
+        state: The evacuated zones known to the instance.
+    """
+
+    sender: str
+    state: evacuation.EvacuationState
 
 
 class FleetNews(NamedTuple):
@@ -834,6 +852,7 @@
     PermitAnswer,
     RetryLoanQuery,
     RetryLoan,
+    EvacuationNews,
 )
 _TAG_OF_TYPE = {kind: tag for tag, kind in enumerate(_MESSAGE_TYPES)}
 
--- a/catkintrail/platform/store.py
+++ b/catkintrail/platform/store.py
@@ -38,6 +38,7 @@
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 TARGET_KIND = "servers"
+EVACUATION_KIND = "evacuations"
 QUARANTINE_KIND = "request-quarantines"
 OBJECT_NAME_BYTES = 16
 
@@ -120,7 +121,7 @@
         self.http = _make_pool(address)
         self.watch_pools = {
             kind: _make_pool(address)
-            for kind in (CONFIGURATION_KIND, TARGET_KIND)
+            for kind in (CONFIGURATION_KIND, TARGET_KIND, EVACUATION_KIND)
         }
 
     def read(self, kind: str, name: str) -> Any | None:
@@ -402,7 +403,9 @@
         listing = self.client.list(TARGET_KIND)
         events = [_decode_target_event(item, False) for item in listing.objects]
         return fleet_state_source.TargetUpdate(
-            tuple(event for event in events if event), listing.position
+            tuple(event for event in events if event),
+            listing.position,
+            tuple(_decode_revisions(listing.objects)),
         )
 
     def watch_targets(
@@ -414,8 +417,11 @@
             _decode_target_event(change.content, change.is_removed)
             for change in result.changes
         ]
+        objects = [c.content for c in result.changes if not c.is_removed]
         return fleet_state_source.TargetUpdate(
-            tuple(event for event in events if event), result.position
+            tuple(event for event in events if event),
+            result.position,
+            tuple(_decode_revisions(objects)),
         )
 
 
--- a/catkintrail/ports/fleet_state_source.py
+++ b/catkintrail/ports/fleet_state_source.py
@@ -59,10 +59,13 @@
     Attributes:
         events: The changes; for a list, one event for each entry.
         position: Where to watch from.
+        revisions: Revisions of the entries in the events, as far as they are
+            stated.
     """
 
     events: tuple[TargetEvent, ...]
     position: store_views.Position
+    revisions: tuple[int, ...] = ()
 
 
 class FleetStateSource(Protocol):
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -13,6 +13,7 @@
 import urllib3
 
 from catkintrail import errors
+from catkintrail import evacuation_watcher
 from catkintrail import fleet_state_updater
 from catkintrail import memory_leases
 from catkintrail import quarantine_keeper
@@ -31,11 +32,13 @@
 from catkintrail.adapters import target_connector
 from catkintrail.adapters import target_probes
 from catkintrail.adapters import wsgi
+from catkintrail.adapters import zone_metrics
 from catkintrail.core import request_router
 from catkintrail.core import route_table
 from catkintrail.platform import boot
 from catkintrail.platform import callers
 from catkintrail.platform import engines
+from catkintrail.platform import evacuations
 from catkintrail.platform import orders
 from catkintrail.platform import store
 from catkintrail.platform import wire
@@ -147,6 +150,13 @@
             clock.boot_seconds,
             rng,
         )
+        self.evacuation_watcher = evacuation_watcher.EvacuationWatcher(
+            evacuations.EvacuationObjects(self.store),
+            self.router,
+            clock.boot_seconds,
+            rng,
+        )
+        self.state_updater.observe = self.evacuation_watcher.observe
         self.quarantine_keeper = quarantine_keeper.QuarantineKeeper(
             store.QuarantineObjects(self.store), self.router
         )
@@ -183,6 +193,7 @@
         self._settings_text = settings_text
         self._applied_version = -1
         self._services: dict[str, route_table.Service] = {}
+        self._evacuation_gauges = zone_metrics.EvacuationGauges(self.metrics)
 
     def start(self) -> None:
         """Opens all ports and starts all threads."""
@@ -191,6 +202,7 @@
         self.connector.start()
         self.state_updater.start()
         self.quarantine_keeper.start()
+        self.evacuation_watcher.start()
         self.watch.start()
         self.leases.start()
         if self.settings.peer_address:
@@ -419,6 +431,9 @@
         }
         for name, value in gauges.items():
             self.metrics.set(name, float(value), {})
+        self._evacuation_gauges.update(
+            self.router.notices.evacuations, clock.boot_seconds()
+        )
         for service, usage in self.router.retry_usage().items():
             labels = {"service": service}
             self.metrics.set("catkintrail_retries", usage.retries, labels)
--- a/catkintrail/relay_settings.py
+++ b/catkintrail/relay_settings.py
@@ -33,6 +33,8 @@
         cores: Processing power of the machine, in cores.
         zone_count: Number of availability zones of the deployment; 0 if
             unknown.
+        evacuation_seconds: Time within which an evacuated zone's targets get
+            nothing more; 0 if zones are never evacuated.
     """
 
     name: str
@@ -53,3 +55,4 @@
     memory_free_seconds: float
     cores: float = 1.0
     zone_count: int = 0
+    evacuation_seconds: float = 0.0
--- a/catkintrail/request_trace.py
+++ b/catkintrail/request_trace.py
@@ -7,6 +7,7 @@
 from hdrh import histogram
 
 __all__ = [
+    "EvacuatedZone",
     "LogFiles",
     "Report",
     "SlowTarget",
@@ -47,6 +48,7 @@
 INSTANCE_EVENTS = frozenset(
     {
         "configuration_in_force",
+        "evacuated_zone_unknown",
         "history_gone",
         "instance_draining",
         "instance_started",
@@ -54,6 +56,8 @@
         "settings_reloaded",
         "store_lost",
         "store_regained",
+        "zone_evacuated",
+        "zone_returned",
     }
 )
 # Upper limits of the prompt length buckets, in tokens.
@@ -85,6 +89,24 @@
     is_recovered: bool
 
 
+class EvacuatedZone(NamedTuple):
+    """What instances knew of the evacuations of a zone.
+
+    Attributes:
+        zone: Name of the availability zone.
+        first: Time of the first line about it, as in the logs.
+        last: Time of the last line.
+        evacuated: Number of instances on which it was evacuated at the end.
+        returned: Number of instances on which it was not any more.
+    """
+
+    zone: str
+    first: str
+    last: str
+    evacuated: int
+    returned: int
+
+
 class Report(NamedTuple):
     """Outcomes and latencies of the requests in some logs.
 
@@ -97,6 +119,7 @@
             of their names.
         versions: Number of instances by availability zone and version of the
             configuration that was last in force on them.
+        evacuations: Zones that were evacuated, in the order of their names.
     """
 
     outcomes: dict[str, int]
@@ -104,6 +127,7 @@
     first_token_ms: list[tuple[str, int, list[float]]]
     slow_targets: list[SlowTarget]
     versions: dict[tuple[str, int], int]
+    evacuations: list[EvacuatedZone]
 
 
 class LogFiles:
@@ -184,10 +208,13 @@
     prompt_tokens_by_request: dict[str, int] = {}
     first_token_times = {name: _new_histogram() for name in _bucket_names()}
     slow_targets = _SlowTargets()
+    zone_lines: dict[str, list[Line]] = {}
     version_by_instance: dict[str, tuple[str, int]] = {}
     for line in lines:
         slow_targets.add(line)
-        if line["event"] == "configuration_in_force":
+        if line["event"] in ("zone_evacuated", "zone_returned"):
+            zone_lines.setdefault(line["zone"], []).append(line)
+        elif line["event"] == "configuration_in_force":
             version_by_instance[line["instance"]] = (
                 line.get("availability_zone", ""),
                 line["version"],
@@ -218,6 +245,20 @@
         ],
         slow_targets.summarise(),
         dict(collections.Counter(version_by_instance.values())),
+        [_summarise_zone(*item) for item in sorted(zone_lines.items())],
+    )
+
+
+def _summarise_zone(zone: str, unsorted_lines: list[Line]) -> EvacuatedZone:
+    lines = _sort_by_time(unsorted_lines)
+    last_events = {line["instance"]: line["event"] for line in lines}
+    counts = collections.Counter(last_events.values())
+    return EvacuatedZone(
+        zone,
+        lines[0]["time"],
+        lines[-1]["time"],
+        counts["zone_evacuated"],
+        counts["zone_returned"],
     )
 
 
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -27,6 +27,7 @@
 revoke-ms = 5000
 retry-budget-ratio = 0.2
 retry-after-s = 0
+evacuate-ms = 5000
 budget-extra = {extra}
 budget-window-s = {window_seconds}
 free-ms = 4000
--- a/tests/test_layering.py
+++ b/tests/test_layering.py
@@ -42,6 +42,7 @@
     "Prompt-Prefix",
     "Token-Counts",
     "api-keys",
+    "evacuate-ms",
     "goal-ms",
     "max-attempts",
     "path-prefix",
@@ -75,7 +76,7 @@
 
     def test_core_and_ports_import_only_inward(self):
         for folder in ("core", "ports"):
-            for path in (PACKAGE / folder).glob("*.py"):
+            for path in (PACKAGE / folder).rglob("*.py"):
                 for name in imported_names(path):
                     forbidden = [
                         module
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -43,6 +43,7 @@
         retry_extra=100,
         module="catkintrail.relay_start",
         retry_window_seconds=10,
+        seeds=("127.0.0.1", "127.0.0.2"),
     ):
         self.ip = ip
         self.ports = ports
@@ -53,7 +54,7 @@
                 f"i-{ip}",
                 ip,
                 ports,
-                ("127.0.0.1", "127.0.0.2"),
+                seeds,
                 store,
                 extra=retry_extra,
                 window_seconds=retry_window_seconds,
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -33,10 +33,17 @@
         stopped: Addresses of instances that do not run.
         cut_zones: Zones whose instances cannot reach other zones.
         retry_extra: Extra retries of the settings.
+        settings: Other settings that differ from those of the builder.
     """
 
     def __init__(
-        self, zone_sizes, targets, cores=None, seed=1, retry_extra=460.0
+        self,
+        zone_sizes,
+        targets,
+        cores=None,
+        seed=1,
+        retry_extra=460.0,
+        **settings,
     ):
         self.now = 0.0
         self.actors = {}
@@ -45,6 +52,7 @@
         self.stopped = set()
         self.cut_zones = set()
         self.retry_extra = retry_extra
+        self.settings = settings
         self._rng = random.Random(seed)
         self._queue = []
         self._order = itertools.count()
@@ -171,6 +179,7 @@
                 cores=cores,
                 retry_extra=self.retry_extra,
                 zone_count=len(set(self._zones.values())),
+                **self.settings,
             ),
             next(self._incarnations),
             random.Random(self._rng.random()),
