--- a/catkintrail/relay_metrics.py
+++ b/catkintrail/relay_metrics.py
@@ -59,6 +59,10 @@
             )
         )
 
+    def set(self, name: str, value: float, labels: dict[str, str]) -> None:
+        """Sets a gauge."""
+        self._record(lambda metrics: metrics.set(name, value, labels))
+
     def render(
         self,
         gauges: Mapping[str, float],
