--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -17,8 +17,8 @@
 ready = "{ip}:{ready}"
 control = "{ip}:{control}"
 [limits]
-memory-mb = 300
-max-fds = 4000
+memory-mb = {memory_mb}
+max-fds = {max_fds}
 [bounds]
 grace-s = 8
 drain-ms = 2000
@@ -51,7 +51,16 @@
 
 
 def make_settings(
-    name, ip, ports, seeds, store, zone="za", extra=100, window_seconds=10
+    name,
+    ip,
+    ports,
+    seeds,
+    store,
+    zone="za",
+    extra=100,
+    window_seconds=10,
+    memory_mb=300,
+    max_fds=4000,
 ):
     """Returns the content of an instance's settings file.
 
@@ -64,6 +73,8 @@
         zone: Availability zone.
         extra: Value of `budget-extra`.
         window_seconds: Value of `budget-window-s`.
+        memory_mb: Value of `memory-mb`.
+        max_fds: Value of `max-fds`.
     """
     return SETTINGS.format(
         name=name,
@@ -72,6 +83,8 @@
         seeds=json.dumps([f"{seed}:{ports['control']}" for seed in seeds]),
         extra=extra,
         window_seconds=window_seconds,
+        memory_mb=memory_mb,
+        max_fds=max_fds,
         store=store,
         **ports,
     )
@@ -368,6 +381,7 @@
         arrivals: Time in seconds of the arrival of each request.
         is_unframed: Whether streams have neither a length nor chunks and end
             with their connection.
+        answer: Body of the answers of a plain service.
         ends_inside_event: Whether truncated streams end inside an event.
         crashing_part: Part of a prompt; the engine crashes when it begins to
             write an answer on it.
@@ -399,6 +413,7 @@
         self.limit = ""
         self.arrivals = []
         self.is_unframed = False
+        self.answer = b"booked"
         self.ends_inside_event = False
         self.crashing_part = ""
         self.crashes_before_head = False
@@ -499,7 +514,7 @@
             elif is_crash:
                 self.crash(handler)
             else:
-                handler.reply(200, b"booked", headers)
+                handler.reply(200, self.answer, headers)
         finally:
             self.active -= 1
 
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -43,6 +43,8 @@
         retry_extra=100,
         module="catkintrail.relay_start",
         retry_window_seconds=10,
+        memory_mb=300,
+        max_fds=4000,
     ):
         self.ip = ip
         self.ports = ports
@@ -57,6 +59,8 @@
                 store,
                 extra=retry_extra,
                 window_seconds=retry_window_seconds,
+                memory_mb=memory_mb,
+                max_fds=max_fds,
             )
         )
         self.log = open(path / "log", "w+", encoding="utf-8")
