--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -44,6 +44,8 @@
         module="catkintrail.relay_start",
         retry_window_seconds=10,
         seeds=("127.0.0.1", "127.0.0.2"),
+        memory_mb=300,
+        max_fds=4000,
     ):
         self.ip = ip
         self.ports = ports
@@ -58,6 +60,8 @@
                 store,
                 extra=retry_extra,
                 window_seconds=retry_window_seconds,
+                memory_mb=memory_mb,
+                max_fds=max_fds,
             )
         )
         self.log = open(path / "log", "w+", encoding="utf-8")
--- a/tests/test_zone_evacuation.py
+++ b/tests/test_zone_evacuation.py
@@ -76,7 +76,7 @@
 
     def test_gauges_show_the_age_and_the_end_of_an_evacuation(self):
         metrics = metrics_module.Metrics()
-        gauges = zone_metrics.EvacuationGauges(metrics)
+        gauges = zone_metrics.EvacuationGauges(metrics.set)
         self.update(5, "za")
         gauges.update(self.zones, 4.0)
         content = metrics.render([""])[0].decode()
