Cold targets get no more requests than they take

A target that has just started crashes at a rate well above `cold-per-s`, and each of up to 195 instances sent to it as if it were alone.

A cold target now has a limit until it is warm, and the first coordinator of its zone issues the permits of all instances, as for `Server-Limit`. It is cold by its start (`born`, or the first sight of a new start), by `cold-left-ms` of its entry, by `Cold-Ms` of an answer, and for 3 s after two instances, or this one, found it silent: it may be back under the same name before its entry is. Warm targets with capacity are preferred; short requests warm the cold ones. Active only with `cold-excess` and a rule of the service; a rule that is no number costs one line and affects only its service.

--- a/catkintrail/adapters/metrics.py
+++ b/catkintrail/adapters/metrics.py
@@ -148,6 +148,10 @@
         aioprometheus.Gauge,
         "Messages to or from peers that were dropped since the start.",
     ),
+    "catkintrail_cold_targets": (
+        aioprometheus.Gauge,
+        "Targets that are cold and get few requests.",
+    ),
     "catkintrail_evacuated_zones": (
         aioprometheus.Gauge,
         "Zones to whose targets nothing is sent.",
--- a/catkintrail/adapters/permit_exchange.py
+++ b/catkintrail/adapters/permit_exchange.py
@@ -73,13 +73,17 @@
             now: Time in seconds.
         """
         self._choices.pop(query.key, None)
-        while (target := self._router.find_unpermitted(answer)) is not None:
+        while (
+            target := self._router.find_unpermitted(answer, now)
+        ) is not None:
             issuer = self._router.fleet_state.peers.permit_issuer(
                 target.availability_zone
             )
             wait_seconds = self._silent_until.get(issuer, now) - now
             if issuer == self._router.settings.address:
-                wait_seconds = self._issue(target_limits.make_key(target), now)
+                wait_seconds = self._issue(
+                    target_limits.make_key(target), 0.0, now
+                )
             elif wait_seconds <= 0:
                 self._choices[query.key] = _Choice(
                     query, answer, deliver, target, issuer, now
@@ -135,11 +139,12 @@
         peers = self._router.fleet_state.peers
         issuer = peers.permit_issuer(query.availability_zone)
         key = (query.target, query.born)
-        self._router.notices.limits.accept(
-            key, query.requests_per_second, now - query.age_ms / 1000.0
-        )
+        if query.age_ms >= 0:
+            self._router.notices.limits.accept(
+                key, query.requests_per_second, now - query.age_ms / 1000.0
+            )
         if issuer == peers.own_address:
-            wait_seconds = self._issue(key, now)
+            wait_seconds = self._issue(key, query.cold_per_second, now)
         elif not query.asker:
             self._send([issuer], query._replace(asker=address))
             return
@@ -164,29 +169,50 @@
             chosen = choice.answer._replace(permits=permits)
         self.settle(choice.query, chosen, choice.deliver, now)
 
-    def _issue(self, key: target_limits.TargetKey, now: float) -> float:
-        """Issues a permit; returns the seconds until one is due, or 0."""
-        statement = self._router.notices.limits.statements.get(key)
-        if statement is None or statement.requests_per_second is None:
+    def _issue(
+        self,
+        key: target_limits.TargetKey,
+        cold_per_second: float,
+        now: float,
+    ) -> float:
+        """Issues a permit; returns the seconds until one is due, or 0.
+
+        Args:
+            key: The target.
+            cold_per_second: What the asking peer knows of a cold target, which
+                this instance may not know; 0 for nothing.
+            now: Time in seconds.
+        """
+        notices = self._router.notices
+        limits = [cold_per_second] if cold_per_second > 0 else []
+        statement = notices.limits.statements.get(key)
+        if statement is not None and statement.requests_per_second is not None:
+            limits.append(statement.requests_per_second)
+        target = self._router.fleet_state.targets.targets.get(key[0])
+        if target is not None and target_limits.make_key(target) == key:
+            cold_limit = notices.cold.find(target, now)
+            limits += [] if cold_limit is None else [cold_limit]
+        if not limits:
             return 0.0
         share = self._router.fleet_state.peers.reachable_zone_share()
-        return self._issuer.issue(
-            key, statement.requests_per_second * share, now
-        )
+        return self._issuer.issue(key, min(limits) * share, now)
 
     def _ask(
         self, key: str, target: target_records.Target, issuer: str, now: float
     ) -> None:
-        limits = self._router.notices.limits
-        statement = limits.statements[target_limits.make_key(target)]
+        notices = self._router.notices
+        statement = notices.limits.statements.get(
+            target_limits.make_key(target)
+        )
         query = messages.PermitQuery(
             key,
             target.name,
             target.born,
             target.availability_zone,
-            statement.requests_per_second,
-            (now - statement.stated_at) * 1000.0,
+            statement.requests_per_second if statement else None,
+            (now - statement.stated_at) * 1000.0 if statement else -1.0,
             "",
+            notices.cold.find(target, now) or 0.0,
         )
         self._send([issuer], query)
 
--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -4,6 +4,7 @@
 """
 
 import logging
+import time
 import types
 from typing import Callable, NamedTuple
 
@@ -13,6 +14,7 @@
 from catkintrail import messages
 from catkintrail import relay_settings
 from catkintrail import verdict as verdicts
+from catkintrail.adapters import cold_exchange
 from catkintrail.adapters import evacuation_exchange
 from catkintrail.adapters import fleet_broadcast
 from catkintrail.adapters import limit_exchange
@@ -106,6 +108,7 @@
             that the store had.
         newest_targets_position: Newest position at which a peer knows the
             targets.
+        cold_targets: Number of targets that are cold.
     """
 
     is_ready: bool
@@ -121,6 +124,7 @@
     slow_targets: int
     targets_age_seconds: float
     newest_targets_position: store_views.Position
+    cold_targets: int = 0
 
 
 class QuarantineStatus(NamedTuple):
@@ -189,11 +193,14 @@
         router: request_router.RequestRouter,
         send: fleet_broadcast.Send,
         clock: Clock,
+        unix_clock: Clock = time.time,
     ) -> None:
         super().__init__()
         self._router = router
         self._send = send
         self._clock = clock
+        self._unix_clock = unix_clock
+        self._update_unix_offset()
         self._quarantine_exchange = quarantine_exchange.QuarantineExchange(
             router, send
         )
@@ -201,6 +208,10 @@
         self._evacuation_exchange = evacuation_exchange.EvacuationExchange(
             router, send
         )
+        self._cold_exchange = cold_exchange.ColdExchange(router, send)
+        table = router.fleet_state.configuration.table
+        if table is not None:
+            self._cold_exchange.apply_configuration(table.configuration)
         self._permit_exchange = permit_exchange.PermitExchange(router, send)
         self._started_at = clock()
         self._next_heartbeat = 0.0
@@ -457,6 +468,12 @@
         """Tells the fleet that the limit of a target has changed."""
         self._limit_exchange.tell(target, self._clock())
 
+    def record_cold(
+        self, target: target_records.Target, cold_seconds: float
+    ) -> None:
+        """Records that a target has stated for how long it stays cold."""
+        self._cold_exchange.apply_answer(target, cold_seconds, self._clock())
+
     def mark_target_leaving(self, target: target_records.Target) -> None:
         """Records that a target is leaving, or gone from its address."""
         now = self._clock()
@@ -506,6 +523,7 @@
                 "source": source,
             },
         )
+        self._cold_exchange.apply_configuration(configuration)
         if source == STORE_SOURCE:
             self._broadcast_store_changes([])
         return True
@@ -524,8 +542,10 @@
         if source != STORE_SOURCE and state.is_older_list(position):
             return
         targets = [event.target for event in events if event.target]
+        was_known = state.has_target_list
         changes = state.replace_targets(targets, self._clock(), position)
-        self._apply_changes(changes, source)
+        self._apply_changes(changes, source, was_known)
+        self._cold_exchange.apply_entries(events, position.era, self._clock())
         if source == STORE_SOURCE:
             self._broadcast_store_changes(changes)
 
@@ -551,6 +571,7 @@
                 now,
             )
         self._apply_changes(changes, source)
+        self._cold_exchange.apply_entries(events, position.era, now)
         if source == STORE_SOURCE:
             self._broadcast_store_changes(changes)
 
@@ -633,6 +654,8 @@
             self._quarantine_exchange.handle(address, message, now)
         elif isinstance(message, messages.LimitNews):
             self._limit_exchange.handle(address, message, now)
+        elif isinstance(message, messages.ColdNews):
+            self._cold_exchange.handle(address, message, now)
         elif isinstance(message, messages.PermitQuery):
             self._permit_exchange.handle_query(address, message, now)
         elif isinstance(message, messages.PermitAnswer):
@@ -667,6 +690,7 @@
             return
         self._quarantine_exchange.greet(address, now)
         self._limit_exchange.greet(address, now)
+        self._cold_exchange.greet(address, now)
         if news != fleet_peers.BACK and self._router.is_in_first_window(now):
             query = messages.RetryLoanQuery(self._router.settings.name)
             self._send([address], query)
@@ -684,6 +708,7 @@
         """
         now = self._clock()
         router = self._router
+        self._update_unix_offset()
         expired = router.expire(now)
         self._apply_changes(expired, "expiry")
         self._permit_exchange.expire(now)
@@ -709,6 +734,7 @@
             self._broadcast_load(router.snapshot(now))
             self._quarantine_exchange.refresh(now)
             self._limit_exchange.refresh(now)
+            self._cold_exchange.refresh(now)
         recipients = router.fleet_state.load_recipients()
         new = [a for a in recipients if a not in self._load_recipients]
         if new and router.fleet_state.peers.is_large_fleet:
@@ -717,6 +743,12 @@
         self._send_batches(now)
         self._log_suspects(now)
         self._evacuation_exchange.log_unknown_zones()
+        self._cold_exchange.tick(now)
+
+    def _update_unix_offset(self) -> None:
+        """Follows steps of Unix time, in which starts of targets are stated."""
+        cold = self._router.notices.cold
+        cold.unix_offset = self._unix_clock() - self._clock()
 
     def _log_suspects(self, now: float) -> None:
         """Logs which targets have turned slow or fast since the last call."""
@@ -770,6 +802,7 @@
             len(self._suspects),
             now - router.fleet_state.targets_complete_at,
             router.fleet_state.newest_targets_position,
+            self._cold_exchange.count,
         )
 
     def retry_usage(self) -> dict[str, service_retry_budget.BudgetUsage]:
@@ -782,8 +815,21 @@
             self._router.fleet_state.newer_peer = ""
 
     def _apply_changes(
-        self, changes: list[store_views.TargetChange], source: str
+        self,
+        changes: list[store_views.TargetChange],
+        source: str,
+        were_known: bool = True,
     ) -> None:
+        """Applies changes of the targets to what depends on them.
+
+        Args:
+            changes: The changes.
+            source: Who reported them.
+            were_known: Whether other targets were known before, so that new
+                ones have just started.
+        """
+        if were_known:
+            self._cold_exchange.apply_changes(changes, self._clock())
         self._router.drop_removed_targets(changes)
         self._quarantine_exchange.apply_changes(changes, self._clock())
         _log_changes(changes, source)
--- a/catkintrail/adapters/router_client.py
+++ b/catkintrail/adapters/router_client.py
@@ -180,6 +180,8 @@
         """Records what an answer states of its target."""
         if self.notices.record(target, statement, sent_at, self.clock()):
             self.proxy.tell_limit.defer(target)
+        if statement.cold_seconds:
+            self.proxy.record_cold.defer(target, statement.cold_seconds)
         if statement.is_leaving:
             self.mark_target_leaving(target)
 
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -164,7 +164,9 @@
         self.load = fleet_load.FleetLoad()
         self.health = target_health.TargetHealth()
         self.notices = target_notices.TargetNotices(
-            self.fleet_state.targets.departures, self.fleet_state.evacuations
+            self.fleet_state.targets.departures,
+            self.fleet_state.evacuations,
+            settings.limits_cold_targets,
         )
         self.chooser = target_choice.TargetChooser(
             settings,
@@ -391,13 +393,13 @@
         )
 
     def find_unpermitted(
-        self, answer: messages.PlacementAnswer
+        self, answer: messages.PlacementAnswer, now: float
     ) -> target_records.Target | None:
         """Returns a target for which a permit is needed; None for none."""
         for target in answer.targets:
             if (
                 target.name not in answer.permits
-                and self.notices.limits.find(target) is not None
+                and self.notices.find_limit(target, now) is not None
             ):
                 return target
         return None
@@ -456,6 +458,8 @@
             self.health.record_success(target)
         elif is_target_fault:
             is_ejected = self.health.record_failure(target, now, is_silent)
+            if is_silent:
+                self._record_silence(target, "", now)
         outcomes = ()
         if is_success or is_target_fault:
             outcome = messages.AttemptOutcome(target, is_success, is_silent)
@@ -467,6 +471,7 @@
         self.settings = settings
         self.fleet_state.settings = settings
         self.fleet_state.evacuations.is_active = settings.evacuation_seconds > 0
+        self.notices.cold.is_active = settings.limits_cold_targets
         for budget in self._retry_budgets.values():
             budget.set_bounds(
                 settings.retry_ratio,
@@ -505,9 +510,17 @@
                 # A single silence may be the sender's own loss of contact.
                 elif self.health.record_failure(outcome.target, now, False):
                     ejected.append(outcome.target)
+                if outcome.is_silent:
+                    self._record_silence(outcome.target, message.sender, now)
         load_reports.apply_message(self.load, message, now)
         return ejected
 
+    def _record_silence(self, name: str, reporter: str, now: float) -> None:
+        """Records that a target was silent, and may be cold when it is back."""
+        target = self.fleet_state.targets.targets.get(name)
+        if target is not None:
+            self.notices.cold.record_silence(target, reporter, now)
+
     def _record_reported_first_tokens(
         self, message: messages.LoadUpdate, now: float
     ) -> None:
--- a/catkintrail/core/route_table.py
+++ b/catkintrail/core/route_table.py
@@ -111,11 +111,17 @@
         max_connections: Maximum number of connections that a target accepts,
             from all clients together; 0 if not specified.
         engine: Figures of the service's engines; None for a plain service.
+        cold_seconds: How long a target is cold after its start.
+        cold_per_second: How many requests a second a cold target takes from all
+            instances together; 0 if not specified. Not a number if the
+            configuration states it in a form that cannot be read.
     """
 
     name: str
     max_connections: int
     engine: EngineFigures | None
+    cold_seconds: float = 0.0
+    cold_per_second: float = 0.0
 
 
 class Organisation(NamedTuple):
--- a/catkintrail/core/target_choice.py
+++ b/catkintrail/core/target_choice.py
@@ -21,6 +21,7 @@
 from catkintrail.core import target_health
 from catkintrail.core import target_notices
 from catkintrail.core import targets as target_records
+from catkintrail.core.zones import cold_targets
 
 __all__ = [
     "NOT_READY_RETRY_SECONDS",
@@ -141,11 +142,39 @@
                 f"none of {len(listed)} targets is available",
                 NO_TARGET_RETRY_SECONDS,
             )
+        preferred = self._prefer_warm(query, candidates, now)
+        answer = self._choose(query, preferred, now)
+        if not answer.targets and len(preferred) < len(candidates):
+            answer = self._choose(query, candidates, now)
+        return answer
+
+    def _choose(
+        self,
+        query: messages.PlacementQuery,
+        candidates: list[target_records.Target],
+        now: float,
+    ) -> messages.PlacementAnswer:
         figures = self._engine_figures(query.service)
         if figures is None or not query.prompt_tokens:
             return self._choose_plain(query, candidates, now)
         return self._choose_engines(query, candidates, figures, now)
 
+    def _prefer_warm(
+        self,
+        query: messages.PlacementQuery,
+        candidates: list[target_records.Target],
+        now: float,
+    ) -> list[target_records.Target]:
+        figures = self._engine_figures(query.service)
+        return cold_targets.prefer_warm(
+            candidates,
+            self.notices.cold,
+            lambda target: len(self.load.at(target.name)),
+            figures is None
+            or query.prompt_tokens <= figures.mean_prompt_tokens,
+            now,
+        )
+
     def _choose_plain(
         self,
         query: messages.PlacementQuery,
@@ -193,7 +222,7 @@
         compared: list[target_records.Target] = []
         for compared in self._candidate_sets(candidates):
             engines = self._describe_engines(compared, figures, now)
-            choice = self._choose_group(demand, engines, figures)
+            choice = self._choose_group(demand, engines, figures, now)
             if choice is not None and engine_placement.is_untroubled(
                 choice, demand, figures
             ):
@@ -221,6 +250,7 @@
         demand: engine_placement.RequestDemand,
         engines: list[engine_placement.EngineState],
         figures: route_table.EngineFigures,
+        now: float,
     ) -> engine_placement.Choice | None:
         """Chooses engines; for divided prompts, those without a limit first.
 
@@ -230,10 +260,10 @@
         choice = engine_placement.choose(demand, engines, figures)
         if choice is None or len(choice.engines) == 1:
             return choice
-        limits = self.notices.limits
-        if all(limits.find(engine) is None for engine in choice.engines):
+        find_limit = self.notices.find_limit
+        if all(find_limit(engine, now) is None for engine in choice.engines):
             return choice
-        unlimited = [e for e in engines if limits.find(e.target) is None]
+        unlimited = [e for e in engines if find_limit(e.target, now) is None]
         return engine_placement.choose(demand, unlimited, figures) or choice
 
     def _candidate_sets(
--- a/catkintrail/core/target_notices.py
+++ b/catkintrail/core/target_notices.py
@@ -11,6 +11,7 @@
 from catkintrail.core import target_limits
 from catkintrail.core import target_pauses
 from catkintrail.core import targets as target_records
+from catkintrail.core.zones import cold_targets
 from catkintrail.core.zones import evacuation
 
 __all__ = ["TargetNotices", "TargetStatement"]
@@ -26,12 +27,14 @@
         requests_per_second: How many requests it takes from all instances
             together; None if it does not say so.
         ends_limit: Whether the answer shows that there is no limit.
+        cold_seconds: For how long it stays cold; None if it does not say so.
     """
 
     is_leaving: bool = False
     pause_seconds: float | None = None
     requests_per_second: float | None = None
     ends_limit: bool = False
+    cold_seconds: float | None = None
 
 
 class TargetNotices:
@@ -44,17 +47,20 @@
         pauses: Targets that asked to be sent nothing for some time.
         limits: Targets that take a limited rate of requests.
         evacuations: Zones to whose targets nothing may be sent.
+        cold: Targets that have just started, or are cold again.
     """
 
     def __init__(
         self,
         departures: departure_records.DepartureRecord | None = None,
         evacuations: evacuation.ZoneEvacuations | None = None,
+        limits_cold_targets: bool = False,
     ) -> None:
         self.departures = departures or departure_records.DepartureRecord()
         self.pauses = target_pauses.TargetPauses()
         self.limits = target_limits.TargetLimits()
         self.evacuations = evacuations or evacuation.ZoneEvacuations()
+        self.cold = cold_targets.ColdTargets(limits_cold_targets)
 
     def record(
         self,
@@ -106,10 +112,20 @@
             return f"{target.name} is leaving"
         if self.pauses.remaining_seconds(target, now):
             return f"{target.name} asked for a pause"
-        if self.limits.find(target) is not None and target.name not in permits:
-            return f"{target.name} has a limit, and there is no permit"
+        if target.name not in permits:
+            if self.limits.find(target) is not None:
+                return f"{target.name} has a limit, and there is no permit"
+            if self.cold.find(target, now) is not None:
+                return f"{target.name} is cold, and there is no permit"
         return ""
 
+    def find_limit(
+        self, target: target_records.Target, now: float
+    ) -> float | None:
+        """Returns how many requests a second a target takes; None for any."""
+        limits = (self.limits.find(target), self.cold.find(target, now))
+        return min((x for x in limits if x is not None), default=None)
+
     def wait_seconds(self, target: target_records.Target, now: float) -> float:
         """Returns for how long a target cannot be sent anything."""
         return max(
--- a/catkintrail/messages.py
+++ b/catkintrail/messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from catkintrail import errors
+from catkintrail.core import store_views
 from catkintrail.core import targets
 from catkintrail.core.zones import evacuation
 
@@ -19,6 +20,8 @@
     "AttemptOutcome",
     "AttemptReport",
     "Claim",
+    "ColdNews",
+    "ColdReport",
     "ConfigHead",
     "ConfigRequest",
     "Declined",
@@ -688,9 +691,11 @@
         born: Start time of the target in Unix milliseconds.
         availability_zone: Availability zone of the target.
         requests_per_second: The limit; None if it has just ended.
-        age_ms: Time since the target has stated it.
+        age_ms: Time since the target has stated it; -1 if it never has.
         asker: IP address of the instance that gets the answer; "" for the
             sender.
+        cold_per_second: How many requests a second the target takes while it is
+            cold; 0 if it is not, as far as the sender knows.
     """
 
     key: str
@@ -700,6 +705,7 @@
     requests_per_second: float | None
     age_ms: float
     asker: str
+    cold_per_second: float = 0.0
 
 
 class PermitAnswer(NamedTuple):
@@ -716,6 +722,30 @@
     wait_seconds: float
 
 
+class ColdReport(NamedTuple):
+    """What is known of a target that is cold, or was so until lately.
+
+    Attributes:
+        target: Name of the target.
+        born: Start time of the target in Unix milliseconds.
+        order: Era and revision of the entry that states it; both -1 if the
+            target itself has stated it.
+        left_ms: For how long the target stays cold.
+    """
+
+    target: str
+    born: int
+    order: store_views.Position
+    left_ms: float
+
+
+class ColdNews(NamedTuple):
+    """What an instance knows of cold targets."""
+
+    sender: str
+    reports: tuple[ColdReport, ...]
+
+
 class RetryLoanQuery(NamedTuple):
     """Asks a peer for retries, as the sender has just started.
 
@@ -853,6 +883,7 @@
     RetryLoanQuery,
     RetryLoan,
     EvacuationNews,
+    ColdNews,
 )
 _TAG_OF_TYPE = {kind: tag for tag, kind in enumerate(_MESSAGE_TYPES)}
 
--- a/catkintrail/platform/boot.py
+++ b/catkintrail/platform/boot.py
@@ -110,6 +110,7 @@
             cores=float(limits.get("cpu-share", 1) * limits.get("cores", 1)),
             zone_count=len(data.get("zones", ())),
             evacuation_seconds=float(bounds.get("evacuate-ms", 0)) / 1000.0,
+            limits_cold_targets=float(bounds.get("cold-excess", 0)) > 0,
         )
     except (
         AttributeError,
--- a/catkintrail/platform/store.py
+++ b/catkintrail/platform/store.py
@@ -540,7 +540,13 @@
     target = wire.decode_target(item)
     if target is None:
         _LOG.warning("target_entry_unreadable", extra={"target": name})
-    return fleet_state_source.TargetEvent(name, target, False)
+    return fleet_state_source.TargetEvent(
+        name,
+        target,
+        False,
+        wire.decode_cold_seconds(item),
+        next(_decode_revisions([item]), -1),
+    )
 
 
 def _make_pool(address: str) -> bounded_http.BoundedPool:
--- a/catkintrail/platform/wire.py
+++ b/catkintrail/platform/wire.py
@@ -12,6 +12,7 @@
 __all__ = [
     "ATTEMPT_ID",
     "AUTHORIZATION",
+    "COLD_MS",
     "CONTENT_ENCODING",
     "DEADLINE_MS",
     "ENGINE_STAMP",
@@ -31,6 +32,7 @@
     "TENANT",
     "TOKEN_COUNTS",
     "decode_api_key",
+    "decode_cold_seconds",
     "decode_configuration",
     "decode_count",
     "decode_era",
@@ -47,6 +49,8 @@
 # targets have the same id.
 ATTEMPT_ID = "attempt-id"
 AUTHORIZATION = "authorization"
+# For how long a target stays cold.
+COLD_MS = "cold-ms"
 CONTENT_ENCODING = "content-encoding"
 DEADLINE_MS = "deadline-ms"
 ENGINE_STAMP = "engine-stamp"
@@ -180,16 +184,19 @@
         status: Status code.
         headers_by_name: Header values by lower-case name.
     """
-    pause_seconds = limit = None
+    pause_seconds = limit = cold_ms = None
     if status == 503 and RETRY_AFTER in headers_by_name:
         pause_seconds = decode_retry_after(headers_by_name[RETRY_AFTER])
     if SERVER_LIMIT in headers_by_name:
         limit = decode_limit(headers_by_name[SERVER_LIMIT])
+    if COLD_MS in headers_by_name:
+        cold_ms = decode_count(headers_by_name[COLD_MS])
     return target_notices.TargetStatement(
         states_leaving(headers_by_name.get(SERVER_LEAVING)),
         pause_seconds,
         limit,
         SERVER_LIMIT not in headers_by_name,
+        None if cold_ms is None else cold_ms / 1000.0,
     )
 
 
@@ -252,6 +259,19 @@
     return target_records.Target(*values, is_leaving, born)
 
 
+def decode_cold_seconds(record: Any) -> float | None:
+    """Returns for how long an entry's target stays cold.
+
+    Returns:
+        Time in seconds; None if the entry does not state it, or is malformed.
+    """
+    try:
+        left_ms = record["spec"]["cold-left-ms"]
+    except (KeyError, TypeError):
+        return None
+    return left_ms / 1000.0 if _is_count(left_ms, MAX_TIME_MS) else None
+
+
 def _is_address(text: str) -> bool:
     """Returns whether a text is a host and a port that can be connected to."""
     host, _, port = text.rpartition(":")
@@ -327,9 +347,23 @@
         item["name"],
         int(item.get("max-conns") or 0),
         _decode_engine(engine) if engine else None,
+        _decode_figure(item.get("cold-s")),
+        _decode_figure(item.get("cold-per-s")),
     )
 
 
+def _decode_figure(value: Any) -> float:
+    """Returns a figure that may be missing; NaN if it is malformed.
+
+    A figure that one feature needs must not make the configuration unreadable.
+    """
+    if value is None:
+        return 0.0
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        return math.nan
+    return float(min(value, MAX_TIME_MS)) if value >= 0 else math.nan
+
+
 def _decode_engine(item: dict) -> route_table.EngineFigures:
     usual = item.get("usual") or {}
     return route_table.EngineFigures(
--- a/catkintrail/ports/fleet_state_source.py
+++ b/catkintrail/ports/fleet_state_source.py
@@ -46,11 +46,16 @@
         name: The target's name.
         target: The target; None if its entry was removed or is invalid.
         is_removed: Whether the entry was removed.
+        cold_seconds: For how long the target stays cold; None if the entry does
+            not state it.
+        revision: Revision of the entry; -1 if it is not stated.
     """
 
     name: str
     target: target_records.Target | None
     is_removed: bool
+    cold_seconds: float | None = None
+    revision: int = -1
 
 
 class TargetUpdate(NamedTuple):
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -417,6 +417,7 @@
             "catkintrail_quarantined_requests": len(
                 self.router.quarantine.quarantined
             ),
+            "catkintrail_cold_targets": status.cold_targets,
             "catkintrail_store_calls": self.store.call_count,
             "catkintrail_connections_opened": self.connector.opened,
             "catkintrail_connections_through_peers": (
--- a/catkintrail/relay_settings.py
+++ b/catkintrail/relay_settings.py
@@ -35,6 +35,8 @@
             unknown.
         evacuation_seconds: Time within which an evacuated zone's targets get
             nothing more; 0 if zones are never evacuated.
+        limits_cold_targets: Whether targets that are cold get no more requests
+            than their service states.
     """
 
     name: str
@@ -56,3 +58,4 @@
     cores: float = 1.0
     zone_count: int = 0
     evacuation_seconds: float = 0.0
+    limits_cold_targets: bool = False
--- a/catkintrail/request_trace.py
+++ b/catkintrail/request_trace.py
@@ -36,6 +36,7 @@
 # Events that concern one target, and those that concern a whole instance.
 TARGET_EVENTS = frozenset(
     {
+        "target_cold",
         "target_ejected",
         "target_gone",
         "target_joined",
@@ -43,6 +44,7 @@
         "target_leaving",
         "target_fast",
         "target_slow",
+        "target_warm",
     }
 )
 INSTANCE_EVENTS = frozenset(
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -34,6 +34,8 @@
         cut_zones: Zones whose instances cannot reach other zones.
         retry_extra: Extra retries of the settings.
         settings: Other settings that differ from those of the builder.
+        configuration: The configuration of all instances.
+        on_start: Called with the actor of each instance that has started.
     """
 
     def __init__(
@@ -43,6 +45,7 @@
         cores=None,
         seed=1,
         retry_extra=460.0,
+        configuration=None,
         **settings,
     ):
         self.now = 0.0
@@ -53,6 +56,8 @@
         self.cut_zones = set()
         self.retry_extra = retry_extra
         self.settings = settings
+        self.configuration = configuration or builders.make_configuration()
+        self.on_start = lambda actor: None
         self._rng = random.Random(seed)
         self._queue = []
         self._order = itertools.count()
@@ -185,9 +190,7 @@
             random.Random(self._rng.random()),
             self.now,
         )
-        router.fleet_state.update_configuration(
-            builders.make_configuration(), self.now
-        )
+        router.fleet_state.update_configuration(self.configuration, self.now)
         router.fleet_state.replace_targets(self._targets, self.now)
 
         def send(recipients, message):
@@ -197,8 +200,11 @@
                 self.sent[address, type(message).__name__] += 1
                 self.at(DELAY_SECONDS, self._deliver, address, recipient, data)
 
-        actor = router_actor.RouterActor(router, send, lambda: self.now)
+        actor = router_actor.RouterActor(
+            router, send, lambda: self.now, lambda: self.now
+        )
         self.actors[address] = actor
+        self.on_start(actor)
         self._tick(address, actor, self.now)
 
     def _tick(self, address, actor, started_at):
