Plain targets that are slow, or slow down before they are full, get fewer requests

Plain services had no learned speed: a target three times slower got its share of the requests until it failed. For engines, nothing learned the number of requests above which one slows down.

core/target_speed takes the run times of attempts that an instance knows anyway and compares a plain target with the service's other targets, by its number of requests. A target is slow if both the average and the ranks of its last times say so; it is then tried again by single requests. The slowness of engines moves there from core/target_health. Messages do not change.

tests/test_layering.py now checks the folders below core, too.

--- a/catkintrail/adapters/metrics.py
+++ b/catkintrail/adapters/metrics.py
@@ -104,6 +104,14 @@
         aioprometheus.Gauge,
         "Targets suspected of being slow.",
     ),
+    "catkintrail_strained_targets": (
+        aioprometheus.Gauge,
+        "Targets that handle fewer requests well than they have slots.",
+    ),
+    "catkintrail_greatest_slowness": (
+        aioprometheus.Gauge,
+        "How many times as slow as normal the slowest target is.",
+    ),
     "catkintrail_retries": (
         aioprometheus.Gauge,
         "Retries in the window of the retry budget, by service.",
--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -26,6 +26,7 @@
 from catkintrail.core import store_views
 from catkintrail.core import target_paths
 from catkintrail.core import targets as target_records
+from catkintrail.core.target_speed import speed_changes
 from catkintrail.ports import fleet_state_source
 
 __all__ = [
@@ -98,6 +99,9 @@
         is_watcher: Whether the instance watches the store for its zone.
         newer_peer: Address of a peer with newer state; "" for none.
         slow_targets: Number of targets that are suspected of being slow.
+        strained_targets: Number of targets that handle fewer requests well
+            than they have slots.
+        greatest_slowness: Slowness of the slowest target, at least 1.
         targets_age_seconds: Seconds since the known targets had all changes
             that the store had.
         newest_targets_position: Newest position at which a peer knows the
@@ -115,6 +119,8 @@
     is_watcher: bool
     newer_peer: str
     slow_targets: int
+    strained_targets: int
+    greatest_slowness: float
     targets_age_seconds: float
     newest_targets_position: store_views.Position
 
@@ -204,7 +210,8 @@
         self._load_batch = _Batch()
         self._load_recipients: list[str] = []
         self._pending: dict[str, PendingPlacement] = {}
-        self._suspects: dict[str, float] = {}
+        self._speed_changes = speed_changes.SpeedChanges()
+        self._greatest_slowness = 1.0
         self._coordinator_pauses: dict[str, float] = {}
 
     def _handle_failure(
@@ -691,16 +698,24 @@
         self._log_suspects(now)
 
     def _log_suspects(self, now: float) -> None:
-        """Logs which targets have turned slow or fast since the last call."""
-        suspects = self._router.health.suspects(now)
-        for target in sorted(suspects.keys() - self._suspects.keys()):
-            ratio = round(suspects[target], 1)
-            _LOG.warning(
-                "target_slow", extra={"target": target, "slowness": ratio}
+        """Logs how targets' speeds have changed since the last call."""
+        speeds = self._router.health.speeds.known(now)
+        self._greatest_slowness = max(
+            (speed.slowness for speed in speeds.values()), default=1.0
+        )
+        for change in self._speed_changes.update(speeds, now):
+            is_warning = change.event in (
+                speed_changes.SLOW,
+                speed_changes.STRAINED,
+            )
+            _LOG.log(
+                logging.WARNING if is_warning else logging.INFO,
+                change.event,
+                extra={
+                    "target": change.target,
+                    **speed_changes.describe(change.speed),
+                },
             )
-        for target in sorted(self._suspects.keys() - suspects.keys()):
-            _LOG.info("target_fast", extra={"target": target})
-        self._suspects = suspects
 
     def peer_state(self, known_version: int = -1) -> PeerState:
         """Returns the state that another instance fetches from this one.
@@ -738,7 +753,9 @@
             router.fleet_state.newest_peer_version,
             router.fleet_state.is_watcher(),
             router.fleet_state.newer_peer,
-            len(self._suspects),
+            len(self._speed_changes.slow),
+            len(self._speed_changes.strained),
+            self._greatest_slowness,
             now - router.fleet_state.targets_complete_at,
             router.fleet_state.newest_targets_position,
         )
--- a/catkintrail/core/fleet_load.py
+++ b/catkintrail/core/fleet_load.py
@@ -28,6 +28,8 @@
         prefill_end: Predicted time of the end of the prefill.
         is_decoding: Whether the first token has been received.
         placed_at: Time at which the attempt was placed.
+        requests: Number of attempts at the target that answers when this one
+            became known, itself included.
     """
 
     key: str
@@ -38,6 +40,7 @@
     prefill_end: float
     is_decoding: bool
     placed_at: float
+    requests: int = 0
 
 
 class FleetLoad:
@@ -61,7 +64,12 @@
 
     def put(self, owner: str, attempt: Attempt) -> None:
         """Adds or replaces an attempt of an instance."""
+        known = self.by_owner.get(owner, {}).get(attempt.key)
         self.drop(owner, attempt.key)
+        requests = len(self.at(attempt.targets[0])) + 1
+        if known is not None and known.targets == attempt.targets:
+            requests = known.requests
+        attempt = attempt._replace(requests=requests)
         self.by_owner.setdefault(owner, {})[attempt.key] = attempt
         for target, memory in zip(attempt.targets, attempt.memory):
             # Helpers without memory are done when the first token arrives.
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -21,6 +21,7 @@
 from catkintrail.core import target_health
 from catkintrail.core import target_notices
 from catkintrail.core import targets as target_records
+from catkintrail.core.target_speed import attempt_times
 
 __all__ = [
     "Admission",
@@ -144,6 +145,7 @@
         fleet_state: Known state of the configuration, targets and peers.
         load: Attempts in progress of this instance and its peers.
         health: Failures and response times of targets, from past attempts.
+        times: Learns the speed of targets from attempts.
         chooser: Chooses targets from this state.
         quarantine: Prompts that are kept away from engines.
         notices: What targets have stated of themselves.
@@ -163,6 +165,12 @@
         self.fleet_state = fleet_state.FleetState(settings, incarnation, rng)
         self.load = fleet_load.FleetLoad()
         self.health = target_health.TargetHealth()
+        self.times = attempt_times.AttemptTimes(
+            settings.availability_zone,
+            self.load,
+            self.health,
+            self.fleet_state.targets,
+        )
         self.notices = target_notices.TargetNotices(
             self.fleet_state.targets.departures
         )
@@ -421,7 +429,7 @@
         if attempt is None:
             return None
         if predicted_ms:
-            self._record_first_token_time(
+            self.times.record_first_token(
                 attempt, measured_ms, predicted_ms, now
             )
         attempt = attempt._replace(is_decoding=True, prefill_end=now)
@@ -450,6 +458,8 @@
         Returns:
             The update for peers, and whether the target was ejected.
         """
+        if is_success:
+            self.times.record_end(self.settings.name, key, now)
         self.load.drop(self.settings.name, key)
         is_ejected = False
         if is_success:
@@ -495,6 +505,7 @@
         ejected = []
         if isinstance(message, messages.LoadUpdate):
             self._record_reported_first_tokens(message, now)
+            self._record_reported_ends(message, is_near, now)
             for outcome in message.outcomes:
                 if outcome.is_success:
                     if is_near:
@@ -517,43 +528,30 @@
             if attempt is None or attempt.is_decoding or not report.is_decoding:
                 continue
             predicted = attempt.prefill_end - attempt.placed_at
-            self._record_first_token_time(
+            self.times.record_first_token(
                 attempt,
                 report.age_ms + report.prefill_left_ms,
                 predicted * 1000.0,
                 now,
             )
 
-    def _record_first_token_time(
-        self,
-        attempt: fleet_load.Attempt,
-        measured_ms: float,
-        predicted_ms: float,
-        now: float,
+    def _record_reported_ends(
+        self, message: messages.LoadUpdate, is_near: bool, now: float
     ) -> None:
-        """Records a time to first token of the targets of an attempt.
+        """Records the run times of attempts whose end a peer reports.
 
-        The prediction is extended by the prefills that were placed on the same
-        targets later: parts of divided prompts are prefilled first.
+        Reports of other zones are delayed, and their requests take another way
+        to the targets.
         """
-        later_ms = max(
-            sum(
-                (other.prefill_end - other.placed_at) * 1000.0
-                for other in self.load.at(target).values()
-                if other.placed_at > attempt.placed_at
-            )
-            for target in attempt.targets
-        )
-        if measured_ms > predicted_ms:
-            predicted_ms = min(measured_ms, predicted_ms + later_ms)
-        if len(attempt.targets) > 1:
-            self.health.record_group_time(
-                attempt.targets, measured_ms, predicted_ms, now
-            )
-        else:
-            self.health.record_first_token_time(
-                attempt.targets[0], measured_ms, predicted_ms, now
-            )
+        peers = self.fleet_state.peers
+        if not is_near and (
+            peers.is_large_fleet
+            or not any(p.name == message.sender for p in peers.zone_peers())
+        ):
+            return
+        for key, outcome in zip(message.drops, message.outcomes):
+            if outcome.is_success:
+                self.times.record_end(message.sender, key, now)
 
     def snapshot(self, now: float) -> messages.LoadSnapshot:
         """Returns a message with all attempts of this instance."""
--- a/catkintrail/core/target_choice.py
+++ b/catkintrail/core/target_choice.py
@@ -136,14 +136,22 @@
         now: float,
     ) -> messages.PlacementAnswer:
         zone = self.availability_zone
+        speeds = self.health.speeds
 
         def cost(target: target_records.Target) -> float:
-            running = len(self.load.at(target.name))
+            attempts = self.load.at(target.name)
+            running = len(attempts)
             slots = max(1, target.slots)
+            slowness = speeds.slowness_with(target.name, running + 1, now)
+            if attempts:
+                oldest = min(a.placed_at for a in attempts.values())
+                overdue = speeds.overdue_ratio(target, oldest, now)
+                slowness = max(slowness, overdue)
             total = RUNNING_COST * running / slots
-            total += QUEUED_COST * max(0, running + 1 - slots) / slots
+            queue = max(0, running + 1 - slots) / slots
+            total += QUEUED_COST * queue * slowness
             total += self.health.penalty(target.name, now)
-            total += self.health.slowness(target.name, now) - 1.0
+            total += slowness - 1.0
             if target.availability_zone != zone:
                 total += OTHER_ZONE_COST
             return total
@@ -152,12 +160,31 @@
             (cost(target), self.rng.random(), target) for target in candidates
         ]
         best_cost, _, target = min(costs, key=lambda item: item[:2])
+        trial = self._find_trial(query, candidates, now)
+        if trial is not None:
+            target = trial
         answer = self._accept(
             query, (target,), (0,), 0.0, best_cost, len(candidates)
         )
         self.record_attempt(query, answer, now)
         return answer
 
+    def _find_trial(
+        self,
+        query: messages.PlacementQuery,
+        candidates: list[target_records.Target],
+        now: float,
+    ) -> target_records.Target | None:
+        """Returns a slow target that the request is to measure again."""
+        if query.tried:
+            return None
+        idle = {t.name: t for t in candidates if not self.load.at(t.name)}
+        left_ms = query.goal_ms - query.elapsed_ms
+        name = self.health.speeds.choose_trial(
+            query.service, idle.keys(), left_ms, now
+        )
+        return idle.get(name)
+
     def _choose_engines(
         self,
         query: messages.PlacementQuery,
@@ -259,7 +286,9 @@
                 tuple(self.load.at(target.name).values()),
                 figures,
                 now,
-                self.health.slowness(target.name, now),
+                self.health.speeds.slowness_with(
+                    target.name, len(self.load.at(target.name)) + 1, now
+                ),
                 self.health.penalty(target.name, now),
                 target.availability_zone == zone,
             )
--- a/catkintrail/core/target_health.py
+++ b/catkintrail/core/target_health.py
@@ -2,8 +2,12 @@
 
 from typing import NamedTuple, Sequence
 
+from catkintrail.core.target_speed import target_speeds
+
 __all__ = ["SUSPECT_SLOWNESS", "TargetHealth"]
 
+SUSPECT_SLOWNESS = target_speeds.SUSPECT_SLOWNESS
+
 # Single failures are common on the fleets served; two in a row are not.
 EJECT_AFTER_FAILURES = 2
 # Duration of the first ejection; doubles with each further one, up to the limit
@@ -14,19 +18,6 @@
 # falls linearly to zero over the time below.
 FAILURE_PENALTY = 0.6
 FAILURE_PENALTY_SECONDS = 4.0
-# Weight of a new measurement in the moving average of the slowness. A target
-# that has turned slow has to be detected sooner than one that has recovered.
-SLOWER_GAIN = 0.5
-FASTER_GAIN = 0.25
-# Predictions do not include transit time and the work of this process.
-MEASUREMENT_TOLERANCE_MS = 30.0
-MAX_SLOWNESS = 20.0
-# A target slower than this is suspect.
-SUSPECT_SLOWNESS = 1.5
-# How long a measurement of a target confirms its speed.
-CONFIRMATION_SECONDS = 2.0
-# Without new measurements the average slowness falls back to 1 over this time.
-SLOWNESS_DECAY_SECONDS = 10.0
 
 
 class _Record(NamedTuple):
@@ -34,17 +25,20 @@
     ejections: int
     ejected_until: float
     failed_at: float
-    slowness: float
-    measured_at: float
 
 
-_NO_HISTORY = _Record(0, 0, 0.0, float("-inf"), 1.0, float("-inf"))
+_NO_HISTORY = _Record(0, 0, 0.0, float("-inf"))
 
 
 class TargetHealth:
-    """Health records of targets, by name."""
+    """Health records of targets, by name.
+
+    Attributes:
+        speeds: What is known of the speed of targets.
+    """
 
     def __init__(self) -> None:
+        self.speeds = target_speeds.TargetSpeeds()
         self._records: dict[str, _Record] = {}
 
     def record_success(self, target: str) -> None:
@@ -103,18 +97,7 @@
             predicted_ms: Predicted time, for the slowness known at that time.
             now: Time in seconds.
         """
-        record = self._records.get(target, _NO_HISTORY)
-        ratio = measured_ms / max(1.0, predicted_ms)
-        if ratio > 1.0:
-            excess_ms = measured_ms - MEASUREMENT_TOLERANCE_MS
-            ratio = max(1.0, excess_ms / max(1.0, predicted_ms))
-        old = self.slowness(target, now)
-        # The prediction took the known slowness into account.
-        new = min(MAX_SLOWNESS, max(1.0, old * ratio))
-        gain = SLOWER_GAIN if new > old else FASTER_GAIN
-        self._records[target] = record._replace(
-            slowness=old + gain * (new - old), measured_at=now
-        )
+        self.speeds.first_tokens.record(target, measured_ms, predicted_ms, now)
 
     def record_group_time(
         self,
@@ -134,14 +117,9 @@
             predicted_ms: Predicted time, for the slowness known at that time.
             now: Time in seconds.
         """
-        is_late = measured_ms > predicted_ms + MEASUREMENT_TOLERANCE_MS
-        for target in targets:
-            record = self._records.get(target, _NO_HISTORY)
-            is_confirmed = now - record.measured_at < CONFIRMATION_SECONDS
-            if not is_late or not is_confirmed:
-                self.record_first_token_time(
-                    target, measured_ms, predicted_ms, now
-                )
+        self.speeds.first_tokens.record_group(
+            targets, measured_ms, predicted_ms, now
+        )
 
     def is_ejected(self, target: str, now: float) -> bool:
         """Returns whether a target is ejected."""
@@ -158,24 +136,21 @@
 
     def slowness(self, target: str, now: float) -> float:
         """Returns the mean ratio of measured to predicted time, at least 1."""
-        record = self._records.get(target)
-        if record is None:
-            return 1.0
-        age = now - record.measured_at
-        share = max(0.0, 1 - age / SLOWNESS_DECAY_SECONDS)
-        return 1.0 + (record.slowness - 1.0) * share
+        return self.speeds.slowness(target, now)
+
+    def comfortable_requests(self, target: str, now: float) -> float:
+        """Returns how many requests a target handles well.
+
+        Returns:
+            A number of at most its slots; infinite if nothing is known.
+        """
+        return self.speeds.comfortable_requests(target, now)
 
     def suspects(self, now: float) -> dict[str, float]:
         """Returns the slowness of the targets that are suspected of it."""
-        slowness = {
-            target: self.slowness(target, now) for target in self._records
-        }
-        return {
-            target: ratio
-            for target, ratio in slowness.items()
-            if ratio > SUSPECT_SLOWNESS
-        }
+        return self.speeds.suspects(now)
 
     def forget(self, target: str) -> None:
         """Removes the record of a target."""
         self._records.pop(target, None)
+        self.speeds.forget(target)
--- a/catkintrail/log_commands.py
+++ b/catkintrail/log_commands.py
@@ -68,6 +68,15 @@
             f" {slow.first} to {slow.last}, {state},"
             f" by {', '.join(slow.instances)}"
         )
+    for strained in summary.strained_targets:
+        state = (
+            "as many as its slots again" if strained.is_relieved else "still"
+        )
+        print(
+            f"  {strained.target}: handles {strained.min_requests:g} requests"
+            f" well, {strained.max_strain:.1f} times as slow with more, from"
+            f" {strained.first} to {strained.last}, {state}"
+        )
     print("configuration in force:")
     for (zone, version), count in sorted(summary.versions.items()):
         print(f"  {zone or '-'}: version {version} on {count} instances")
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -402,6 +402,8 @@
             "catkintrail_peers": len(status.peers),
             "catkintrail_known_attempts": status.attempts,
             "catkintrail_slow_targets": status.slow_targets,
+            "catkintrail_strained_targets": status.strained_targets,
+            "catkintrail_greatest_slowness": status.greatest_slowness,
             "catkintrail_quarantined_requests": len(
                 self.router.quarantine.quarantined
             ),
--- a/catkintrail/request_trace.py
+++ b/catkintrail/request_trace.py
@@ -10,6 +10,7 @@
     "LogFiles",
     "Report",
     "SlowTarget",
+    "StrainedTarget",
     "explain",
     "parse_lines",
     "report",
@@ -41,7 +42,9 @@
         "target_lapsed",
         "target_leaving",
         "target_fast",
+        "target_relieved",
         "target_slow",
+        "target_strained",
     }
 )
 INSTANCE_EVENTS = frozenset(
@@ -85,6 +88,26 @@
     is_recovered: bool
 
 
+class StrainedTarget(NamedTuple):
+    """A target that handles fewer requests well than it has slots.
+
+    Attributes:
+        target: Name of the target.
+        first: Time of the first line about it, as in the logs.
+        last: Time of the last line about it.
+        min_requests: Least number of requests that it handles well.
+        max_strain: Largest ratio of its times with more requests.
+        is_relieved: Whether it handles as many as its slots again.
+    """
+
+    target: str
+    first: str
+    last: str
+    min_requests: float
+    max_strain: float
+    is_relieved: bool
+
+
 class Report(NamedTuple):
     """Outcomes and latencies of the requests in some logs.
 
@@ -97,6 +120,8 @@
             of their names.
         versions: Number of instances by availability zone and version of the
             configuration that was last in force on them.
+        strained_targets: Targets that slowed down before they were full, in the
+            order of their names.
     """
 
     outcomes: dict[str, int]
@@ -104,6 +129,7 @@
     first_token_ms: list[tuple[str, int, list[float]]]
     slow_targets: list[SlowTarget]
     versions: dict[tuple[str, int], int]
+    strained_targets: list[StrainedTarget]
 
 
 class LogFiles:
@@ -218,6 +244,7 @@
         ],
         slow_targets.summarise(),
         dict(collections.Counter(version_by_instance.values())),
+        slow_targets.summarise_strained(),
     )
 
 
@@ -226,11 +253,14 @@
 
     def __init__(self) -> None:
         self._lines: dict[str, list[Line]] = {}
+        self._strained_lines: dict[str, list[Line]] = {}
 
     def add(self, line: Line) -> None:
         """Adds a line, if it is about a slow target."""
         if line["event"] in ("target_slow", "target_fast"):
             self._lines.setdefault(line["target"], []).append(line)
+        elif line["event"] in ("target_strained", "target_relieved"):
+            self._strained_lines.setdefault(line["target"], []).append(line)
 
     def summarise(self) -> list[SlowTarget]:
         """Returns what the lines say of each target."""
@@ -250,6 +280,24 @@
             )
         return summaries
 
+    def summarise_strained(self) -> list[StrainedTarget]:
+        """Returns what the lines say of each target with too many requests."""
+        summaries = []
+        for target, unsorted_lines in sorted(self._strained_lines.items()):
+            lines = _sort_by_time(unsorted_lines)
+            last_events = {line["instance"]: line["event"] for line in lines}
+            summaries.append(
+                StrainedTarget(
+                    target,
+                    lines[0]["time"],
+                    lines[-1]["time"],
+                    min(line.get("comfortable", 0.0) for line in lines),
+                    max(line.get("strain", 1.0) for line in lines),
+                    set(last_events.values()) == {"target_relieved"},
+                )
+            )
+        return summaries
+
 
 def _sort_by_time(lines: Iterable[Line]) -> list[Line]:
     return sorted(lines, key=lambda line: line["time"])
--- a/tests/test_layering.py
+++ b/tests/test_layering.py
@@ -75,7 +75,7 @@
 
     def test_core_and_ports_import_only_inward(self):
         for folder in ("core", "ports"):
-            for path in (PACKAGE / folder).glob("*.py"):
+            for path in (PACKAGE / folder).rglob("*.py"):
                 for name in imported_names(path):
                     forbidden = [
                         module
