The store is read without loading urllib3

The clients of the store, of orders and of peers' state loaded urllib3 and http.client, a fifth of the imports of a start. They now go over h11, which is loaded for targets anyway. As before, responses are bounded in time and size, idle connections are checked before they are used again, calls in progress can be ended, and an order that found no connection counts as not run. Bytes behind a response close its connection, so that they are not taken for the next one.

--- a/catkintrail/platform/orders.py
+++ b/catkintrail/platform/orders.py
@@ -4,7 +4,6 @@
 import threading
 
 import msgspec
-import urllib3
 
 from catkintrail import errors
 from catkintrail import verdict as verdicts
@@ -30,7 +29,7 @@
     Attributes:
         record_statement: Records what a response states of its target.
         order_count: Number of orders sent.
-        http: Pool of connections to engines.
+        http: Pools of connections to engines.
     """
 
     def __init__(
@@ -40,7 +39,7 @@
     ) -> None:
         self.record_statement = record_statement
         self.order_count = 0
-        self.http = bounded_http.make_pool_manager(MAX_POOLS, self._connect)
+        self.http = bounded_http.PoolManager(MAX_POOLS, self._connect)
         self._connector = connector
         # Targets that orders are sent to, by address.
         self._targets: dict[str, target_records.Target] = {}
@@ -107,29 +106,24 @@
         self.order_count += 1
         self.register_target(target)
         try:
-            response = self.http.request(
+            response = self.http.pool(target.address).request(
                 "POST",
-                f"http://{target.address}{ORDER_PATH}",
-                body=msgspec.json.encode(order),
-                headers={
+                ORDER_PATH,
+                CONNECT_TIMEOUT_SECONDS,
+                RESPONSE_TIMEOUT_SECONDS,
+                {
                     "Content-Type": "application/json",
                     "Expect-Instance": target.name,
                 },
-                timeout=urllib3.Timeout(
-                    connect=CONNECT_TIMEOUT_SECONDS,
-                    read=RESPONSE_TIMEOUT_SECONDS,
-                ),
+                msgspec.json.encode(order),
             )
-        except (
-            urllib3.exceptions.ConnectTimeoutError,
-            urllib3.exceptions.NewConnectionError,
-        ) as error:
+        except bounded_http.ConnectError as error:
             raise errors.TargetError(
                 f"{target.address}: {error}",
                 verdicts.Verdict.NOT_RUN,
                 is_silent=True,
             ) from error
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+        except OSError as error:
             raise errors.TargetError(
                 f"{target.address}: {error}",
                 verdicts.Verdict.MAY_HAVE_RUN,
--- a/catkintrail/platform/store.py
+++ b/catkintrail/platform/store.py
@@ -7,9 +7,6 @@
 from typing import Any, Callable, Iterable, Iterator, NamedTuple
 import urllib.parse
 
-import urllib3
-from urllib3 import connection as connections
-
 from catkintrail import errors
 from catkintrail.adapters import bounded_http
 from catkintrail.adapters import keep_alive
@@ -45,10 +42,6 @@
     fleet_state_source.CONFIGURATION: CONFIGURATION_KIND,
     fleet_state_source.TARGETS: TARGET_KIND,
 }
-_SOCKET_OPTIONS = [
-    *connections.HTTPConnection.default_socket_options,
-    *keep_alive.OPTIONS,
-]
 
 
 class ObjectListing(NamedTuple):
@@ -279,7 +272,7 @@
     ) -> _Response:
         self.call_count += 1
         headers = {}
-        body = None
+        body = b""
         if content is not None:
             body = json.dumps(content).encode()
             headers["Content-Type"] = "application/json"
@@ -287,13 +280,12 @@
             response = pool.request(
                 method,
                 path,
-                body=body,
-                headers=headers,
-                timeout=urllib3.Timeout(
-                    connect=CONNECT_TIMEOUT_SECONDS, read=timeout_seconds
-                ),
+                CONNECT_TIMEOUT_SECONDS,
+                timeout_seconds,
+                headers,
+                body,
             )
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+        except OSError as error:
             raise errors.PlatformUnavailableError(
                 f"cannot reach the store: {error}"
             ) from error
@@ -538,13 +530,8 @@
 
 
 def _make_pool(address: str) -> bounded_http.BoundedPool:
-    host, _, port = address.rpartition(":")
     return bounded_http.BoundedPool(
-        host,
-        int(port),
-        maxsize=MAX_CONNECTIONS,
-        retries=False,
-        socket_options=_SOCKET_OPTIONS,
+        address, MAX_CONNECTIONS, socket_options=keep_alive.OPTIONS
     )
 
 
--- a/tests/test_startup_imports.py
+++ b/tests/test_startup_imports.py
@@ -40,8 +40,10 @@
 LATE_MODULES = {
     "aioprometheus",
     "asyncio",
+    "http.client",
     "json5",
     "orjson",
+    "urllib3",
 }
 PRINT_MODULES = """
 import sys
