Readiness checks during a start are answered when callers are served

The port of the readiness check opened when an instance was ready. A check that came before found it closed, and the balancer asked again a second later: on seven machines the first request was placed 0.4 s after the start. The port now opens before the imports. Checks wait in its queue and are answered when callers are served, or after the waits for store and quarantines have passed. The port for callers still opens last: a refused connection goes elsewhere at once. The ports for tunnels, peers and metrics open right before it, so that a port in use ends the start before callers are served, as it did until metrics and tunnels were loaded later.

--- a/catkintrail/adapters/tunnel_server.py
+++ b/catkintrail/adapters/tunnel_server.py
@@ -9,7 +9,6 @@
 
 import msgpack
 
-from catkintrail import errors
 from catkintrail.adapters import keep_alive
 from catkintrail.adapters import peer_tunnels
 from catkintrail.core import targets as target_records
@@ -29,15 +28,13 @@
     """Connects peers to targets.
 
     Attributes:
-        port: The TCP port.
         is_declining: Whether no further tunnels are carried.
         count: Number of tunnels carried now.
     """
 
     def __init__(
         self,
-        address: str,
-        port: int,
+        listener: socket.socket,
         find_target: Callable[[str], target_records.Target | None],
         may_connect: Callable[[], bool],
         record_link: Callable[[target_records.Target, bool], None],
@@ -45,14 +42,12 @@
         """Initializes the server.
 
         Args:
-            address: IP address to listen on.
-            port: TCP port.
+            listener: Socket that listens for peers.
             find_target: Returns a target that may get requests, by name. May
                 block.
             may_connect: Returns whether this instance reaches targets.
             record_link: Takes whether a target was reached.
         """
-        self.port = port
         self.is_declining = False
         self.count = 0
         self._find_target = find_target
@@ -60,12 +55,7 @@
         self._record_link = record_link
         self._loop: asyncio.AbstractEventLoop | None = None
         self._main_task: asyncio.Task | None = None
-        try:
-            self._listener = socket.create_server((address, port))
-        except OSError as error:
-            raise errors.StartError(
-                f"cannot bind TCP port {port} for peers: {error}"
-            ) from error
+        self._listener = listener
 
     def start(self) -> None:
         """Starts the thread that carries tunnels."""
--- a/catkintrail/adapters/wsgi.py
+++ b/catkintrail/adapters/wsgi.py
@@ -2,6 +2,7 @@
 
 import http
 import logging
+import socket
 import ssl
 from typing import Any, Callable, Iterable, Iterator, NamedTuple
 import urllib.parse
@@ -17,6 +18,7 @@
     "Request",
     "Response",
     "json_response",
+    "listen",
     "make_application",
     "make_server",
     "parse_json",
@@ -123,6 +125,40 @@
     return application
 
 
+def listen(address: str) -> socket.socket:
+    """Opens a port; connections wait until a server gets the socket.
+
+    Args:
+        address: `IP:port` to listen on.
+
+    Raises:
+        errors.StartError: The port cannot be used.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        return socket.create_server((host, int(port)), backlog=LISTEN_BACKLOG)
+    except OSError as error:
+        raise errors.StartError(
+            f"cannot listen on {address}: {error}; is another program using"
+            " the port?"
+        ) from error
+
+
+class _Server(wsgi.Server):
+    """A server that may get a listening socket instead of opening a port."""
+
+    listener: socket.socket | None = None
+
+    def bind(
+        self, family: int, type: int, proto: int = 0
+    ) -> socket.socket:  # pylint: disable=redefined-builtin
+        if self.listener is None:
+            return super().bind(family, type, proto)
+        # pylint: disable-next=attribute-defined-outside-init
+        self.socket = self.listener
+        return self.listener
+
+
 def make_server(
     address: str,
     port: int,
@@ -131,6 +167,7 @@
     timeout_seconds: float,
     certificate: str = "",
     private_key: str = "",
+    listener: socket.socket | None = None,
 ) -> wsgi.Server:
     """Creates a server that has bound its port but does not serve yet.
 
@@ -142,11 +179,12 @@
         timeout_seconds: Socket timeout of connections.
         certificate: Path of the TLS certificate; "" serves plain HTTP.
         private_key: Path of the certificate's key.
+        listener: Socket that listens on the port already; None opens one.
 
     Raises:
         errors.StartError: The port or the certificate cannot be used.
     """
-    server = wsgi.Server(
+    server = _Server(
         (address, port),
         application,
         numthreads=threads,
@@ -154,6 +192,7 @@
         request_queue_size=LISTEN_BACKLOG,
         timeout=timeout_seconds,
     )
+    server.listener = listener
     server.max_request_header_size = MAX_HEADER_BYTES
     server.error_log = _log_error
     server.shutdown_timeout = 1
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -4,6 +4,7 @@
 import os
 import random
 import signal
+import socket
 import threading
 import time
 from typing import Any
@@ -90,10 +91,12 @@
         settings: relay_settings.RelaySettings,
         settings_text: str,
         log_handler: logs.BoundedQueueHandler,
+        ready_listener: socket.socket | None = None,
     ) -> None:
         self.settings = settings
         self.log_handler = log_handler
         self.is_draining = False
+        self._ready_listener = ready_listener
         rng = random.Random(os.urandom(16))
         self.metrics = relay_metrics.RelayMetrics()
         self.datagrams = datagrams.DatagramTransport(
@@ -193,10 +196,17 @@
         # Until the configuration and the targets are known, every request would
         # be refused; until the quarantines are, requests may crash targets.
         self._await_initial_state()
+        # A port that is in use ends the start before callers are served.
+        address = self.settings.address
+        # The TCP port with the number of the UDP port.
+        tunnels = wsgi.listen(f"{address}:{self.settings.datagram_port}")
+        metrics = wsgi.listen(f"{address}:{METRICS_PORT}")
+        peers = None
+        if self.settings.peer_address:
+            peers = wsgi.listen(self.settings.peer_address)
         self.callers.start()
-        _start_server(
-            self.settings.ready_address, self._handle_ready, READY_THREADS
-        )
+        ready = self._ready_listener or wsgi.listen(self.settings.ready_address)
+        _start_server(ready, self._handle_ready, READY_THREADS)
         _LOG.info(
             "instance_started",
             extra={
@@ -205,23 +215,18 @@
                 "store": self.settings.store_address,
             },
         )
-        self._start_tunnels()
+        self._start_tunnels(tunnels)
         self.metrics.load()
-        if self.settings.peer_address:
-            _start_server(
-                self.settings.peer_address, self._handle_peer, PEER_THREADS
-            )
-        metrics_address = f"{self.settings.address}:{METRICS_PORT}"
-        _start_server(metrics_address, self._handle_metrics, 1)
+        if peers is not None:
+            _start_server(peers, self._handle_peer, PEER_THREADS)
+        _start_server(metrics, self._handle_metrics, 1)
 
-    def _start_tunnels(self) -> None:
+    def _start_tunnels(self, listener: socket.socket) -> None:
         # pylint: disable-next=import-outside-toplevel
         from catkintrail.adapters import tunnel_server
 
         self.tunnels = tunnel_server.TunnelServer(
-            self.settings.address,
-            # The TCP port with the number of the UDP port.
-            self.settings.datagram_port,
+            listener,
             self.router.find_target,
             lambda: not self.connector.is_cut_off(),
             self.connector.record_own_link,
@@ -434,9 +439,13 @@
         return wsgi.Response(200, pairs, [body])
 
 
-def run() -> int:
+def run(ready_listener: socket.socket | None = None) -> int:
     """Runs an instance until SIGTERM.
 
+    Args:
+        ready_listener: Socket that listens on the port of the readiness check
+            already; None opens it when the instance is ready.
+
     Raises:
         errors.CheckError: The settings are invalid.
         errors.StartError: A port cannot be used.
@@ -448,7 +457,9 @@
     log_handler, listener = logs.configure_queued(
         "info", settings.name, settings.availability_zone
     )
-    instance = RelayInstance(settings, settings_text, log_handler)
+    instance = RelayInstance(
+        settings, settings_text, log_handler, ready_listener
+    )
     signal.signal(signal.SIGTERM, lambda *_: instance.request_stop())
     instance.start()
     instance.run()
@@ -458,15 +469,16 @@
 
 
 def _start_server(
-    address: str, application: wsgi.Application, threads: int
+    listener: socket.socket, application: wsgi.Application, threads: int
 ) -> None:
-    host, _, port = address.rpartition(":")
+    host, port = listener.getsockname()
     server = wsgi.make_server(
         host,
-        int(port),
+        port,
         wsgi.make_application(application, 0),
         threads,
         CONNECTION_TIMEOUT_SECONDS,
+        listener=listener,
     )
     threading.Thread(
         target=server.serve, name=f"serve-{port}", daemon=True
--- a/tests/test_peer_tunnels.py
+++ b/tests/test_peer_tunnels.py
@@ -73,16 +73,15 @@
         threading.Thread(target=self.accept, daemon=True).start()
         self.links = []
         self.may_connect = True
+        self.port = processes.free_ports(1)[0]
         self.peer = tunnel_server.TunnelServer(
-            "127.0.0.1",
-            processes.free_ports(1)[0],
+            socket.create_server(("127.0.0.1", self.port)),
             {"e-1": self.target, "closed": closed}.get,
             lambda: self.may_connect,
             lambda target, is_reached: self.links.append(is_reached),
         )
         self.peer.start()
         self.addCleanup(self.peer.stop)
-        self.port = self.peer.port
         self.connector = CutConnector(
             time.monotonic, random.Random(1), "za", self.port
         )
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -71,10 +71,10 @@
             },
         )
 
-    def is_ready(self):
+    def is_ready(self, seconds=1.0):
         url = f"http://{self.ip}:{self.ports['ready']}/api/ready"
         try:
-            with urllib.request.urlopen(url, timeout=1.0) as response:
+            with urllib.request.urlopen(url, timeout=seconds) as response:
                 return response.status == 200
         except OSError:
             return False
@@ -175,6 +175,38 @@
         )
         self.assertEqual(0, result.returncode)
 
+    def test_readiness_checks_wait_while_slow_modules_are_imported(self):
+        # Seven machines were ready 0.4 s before the balancer's next check, as
+        # the one before had found the port closed.
+        names = platform_standins.PORT_NAMES
+        ports = dict(zip(names, processes.free_ports(len(names))))
+        settings = platform_standins.make_settings(
+            "i-1", "127.0.0.1", ports, ("127.0.0.1",), "127.0.0.1:9"
+        )
+        code = (
+            "import socket, sys\n"
+            "from catkintrail import relay_start\n"
+            "sys.modules['catkintrail.relay_daemon'] = None\n"
+            "try:\n"
+            "    relay_start.main()\n"
+            "except ImportError as error:\n"
+            # The socket lives as long as the frame of `main`.
+            f"    address = ('127.0.0.1', {ports['ready']})\n"
+            "    socket.create_connection(address, 5.0).close()\n"
+            "    sys.exit(0)\n"
+            "sys.exit(1)\n"
+        )
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+            file.write(settings)
+            file.flush()
+            result = subprocess.run(
+                [sys.executable, "-c", code],
+                cwd=ROOT,
+                env={**os.environ, "CATKINTRAIL_BOOT": file.name},
+                check=False,
+            )
+        self.assertEqual(0, result.returncode)
+
 
 class RelayProcessTestCase(testtools.TestCase):
     """Instances, a stand-in of the store, and stand-ins of targets."""
@@ -397,6 +429,14 @@
         self.assertTrue(received.endswith(b"0\r\n\r\n"))
         self.assertEqual(0, self.relay.process.wait(8.0))
 
+    def test_first_readiness_check_is_answered_when_callers_are_served(self):
+        relay = RelayProcess("127.0.0.2", self.ports, self.store.address)
+        self.addCleanup(relay.close)
+        address = "127.0.0.2", self.ports["ready"]
+        self.assertTrue(wait_until(lambda: accepts_connections(address)))
+        self.assertTrue(relay.is_ready(START_SECONDS))
+        self.assertEqual(200, relay.request("/ask/a", "r1")[0])
+
     def test_ready_instance_accepts_callers(self):
         # On a loaded machine, an instance reported readiness before its port
         # for callers was open.
@@ -484,6 +524,29 @@
         self.assertIn("catkintrail_first_token_seconds", text)
 
 
+class StoreCallTests(RelayProcessTestCase):
+    """Guards against starts that read the store more often than needed.
+
+    All instances of a fleet may start at once, and the store's capacity is
+    limited.
+    """
+
+    def test_start_lists_each_kind_once(self):
+        self.store.page_size = 50
+        entry = self.add_engine("engine-1").entry()
+        for number in range(120):
+            self.store.put("servers", f"spare-{number}", entry)
+        self.start("127.0.0.1")
+        lists = sorted(
+            call.partition("?")[0].rpartition("/")[2]
+            for call in self.store.calls
+            if "watch=" not in call
+        )
+        # Lists come in pages.
+        expected = ["config", "request-quarantines", *["servers"] * 3]
+        self.assertEqual(expected, lists)
+
+
 class PartitionTests(RelayProcessTestCase):
     """Instances that lose their links to all targets."""
 
