--- a/catkintrail/platform/orders.py
+++ b/catkintrail/platform/orders.py
@@ -4,6 +4,7 @@
 import threading
 
 import msgspec
+import urllib3
 
 from catkintrail import errors
 from catkintrail import verdict as verdicts
@@ -29,7 +30,7 @@
     Attributes:
         record_statement: Records what a response states of its target.
         order_count: Number of orders sent.
-        http: Pools of connections to engines.
+        http: Pool of connections to engines.
     """
 
     def __init__(
@@ -39,7 +40,7 @@
     ) -> None:
         self.record_statement = record_statement
         self.order_count = 0
-        self.http = bounded_http.PoolManager(MAX_POOLS, self._connect)
+        self.http = bounded_http.make_pool_manager(MAX_POOLS, self._connect)
         self._connector = connector
         # Targets that orders are sent to, by address.
         self._targets: dict[str, target_records.Target] = {}
@@ -106,24 +107,29 @@
         self.order_count += 1
         self.register_target(target)
         try:
-            response = self.http.pool(target.address).request(
+            response = self.http.request(
                 "POST",
-                ORDER_PATH,
-                CONNECT_TIMEOUT_SECONDS,
-                RESPONSE_TIMEOUT_SECONDS,
-                {
+                f"http://{target.address}{ORDER_PATH}",
+                body=msgspec.json.encode(order),
+                headers={
                     "Content-Type": "application/json",
                     "Expect-Instance": target.name,
                 },
-                msgspec.json.encode(order),
+                timeout=urllib3.Timeout(
+                    connect=CONNECT_TIMEOUT_SECONDS,
+                    read=RESPONSE_TIMEOUT_SECONDS,
+                ),
             )
-        except bounded_http.ConnectError as error:
+        except (
+            urllib3.exceptions.ConnectTimeoutError,
+            urllib3.exceptions.NewConnectionError,
+        ) as error:
             raise errors.TargetError(
                 f"{target.address}: {error}",
                 verdicts.Verdict.NOT_RUN,
                 is_silent=True,
             ) from error
-        except OSError as error:
+        except (urllib3.exceptions.HTTPError, OSError) as error:
             raise errors.TargetError(
                 f"{target.address}: {error}",
                 verdicts.Verdict.MAY_HAVE_RUN,
--- a/catkintrail/platform/store.py
+++ b/catkintrail/platform/store.py
@@ -7,6 +7,9 @@
 from typing import Any, Callable, Iterable, Iterator, NamedTuple
 import urllib.parse
 
+import urllib3
+from urllib3 import connection as connections
+
 from catkintrail import errors
 from catkintrail.adapters import bounded_http
 from catkintrail.adapters import keep_alive
@@ -43,6 +46,10 @@
     fleet_state_source.CONFIGURATION: CONFIGURATION_KIND,
     fleet_state_source.TARGETS: TARGET_KIND,
 }
+_SOCKET_OPTIONS = [
+    *connections.HTTPConnection.default_socket_options,
+    *keep_alive.OPTIONS,
+]
 
 
 class ObjectListing(NamedTuple):
@@ -273,7 +280,7 @@
     ) -> _Response:
         self.call_count += 1
         headers = {}
-        body = b""
+        body = None
         if content is not None:
             body = json.dumps(content).encode()
             headers["Content-Type"] = "application/json"
@@ -281,12 +288,13 @@
             response = pool.request(
                 method,
                 path,
-                CONNECT_TIMEOUT_SECONDS,
-                timeout_seconds,
-                headers,
-                body,
+                body=body,
+                headers=headers,
+                timeout=urllib3.Timeout(
+                    connect=CONNECT_TIMEOUT_SECONDS, read=timeout_seconds
+                ),
             )
-        except OSError as error:
+        except (urllib3.exceptions.HTTPError, OSError) as error:
             raise errors.PlatformUnavailableError(
                 f"cannot reach the store: {error}"
             ) from error
@@ -542,8 +550,13 @@
 
 
 def _make_pool(address: str) -> bounded_http.BoundedPool:
+    host, _, port = address.rpartition(":")
     return bounded_http.BoundedPool(
-        address, MAX_CONNECTIONS, socket_options=keep_alive.OPTIONS
+        host,
+        int(port),
+        maxsize=MAX_CONNECTIONS,
+        retries=False,
+        socket_options=_SOCKET_OPTIONS,
     )
 
 
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -11,6 +11,7 @@
 import zlib
 
 import msgspec
+import urllib3
 
 from catkintrail import errors
 from catkintrail import evacuation_watcher
@@ -183,7 +184,7 @@
             self.watch,
             clock.boot_seconds,
         )
-        self.http = bounded_http.PoolManager(MAX_PEER_POOLS)
+        self.http = bounded_http.make_pool_manager(MAX_PEER_POOLS)
         self._stop_request = stop_request.StopRequest()
         self._settings_text = settings_text
         self._applied_version = -1
@@ -375,16 +376,16 @@
     ) -> router_actor.PeerState:
         port = self.settings.peer_address.rpartition(":")[2]
         try:
-            response = self.http.pool(f"{address}:{port}").request(
+            response = self.http.request(
                 "GET",
-                f"{STATE_PATH}?have={known_version}",
-                timeout_seconds,
-                timeout_seconds,
+                f"http://{address}:{port}{STATE_PATH}?have={known_version}",
+                timeout=timeout_seconds,
             )
             return msgspec.json.decode(
                 zlib.decompress(response.data), type=router_actor.PeerState
             )
         except (
+            urllib3.exceptions.HTTPError,
             OSError,
             msgspec.DecodeError,
             RecursionError,
