Requests are sent only to targets in the allowed regions

A route or an organisation could not be restricted to some regions: its requests went wherever a target had room, and their bodies through any peer.

`allowed-regions` of a route and of an organisation now apply together. The regions travel with the admission and with the query to a coordinator; other targets are left out before anything else, and the instance checks a coordinator's answer by its own settings (`[zones]`, `region`). Only peers in the allowed regions or in the caller's own carry a connection, new or kept. A malformed list allows nothing; a region without zones, or a zone without a region, costs one line.

A malformed figure of cold targets is now negative instead of not a number: the state that a peer fetches could not be decoded with it.

--- a/catkintrail/adapters/evacuation_exchange.py
+++ b/catkintrail/adapters/evacuation_exchange.py
@@ -52,7 +52,8 @@
         state = self._router.fleet_state
         if not state.evacuations.evacuations or not state.has_target_list:
             return
-        known = {state.settings.availability_zone}
+        known = {zone for zone, _ in state.settings.regions.zones}
+        known.add(state.settings.availability_zone)
         known.update(
             target.availability_zone
             for target in state.targets.targets.values()
--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -30,6 +30,7 @@
 from catkintrail.core import target_paths
 from catkintrail.core import targets as target_records
 from catkintrail.core.zones import evacuation
+from catkintrail.core.zones import regions
 from catkintrail.ports import fleet_state_source
 
 __all__ = [
@@ -365,7 +366,7 @@
         if answer.reason == verdicts.Reason.NOT_READY.value:
             pending.result.set(self._place_elsewhere(pending))
             return
-        if not self._router.may_send_to(answer, now):
+        if not self._router.may_send_to(answer, pending.request.admission, now):
             pending.result.set(self._place_here(pending.request, now))
             return
         placement = self._router.finish_placement(pending.request, answer, now)
@@ -524,6 +525,11 @@
             },
         )
         self._cold_exchange.apply_configuration(configuration)
+        empty_regions = regions.find_empty_regions(
+            configuration, router.settings.regions
+        )
+        for restriction in empty_regions:
+            _LOG.warning("region_without_zones", extra=restriction._asdict())
         if source == STORE_SOURCE:
             self._broadcast_store_changes([])
         return True
--- a/catkintrail/adapters/target_connector.py
+++ b/catkintrail/adapters/target_connector.py
@@ -64,13 +64,18 @@
         threading.Thread(target=self._run, name="paths", daemon=True).start()
 
     def connect(
-        self, target: target_records.Target, timeout_seconds: float
+        self,
+        target: target_records.Target,
+        timeout_seconds: float,
+        carrier_zones: frozenset[str] | None = None,
     ) -> socket.socket:
         """Opens a connection to a target.
 
         Args:
             target: The target.
             timeout_seconds: The longest wait.
+            carrier_zones: Zones of the peers that may carry the connection;
+                None for all.
 
         Raises:
             OSError: Neither this instance nor a peer reaches the target.
@@ -88,7 +93,9 @@
                 )
             except (OSError, ValueError) as error:
                 failure = error
-        connection = self._connect_through_peers(target, deadline)
+        connection = self._connect_through_peers(
+            target, deadline, carrier_zones
+        )
         if connection is not None:
             return connection
         remaining = deadline - self._clock()
@@ -114,10 +121,26 @@
         return len(self._paths.through_peers)
 
     def may_reuse(
-        self, target: target_records.Target, connection: socket.socket
+        self,
+        target: target_records.Target,
+        connection: socket.socket,
+        carrier_zones: frozenset[str] | None = None,
     ) -> bool:
-        """Returns whether an idle connection leads along the preferred path."""
+        """Returns whether an idle connection leads along the preferred path.
+
+        Args:
+            target: The target.
+            connection: The connection.
+            carrier_zones: Zones of the peers that may carry the request; None
+                for all.
+        """
         now = self._clock()
+        if carrier_zones is not None and isinstance(
+            connection, peer_tunnels.TunnelSocket
+        ):
+            peers = self._select_peers(carrier_zones)
+            if connection.peer not in [peer.address for peer in peers]:
+                return False
         with self._lock:
             prefers_peer = self._paths.prefers_peer(target.name, now)
             if isinstance(connection, peer_tunnels.TunnelSocket):
@@ -205,19 +228,36 @@
         self.record_own_link(target, True)
         return connection
 
-    def _rank_peers(self, target: target_records.Target) -> list[str]:
+    def _select_peers(
+        self, carrier_zones: frozenset[str] | None
+    ) -> Sequence[target_paths.PeerAddress]:
+        if carrier_zones is None:
+            return self.peers
+        return [p for p in self.peers if p.availability_zone in carrier_zones]
+
+    def _rank_peers(
+        self,
+        target: target_records.Target,
+        carrier_zones: frozenset[str] | None,
+    ) -> list[str]:
         zones = (target.availability_zone, self._zone)
         with self._lock:
             return self._paths.rank_peers(
-                self.peers, zones, self._clock(), self._rng
+                self._select_peers(carrier_zones),
+                zones,
+                self._clock(),
+                self._rng,
             )
 
     def _connect_through_peers(
-        self, target: target_records.Target, deadline: float
+        self,
+        target: target_records.Target,
+        deadline: float,
+        carrier_zones: frozenset[str] | None,
     ) -> socket.socket | None:
         """Returns a connection through the first peer that reaches a target."""
         not_reaching = 0
-        for peer in self._rank_peers(target)[:MAX_PEERS_ASKED]:
+        for peer in self._rank_peers(target, carrier_zones)[:MAX_PEERS_ASKED]:
             remaining = min(PEER_SECONDS, deadline - self._clock())
             if remaining <= 0:
                 break
--- a/catkintrail/core/request_router.py
+++ b/catkintrail/core/request_router.py
@@ -21,6 +21,7 @@
 from catkintrail.core import target_health
 from catkintrail.core import target_notices
 from catkintrail.core import targets as target_records
+from catkintrail.core.zones import regions
 
 __all__ = [
     "Admission",
@@ -62,6 +63,8 @@
         priority: Rank; 0 is the most urgent.
         version: Version of the configuration that the decision is based on.
         proof_age_ms: Age of the proof that no newer version was in force.
+        allowed_regions: Regions whose targets may get the request; None for
+            all.
     """
 
     route: route_table.Route
@@ -70,6 +73,7 @@
     priority: int
     version: int
     proof_age_ms: float
+    allowed_regions: tuple[str, ...] | None = None
 
 
 class PlacementRequest(NamedTuple):
@@ -113,6 +117,8 @@
             retry before the target has exceeded its timeout.
         permits: Names of the targets with a limit for which the request has a
             permit.
+        carrier_zones: Zones of the instances that may get the body; None for
+            all.
     """
 
     target: target_records.Target
@@ -124,6 +130,7 @@
     cost: float
     may_retry_early: bool
     permits: tuple[str, ...] = ()
+    carrier_zones: frozenset[str] | None = None
 
 
 def caller_event_timeout_ms(route: route_table.Route) -> float:
@@ -232,6 +239,10 @@
             priority,
             self.fleet_state.configuration.version,
             age * 1000.0,
+            regions.combine(
+                route.allowed_regions,
+                organisation.allowed_regions if organisation else None,
+            ),
         )
 
     def place(
@@ -348,6 +359,7 @@
             route.gap_goal_ms,
             request.elapsed_ms,
             tuple(sorted(request.tried)),
+            request.admission.allowed_regions,
         )
 
     def finish_placement(
@@ -383,12 +395,23 @@
             bool(answer.first_token_ms)
             and budget.allows_early_retry(self._count_sharing(now), now),
             answer.permits,
+            self.settings.regions.carrier_zones(
+                request.admission.allowed_regions
+            ),
         )
 
-    def may_send_to(self, answer: messages.PlacementAnswer, now: float) -> bool:
+    def may_send_to(
+        self,
+        answer: messages.PlacementAnswer,
+        admission: Admission,
+        now: float,
+    ) -> bool:
         """Returns whether all targets of an answer may be sent the request."""
         return not any(
             self.notices.find_obstacle(target, answer.permits, now)
+            or not self.settings.regions.is_allowed(
+                target.availability_zone, admission.allowed_regions
+            )
             for target in answer.targets
         )
 
--- a/catkintrail/core/route_table.py
+++ b/catkintrail/core/route_table.py
@@ -51,6 +51,8 @@
         is_public: Whether requests need no API key.
         is_resumable: Whether an interrupted stream may be continued by another
             engine.
+        allowed_regions: Regions whose targets may get the requests; None for
+            all.
     """
 
     name: str
@@ -65,6 +67,7 @@
     priority: int
     is_public: bool
     is_resumable: bool
+    allowed_regions: tuple[str, ...] | None = None
 
     @property
     def is_retryable(self) -> bool:
@@ -113,8 +116,8 @@
         engine: Figures of the service's engines; None for a plain service.
         cold_seconds: How long a target is cold after its start.
         cold_per_second: How many requests a second a cold target takes from all
-            instances together; 0 if not specified. Not a number if the
-            configuration states it in a form that cannot be read.
+            instances together; 0 if not specified. Both are negative if the
+            configuration states them in a form that cannot be read.
     """
 
     name: str
@@ -131,10 +134,13 @@
         name: Name of the organisation.
         priority: Rank that overrides the priority of routes; None if not
             specified.
+        allowed_regions: Regions whose targets may get its requests; None for
+            all.
     """
 
     name: str
     priority: int | None
+    allowed_regions: tuple[str, ...] | None = None
 
 
 class CallerLimits(NamedTuple):
--- a/catkintrail/core/target_choice.py
+++ b/catkintrail/core/target_choice.py
@@ -101,6 +101,23 @@
         listed = list(
             self.fleet_state.targets.by_service.get(query.service, {}).values()
         )
+        if query.allowed_regions is not None:
+            regions = self.fleet_state.settings.regions
+            listed = [
+                target
+                for target in listed
+                if regions.is_allowed(
+                    target.availability_zone, query.allowed_regions
+                )
+            ]
+            if not listed:
+                return self._decline(
+                    query,
+                    verdicts.Reason.NO_TARGET,
+                    "no target is in one of the allowed regions:"
+                    f" {', '.join(query.allowed_regions) or 'none'}",
+                    NO_TARGET_RETRY_SECONDS,
+                )
         known_count = len(listed)
         evacuations = self.notices.evacuations
         listed = [
--- a/catkintrail/messages.py
+++ b/catkintrail/messages.py
@@ -795,6 +795,8 @@
         gap_goal_ms: Goal for the longest gap between events; 0 for none.
         elapsed_ms: Time since the request arrived.
         tried: Names of the targets of earlier attempts.
+        allowed_regions: Regions whose targets may get the request; None for
+            all.
     """
 
     sender: str
@@ -806,6 +808,7 @@
     gap_goal_ms: float
     elapsed_ms: float
     tried: tuple[str, ...]
+    allowed_regions: tuple[str, ...] | None = None
 
 
 class PlacementAnswer(NamedTuple):
--- a/catkintrail/platform/boot.py
+++ b/catkintrail/platform/boot.py
@@ -1,11 +1,13 @@
 """Reads the platform's settings file of an instance."""
 
+import logging
 import os
 import tomllib
 from typing import Any
 
 from catkintrail import errors
 from catkintrail import relay_settings
+from catkintrail.core.zones import regions
 
 __all__ = [
     "SETTINGS_VARIABLE",
@@ -16,6 +18,8 @@
     "settings_path",
 ]
 
+_LOG = logging.getLogger("catkintrail.settings")
+
 SETTINGS_VARIABLE = "CATKINTRAIL_BOOT"
 DEFAULT_PATH = "/etc/catkintrail/settings.toml"
 
@@ -111,6 +115,7 @@
             zone_count=len(data.get("zones", ())),
             evacuation_seconds=float(bounds.get("evacuate-ms", 0)) / 1000.0,
             limits_cold_targets=float(bounds.get("cold-excess", 0)) > 0,
+            regions=_decode_regions(data),
         )
     except (
         AttributeError,
@@ -122,3 +127,21 @@
         raise errors.CheckError(
             "settings", [errors.Mistake("", repr(error))]
         ) from error
+
+
+def _decode_regions(data: dict[str, Any]) -> regions.ZoneRegions:
+    """Decodes the regions of the zones.
+
+    A zone whose region is malformed is in no region.
+    """
+    zones = data.get("zones", {})
+    pairs = []
+    for zone, region in zones.items() if isinstance(zones, dict) else ():
+        if isinstance(region, str) and region:
+            pairs.append((zone, region))
+        else:
+            _LOG.warning("zone_region_unreadable", extra={"zone": zone})
+    own_region = data.get("region", "")
+    if not isinstance(own_region, str) or not own_region:
+        own_region = dict(pairs).get(data["zone"], "")
+    return regions.ZoneRegions(tuple(pairs), own_region)
--- a/catkintrail/platform/engines.py
+++ b/catkintrail/platform/engines.py
@@ -122,7 +122,8 @@
                 request was not run.
             errors.CallerDisconnectedError: The caller has disconnected.
         """
-        while (idle_connection := self._pop_idle(target)) is not None:
+        zones = request.carrier_zones
+        while (idle_connection := self._pop_idle(target, zones)) is not None:
             try:
                 return self._exchange(
                     EngineResponse(
@@ -134,7 +135,7 @@
             except _StaleConnectionError:
                 # No byte of the request was sent.
                 continue
-        connection = self._connect(target, until)
+        connection = self._connect(target, until, zones)
         return self._exchange(
             EngineResponse(self, target, request, connection, False, extend),
             caller,
@@ -216,7 +217,11 @@
         if not self._open_counts[key]:
             del self._open_counts[key]
 
-    def _pop_idle(self, target: target_records.Target) -> socket.socket | None:
+    def _pop_idle(
+        self,
+        target: target_records.Target,
+        carrier_zones: frozenset[str] | None = None,
+    ) -> socket.socket | None:
         now = self.clock()
         key = _target_key(target)
         with self._lock:
@@ -225,7 +230,9 @@
                 idle = queue.pop()
                 if (
                     idle.expires_at > now
-                    and self.connector.may_reuse(target, idle.socket)
+                    and self.connector.may_reuse(
+                        target, idle.socket, carrier_zones
+                    )
                     and not _is_readable(idle.socket)
                 ):
                     self.reused_connections += 1
@@ -234,11 +241,14 @@
         return None
 
     def _connect(
-        self, target: target_records.Target, until: float
+        self,
+        target: target_records.Target,
+        until: float,
+        carrier_zones: frozenset[str] | None,
     ) -> socket.socket:
         timeout = min(CONNECT_TIMEOUT_SECONDS, until - self.clock())
         try:
-            connection = self.connector.connect(target, timeout)
+            connection = self.connector.connect(target, timeout, carrier_zones)
         except TimeoutError as error:
             raise errors.TargetError(
                 f"no connection to {target.address} within {timeout:.2f} s",
--- a/catkintrail/platform/wire.py
+++ b/catkintrail/platform/wire.py
@@ -1,5 +1,6 @@
 """Decodes the platform's headers and objects into catkintrail's types."""
 
+import logging
 import math
 import re
 from typing import Any, Mapping
@@ -45,6 +46,8 @@
     "states_leaving",
 ]
 
+_LOG = logging.getLogger("catkintrail.store")
+
 # Identifies one attempt of a caller, not one of the relay: retries at other
 # targets have the same id.
 ATTEMPT_ID = "attempt-id"
@@ -338,9 +341,27 @@
         int(item.get("priority") or 0),
         bool(item.get("public")),
         bool(item.get("resumable")),
+        _decode_regions(item, f"route {item['name']}"),
     )
 
 
+def _decode_regions(item: dict, holder: str) -> tuple[str, ...] | None:
+    """Decodes `allowed-regions`; returns None if there is no restriction.
+
+    A malformed list allows no region, so that a mistake sends nothing to a
+    region that it was meant to exclude.
+    """
+    regions = item.get("allowed-regions")
+    if regions is None:
+        return None
+    if not isinstance(regions, list) or not all(
+        isinstance(region, str) and region for region in regions
+    ):
+        _LOG.warning("allowed_regions_unreadable", extra={"holder": holder})
+        return ()
+    return tuple(regions)
+
+
 def _decode_service(item: dict) -> route_table.Service:
     engine = item.get("engine")
     return route_table.Service(
@@ -353,15 +374,15 @@
 
 
 def _decode_figure(value: Any) -> float:
-    """Returns a figure that may be missing; NaN if it is malformed.
+    """Returns a figure that may be missing; -1 if it is malformed.
 
     A figure that one feature needs must not make the configuration unreadable.
     """
     if value is None:
         return 0.0
     if isinstance(value, bool) or not isinstance(value, (int, float)):
-        return math.nan
-    return float(min(value, MAX_TIME_MS)) if value >= 0 else math.nan
+        return -1.0
+    return float(min(value, MAX_TIME_MS)) if value >= 0 else -1.0
 
 
 def _decode_engine(item: dict) -> route_table.EngineFigures:
@@ -389,7 +410,11 @@
     organisations = {}
     for item in items:
         priority = item.get("priority")
-        organisation = route_table.Organisation(item["name"], priority)
+        organisation = route_table.Organisation(
+            item["name"],
+            priority,
+            _decode_regions(item, f"organisation {item['name']}"),
+        )
         for key in item["api-keys"]:
             organisations[key] = organisation
     return organisations
--- a/catkintrail/ports/relaying.py
+++ b/catkintrail/ports/relaying.py
@@ -141,6 +141,8 @@
             the check of the API key is out of date.
         permits: Names of the targets with a limit for which the request has a
             permit.
+        carrier_zones: Zones of the instances that may get the body; None for
+            all.
     """
 
     request_id: str
@@ -155,6 +157,7 @@
     deadline: float
     valid_until: float
     permits: tuple[str, ...] = ()
+    carrier_zones: frozenset[str] | None = None
 
 
 class TargetResponse(Protocol):
--- a/catkintrail/relay.py
+++ b/catkintrail/relay.py
@@ -270,9 +270,13 @@
         request = progress.request
         sent_at = self.clock()
         progress.begin_send()
+        restriction = {}
+        if admission.allowed_regions is not None:
+            restriction["allowed_regions"] = admission.allowed_regions
         _LOG.info(
             "request_placed",
             extra={
+                **restriction,
                 "request_id": request.request_id,
                 "route": admission.route.name,
                 "target": placement.target.name,
@@ -480,6 +484,7 @@
             # is unavailable.
             float("inf") if progress.send_count else placement.valid_until,
             placement.permits,
+            placement.carrier_zones,
         )
         sent_at = self.clock()
         head_deadline = response_forwarder.first_response_deadline(
--- a/catkintrail/relay_settings.py
+++ b/catkintrail/relay_settings.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from catkintrail.core.zones import regions as zone_regions
+
 __all__ = ["RelaySettings"]
 
 
@@ -37,6 +39,7 @@
             nothing more; 0 if zones are never evacuated.
         limits_cold_targets: Whether targets that are cold get no more requests
             than their service states.
+        regions: Regions of the availability zones, and of this instance.
     """
 
     name: str
@@ -59,3 +62,4 @@
     zone_count: int = 0
     evacuation_seconds: float = 0.0
     limits_cold_targets: bool = False
+    regions: zone_regions.ZoneRegions = zone_regions.ZoneRegions()
--- a/tests/test_layering.py
+++ b/tests/test_layering.py
@@ -41,6 +41,7 @@
     "Not-Executed",
     "Prompt-Prefix",
     "Token-Counts",
+    "allowed-regions",
     "api-keys",
     "cold-left-ms",
     "cold-ms",
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -44,6 +44,7 @@
         module="catkintrail.relay_start",
         retry_window_seconds=10,
         seeds=("127.0.0.1", "127.0.0.2"),
+        tables="",
     ):
         self.ip = ip
         self.ports = ports
@@ -59,6 +60,7 @@
                 extra=retry_extra,
                 window_seconds=retry_window_seconds,
             )
+            + tables
         )
         self.log = open(path / "log", "w+", encoding="utf-8")
         self.process = subprocess.Popen(
