Evacuations reach zones whose coordinators are frozen

In a large fleet a watcher that is no coordinator told only the coordinators, so that a zone whose coordinators were frozen heard of an evacuation by random heartbeats. It now tells its zone itself. The first state after a start is not told, as many instances may start at once.

Entries that state how long a target stays cold were also spread where the settings do not ask for it; now nothing is told there.

--- a/catkintrail/adapters/cold_exchange.py
+++ b/catkintrail/adapters/cold_exchange.py
@@ -65,7 +65,7 @@
     ) -> None:
         """Applies what entries of the store state; tells the fleet."""
         changed = {}
-        for event in events:
+        for event in events if self._cold.is_active else ():
             if event.target is None or event.cold_seconds is None:
                 continue
             key = target_limits.make_key(event.target)
@@ -81,6 +81,8 @@
         self, target: target_records.Target, cold_seconds: float, now: float
     ) -> None:
         """Applies what an answer of a target states; tells the fleet."""
+        if not self._cold.is_active:
+            return
         key = target_limits.make_key(target)
         if self._cold.accept(key, cold_targets.NO_ORDER, cold_seconds, now):
             for news in self._make_news({key: self._cold.statements[key]}, now):
@@ -132,7 +134,7 @@
         targets = self._router.fleet_state.targets.targets
         cold = {
             target.name: target.born
-            for target in (targets.values() if self._cold.rules else ())
+            for target in (targets.values() if self._cold.is_active else ())
             if self._cold.find(target, now) is not None
         }
         for name, born in cold.items():
--- a/catkintrail/adapters/evacuation_exchange.py
+++ b/catkintrail/adapters/evacuation_exchange.py
@@ -67,10 +67,15 @@
     def _apply(
         self, state: evacuation.EvacuationState, source: str, now: float
     ) -> bool:
-        """Applies a state; returns whether the evacuated zones have changed."""
+        """Applies a state; returns whether peers have to be told.
+
+        The first state that an instance learns of is no change: many may start
+        at the same time.
+        """
         evacuations = self._router.fleet_state.evacuations
         if not evacuations.is_active:
             return False
+        was_known = evacuations.is_known
         changes = evacuations.update(state, source, now)
         for change in changes:
             extra = {
@@ -83,11 +88,22 @@
             else:
                 extra["age_ms"] = round(change.age_seconds * 1000.0)
                 _LOG.warning("zone_returned", extra=extra)
-        return bool(changes)
+        return bool(changes) and was_known
 
     def _spread(self) -> None:
+        """Tells the fleet of the known state.
+
+        In a large fleet the own zone is told directly also by an instance that
+        is no coordinator: the coordinators may be frozen.
+        """
         state = self._router.fleet_state
+        peers = state.peers
         news = messages.EvacuationNews(
             self._router.settings.name, state.evacuations.state
         )
-        fleet_broadcast.spread(state, self._send, news)
+        if not peers.is_large_fleet:
+            self._send([peer.address for peer in peers.alive()], news)
+            return
+        self._send([peer.address for peer in peers.zone_peers()], news)
+        forwarded = messages.Forwarded(messages.encode(news))
+        self._send(peers.gateways(), forwarded)
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -460,6 +460,27 @@
         )
 
 
+class InactiveTests(testtools.TestCase):
+
+    def test_without_the_settings_nothing_is_told_and_no_permit_is_needed(self):
+        target = builders.make_target("e-1", born=1)
+        fleet = virtual_fleet.VirtualFleet(
+            {"za": 2}, [target], configuration=make_configuration()
+        )
+        fleet.run(3.0)
+        actor = fleet.actors["10.0.0.1"]
+        actor.apply_target_events(
+            (fleet_state_source.TargetEvent("e-1", target, False, 18.0, 7),),
+            store_views.Position(1, 7),
+            router_actor.STORE_SOURCE,
+        )
+        actor.record_cold(target, 18.0)
+        fleet.run(3.0)
+        self.assertEqual(0, fleet.sent["10.0.0.1", "ColdNews"])
+        notices = fleet.router("10.0.0.1").notices
+        self.assertEqual("", notices.find_obstacle(target, (), fleet.now))
+
+
 class ReportTests(testtools.TestCase):
 
     def test_explain_shows_that_a_target_was_cold(self):
