--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -46,6 +46,7 @@
         seeds=("127.0.0.1", "127.0.0.2"),
         memory_mb=300,
         max_fds=4000,
+        tables="",
     ):
         self.ip = ip
         self.ports = ports
@@ -63,6 +64,7 @@
                 memory_mb=memory_mb,
                 max_fds=max_fds,
             )
+            + tables
         )
         self.log = open(path / "log", "w+", encoding="utf-8")
         self.process = subprocess.Popen(
