--- a/catkintrail/core/engine_placement.py
+++ b/catkintrail/core/engine_placement.py
@@ -30,6 +30,9 @@
 # Numbers of engines among which a prompt may be divided. The protocol allows 16
 # helpers.
 PART_COUNTS = (1, 2, 3, 4, 6, 8, 12, 16)
+# A prompt is not divided further if its first event is predicted within this
+# share of its goal. Predictions do not include prompts that arrive later.
+COMFORTABLE_GOAL_SHARE = 0.5
 # Share of an engine's KV cache that prompts and predicted outputs may fill.
 USABLE_KV_SHARE = 0.95
 # A first token counts as overdue this long after its predicted time. Reports
@@ -88,7 +91,7 @@
     context_tokens = 0
     kv_tokens = 0
     for attempt in attempts:
-        tokens = dict(zip(attempt.targets, attempt.memory))[target.name]
+        tokens = attempt.memory[attempt.targets.index(target.name)]
         kv_tokens += tokens
         if attempt.is_decoding:
             decoding_requests += 1
@@ -180,22 +183,29 @@
     )
     required_tokens = demand.prompt_tokens + demand.output_tokens
     usable_tokens = int(figures.kv_tokens * USABLE_KV_SHARE)
+    weight = engine_cost.request_weight(figures, demand.prompt_tokens)
+    stream_pass_ms = engine_cost.decode_pass_ms(
+        figures, 1, demand.prompt_tokens
+    )
     goals = {kind.gap_goal_ms: kind.goal_ms for kind in expected}
+    costs = {
+        engine.target.name: placement_cost.EngineCosts(
+            engine, demand, weight, stream_pass_ms, goals, now
+        )
+        for engine in engines
+    }
+    # Small parts of some prompts harm no stream, so that they leave the engines
+    # without streams to longer prompts.
+    least_part_ms = single_engine_ms / PART_COUNTS[-1]
+    is_harmless_if_divided = not placement_cost.find_harmed(
+        figures, expected, least_part_ms, min(least_part_ms, pass_prefill_ms)
+    )
     best: Choice | None = None
     for parts in PART_COUNTS:
         if parts > min(max_parts, len(engines)):
             break
         part_ms = single_engine_ms / parts
         part_pass_ms = min(part_ms, pass_prefill_ms)
-        division = _Division(
-            demand,
-            figures,
-            parts,
-            part_ms,
-            placement_cost.Interference(
-                part_ms, part_pass_ms, demand.gap_goal_ms, goals, now
-            ),
-        )
         for group in _candidate_groups(engines, parts):
             holders = _find_memory_holders(
                 group, required_tokens, usable_tokens, parts
@@ -210,13 +220,29 @@
                 part_pass_ms,
                 demand.gap_goal_ms,
             )
-            choice = division.choose(holders, group, reservation)
+            division = _Division(
+                demand,
+                weight,
+                parts,
+                part_ms,
+                part_pass_ms,
+                costs,
+                reservation,
+            )
+            choice = division.choose(holders, group)
             if best is None or choice.cost < best.cost:
                 best = choice
         # Smaller parts gain nothing once a part takes less time than the
-        # decoding steps of a pass.
+        # decoding steps of a pass, or once the goal is met with a margin and
+        # no other request delayed.
         if part_ms < figures.step_ms * figures.steps_per_pass:
             break
+        if (
+            best is not None
+            and not is_harmless_if_divided
+            and _is_comfortable(best, demand, weight)
+        ):
+            break
     return best
 
 
@@ -242,59 +268,76 @@
     )
 
 
-class _Division:
-    """The division of a prompt into a number of parts.
+def _is_comfortable(
+    choice: Choice, demand: RequestDemand, weight: float
+) -> bool:
+    """Returns whether a choice leaves time and delays no other request."""
+    first_ms = demand.elapsed_ms + choice.first_token_ms
+    return (
+        first_ms < demand.goal_ms * COMFORTABLE_GOAL_SHARE
+        and choice.cost
+        <= min(1.0, weight) * placement_cost.WITHIN_GOAL_COST
+        + len(choice.engines) * placement_cost.HELPER_COST
+    )
 
-    Attributes:
-        demand: The demand of the request.
-        weight: Weight of the request.
-        parts: Number of parts.
-        part_ms: Prefill time of each part.
-        stream_pass_ms: Duration of a pass that decodes only this request.
-        interference: Costs of a part to the other requests of an engine.
-    """
+
+class _Division:
+    """The division of a prompt into a number of parts."""
 
     def __init__(
         self,
         demand: RequestDemand,
-        figures: route_table.EngineFigures,
+        weight: float,
         parts: int,
         part_ms: float,
-        interference: placement_cost.Interference,
+        pass_prefill_ms: float,
+        costs: dict[str, placement_cost.EngineCosts],
+        reservation: placement_cost.Reservation,
     ) -> None:
-        self.demand = demand
-        self.weight = engine_cost.request_weight(figures, demand.prompt_tokens)
-        self.parts = parts
-        self.part_ms = part_ms
-        self.stream_pass_ms = engine_cost.decode_pass_ms(
-            figures, 1, demand.prompt_tokens
-        )
-        self.interference = interference
+        """Initializes the division.
+
+        Args:
+            demand: The demand of the request.
+            weight: Weight of the request.
+            parts: Number of parts.
+            part_ms: Prefill time of a part.
+            pass_prefill_ms: Longest prefill time of a part in one pass.
+            costs: Costs of a part on each engine, by name.
+            reservation: Costs to streams that will start meanwhile.
+        """
+        self._demand = demand
+        self._weight = weight
+        self._parts = parts
+        self._part_ms = part_ms
+        self._pass_prefill_ms = pass_prefill_ms
+        self._costs = costs
+        self._reservation = reservation
 
     def choose(
-        self,
-        holders: "_MemoryHolders",
-        engines: Sequence[EngineState],
-        reservation: placement_cost.Reservation,
+        self, holders: "_MemoryHolders", engines: Sequence[EngineState]
     ) -> Choice:
         """Returns the engines of a group with the lowest cost."""
-        ranked = sorted(
-            (self._primary_cost(engine) + reservation.cost(engine), number)
+        cost, number = min(
+            (self._primary_cost(engine), number)
             for number, engine in enumerate(holders.engines)
         )
-        cost, number = ranked[0]
         primary = holders.engines[number]
-        primary_delay_ms = delay_ms = primary.first_token_ms(self.part_ms)
+        primary_delay_ms = self._costs[primary.target.name].first_token_ms(
+            self._part_ms
+        )
+        delay_ms = primary_delay_ms
         chosen = [primary]
-        if self.parts > 1:
-            reservation.take(primary)
-            helpers = self._choose_helpers(
-                holders, engines, primary, reservation
-            )
-            for helper_cost, engine in helpers:
+        if self._parts > 1:
+            self._reservation.take(primary)
+            for helper_cost, engine in self._choose_helpers(
+                holders, engines, primary
+            ):
                 chosen.append(engine)
                 cost += helper_cost + placement_cost.HELPER_COST
-                delay_ms = max(delay_ms, engine.helper_ready_ms(self.part_ms))
+                ready_ms = self._costs[engine.target.name].helper_ready_ms(
+                    self._part_ms
+                )
+                delay_ms = max(delay_ms, ready_ms)
             cost += self._delay_cost(delay_ms)
             cost -= self._delay_cost(primary_delay_ms)
         memory = [0] * len(chosen)
@@ -308,73 +351,54 @@
         holders: "_MemoryHolders",
         engines: Sequence[EngineState],
         primary: EngineState,
-        reservation: placement_cost.Reservation,
     ) -> list[tuple[float, EngineState]]:
         """Returns the helpers with their costs, holders of memory first."""
         helpers: list[tuple[float, EngineState]] = []
-        names = {primary.target.name}
+        costs = {}
+        delay_costs = {}
+        for engine in engines:
+            engine_costs = self._costs[engine.target.name]
+            costs[engine.target.name] = engine_costs.helper_cost(
+                self._part_ms, self._pass_prefill_ms
+            )
+            delay_costs[engine.target.name] = engine_costs.helper_delay_cost(
+                self._part_ms, self._parts
+            )
+
+        def rank(engine: EngineState) -> float:
+            name = engine.target.name
+            return (
+                costs[name] + delay_costs[name] + self._reservation.cost(engine)
+            )
+
+        left = [engine for engine in engines if engine is not primary]
         for candidates, count in (
             (holders.engines, holders.count - 1),
-            (engines, self.parts - 1),
+            (engines, self._parts - 1),
         ):
-            found = sorted(
-                (
-                    self._helper_rank(engine) + reservation.cost(engine),
-                    number,
-                )
-                for number, engine in enumerate(candidates)
-                if engine.target.name not in names
-            )
+            eligible = {engine.target.name for engine in candidates}
+            is_stale = True
+            found: list[EngineState] = []
             while len(helpers) < count:
-                # The costs of engines with usable slots grow with each one
-                # that is taken.
-                _, number = found.pop(0)
-                engine = candidates[number]
-                helpers.append(
-                    (
-                        self._helper_cost(engine) + reservation.cost(engine),
-                        engine,
-                    )
-                )
-                names.add(engine.target.name)
-                if reservation.take(engine):
-                    found = sorted(
-                        (
-                            self._helper_rank(candidates[other])
-                            + reservation.cost(candidates[other]),
-                            other,
-                        )
-                        for _, other in found
-                    )
+                # The costs of engines with usable slots grow with each one that
+                # is taken.
+                if is_stale:
+                    found = [e for e in left if e.target.name in eligible]
+                    found.sort(key=rank)
+                engine = found.pop(0)
+                left.remove(engine)
+                cost = costs[engine.target.name]
+                helpers.append((cost + self._reservation.cost(engine), engine))
+                is_stale = self._reservation.take(engine)
         return helpers
 
     def _delay_cost(self, delay_ms: float) -> float:
-        return placement_cost.delay_cost(delay_ms, self.demand, self.weight)
+        return placement_cost.delay_cost(delay_ms, self._demand, self._weight)
 
     def _primary_cost(self, engine: EngineState) -> float:
-        cost = self._delay_cost(engine.first_token_ms(self.part_ms))
-        cost += self.weight * placement_cost.own_gap_cost(
-            engine, self.stream_pass_ms, self.demand
-        )
-        cost += self.interference.cost(engine, False)
-        cost += placement_cost.opening_cost(engine)
-        cost += placement_cost.usage_cost(engine)
-        if self.parts > 1:
-            cost += self.weight * placement_cost.suspicion_cost(engine)
-        return cost
-
-    def _helper_cost(self, engine: EngineState) -> float:
-        return self.interference.cost(engine, True) + placement_cost.usage_cost(
-            engine
-        )
-
-    def _helper_rank(self, engine: EngineState) -> float:
-        ready_ms = engine.helper_ready_ms(self.part_ms)
-        return (
-            self._helper_cost(engine)
-            + self._delay_cost(ready_ms) / self.parts
-            + self.weight * placement_cost.suspicion_cost(engine)
-        )
+        return self._costs[engine.target.name].primary_cost(
+            self._part_ms, self._pass_prefill_ms, self._parts
+        ) + self._reservation.cost(engine)
 
 
 def _candidate_groups(
--- a/catkintrail/core/scheduling/placement_cost.py
+++ b/catkintrail/core/scheduling/placement_cost.py
@@ -6,22 +6,22 @@
 from typing import Iterable, Mapping, Sequence
 
 from catkintrail.core import engine_cost
-from catkintrail.core import fleet_load
 from catkintrail.core import route_table
 from catkintrail.core import target_health
 from catkintrail.core.scheduling import engine_state
 from catkintrail.core.scheduling import stream_demand
 
 __all__ = [
+    "EngineCosts",
     "FIRST_STREAM_COST",
     "FIRST_TOKEN_GOAL_SHARE",
     "HELPER_COST",
     "LATE_COST",
     "OTHER_ZONE_COST",
     "WITHIN_GOAL_COST",
-    "Interference",
     "Reservation",
     "delay_cost",
+    "find_harmed",
     "opening_cost",
     "own_gap_cost",
     "suspicion_cost",
@@ -146,85 +146,161 @@
     return cost
 
 
-class Interference:
-    """Costs of the prefill of a part to the other requests of an engine.
+class EngineCosts:
+    """Costs of the parts of a prompt on one engine.
+
+    What does not depend on the size of the parts is computed once.
 
     Attributes:
-        part_ms: Prefill time of the part.
-        pass_prefill_ms: Longest prefill time of the part in one pass.
-        gap_goal_ms: Goal for the gaps of the request; those with a smaller goal
-            are more urgent.
-        goals: Goal for the time to the first event, by the goal for gaps.
-        now: Time in seconds.
+        engine: The engine.
     """
 
     def __init__(
         self,
-        part_ms: float,
-        pass_prefill_ms: float,
-        gap_goal_ms: float,
+        engine: engine_state.EngineState,
+        demand: engine_state.RequestDemand,
+        weight: float,
+        stream_pass_ms: float,
         goals: Mapping[float, float],
         now: float,
     ) -> None:
-        self.part_ms = part_ms
-        self.pass_prefill_ms = pass_prefill_ms
-        self.gap_goal_ms = gap_goal_ms
-        self.goals = goals
-        self.now = now
-
-    def cost(self, engine: engine_state.EngineState, is_helper: bool) -> float:
-        """Returns the cost to the other requests of an engine.
+        """Initializes the costs.
 
         Args:
             engine: The engine.
-            is_helper: Whether another engine answers the request. The part then
-                precedes the engine's own prompts, which become later;
-                otherwise it follows them, and delays their streams.
+            demand: The demand of the request.
+            weight: Weight of the request.
+            stream_pass_ms: Duration of a pass that decodes only this request.
+            goals: Goal for the time to the first event, by the goal for gaps.
+            now: Time in seconds.
         """
-        cost = 0.0
+        self.engine = engine
+        self._demand = demand
+        self._weight = weight
+        self._usage = usage_cost(engine)
+        self._opening = opening_cost(engine)
+        self._opening += weight * own_gap_cost(engine, stream_pass_ms, demand)
+        self._suspicion = weight * suspicion_cost(engine)
+        self._wait_ms = engine.first_token_ms(0.0)
+        self._helper_wait_ms = engine.helper_ready_ms(0.0)
+        # Weights of the streams in progress and of the engine's own prompts, by
+        # the limit for their gaps.
+        self._streams: dict[float, float] = {}
+        self._own_prompts: dict[float, float] = {}
+        # Times to the first event, goals and weights of all waiting prompts.
+        self._waiting: list[tuple[float, float, float]] = []
         for attempt in engine.attempts:
             is_own = attempt.targets[0] == engine.target.name
-            if attempt.is_decoding:
-                if is_own and attempt.gap_goal_ms:
-                    cost += self._stream_cost(engine, attempt)
-            elif is_helper:
-                cost += self._displacement_cost(engine, attempt)
-            elif is_own and attempt.gap_goal_ms:
-                limit_ms = attempt.gap_goal_ms * GAP_GOAL_SHARE
-                gap_ms = engine.pass_ms + self.pass_prefill_ms * engine.slowness
-                if gap_ms > limit_ms:
-                    cost += attempt.weight * LATE_COST
-        return cost
+            if not attempt.is_decoding and attempt.gap_goal_ms in goals:
+                end = max(attempt.prefill_end, now)
+                first_ms = (end - attempt.placed_at) * 1000.0
+                goal_ms = goals[attempt.gap_goal_ms]
+                self._waiting.append((first_ms, goal_ms, attempt.weight))
+            if not is_own or not attempt.gap_goal_ms:
+                continue
+            limit_ms = attempt.gap_goal_ms * GAP_GOAL_SHARE
+            if not attempt.is_decoding:
+                prompt_weight = self._own_prompts.get(limit_ms, 0.0)
+                self._own_prompts[limit_ms] = prompt_weight + attempt.weight
+                continue
+            stream_weight = attempt.weight
+            if attempt.gap_goal_ms < demand.gap_goal_ms:
+                stream_weight *= URGENT_FACTOR
+            self._streams[limit_ms] = (
+                self._streams.get(limit_ms, 0.0) + stream_weight
+            )
 
-    def _stream_cost(
-        self, engine: engine_state.EngineState, attempt: fleet_load.Attempt
-    ) -> float:
-        limit_ms = attempt.gap_goal_ms * GAP_GOAL_SHARE
-        before_ms = engine.pass_ms + min(engine.backlog_ms, self.part_ms)
-        after_ms = engine.pass_ms + self.pass_prefill_ms * engine.slowness
-        weight = attempt.weight
-        if attempt.gap_goal_ms < self.gap_goal_ms:
-            weight *= URGENT_FACTOR
-        if after_ms > CALLER_TIMEOUT_GAP_MS:
-            return weight
-        if after_ms > limit_ms:
-            return weight * LATE_COST
-        if before_ms + self.pass_prefill_ms > limit_ms:
-            return weight * LATE_COST * 0.5
-        return 0.0
-
-    def _displacement_cost(
-        self, engine: engine_state.EngineState, attempt: fleet_load.Attempt
+    def first_token_ms(self, part_ms: float) -> float:
+        """Returns the time until the engine's own part is prefilled."""
+        return self._wait_ms + part_ms * self.engine.slowness
+
+    def helper_ready_ms(self, part_ms: float) -> float:
+        """Returns the time until a part for another engine is prefilled."""
+        return self._helper_wait_ms + part_ms * self.engine.slowness
+
+    def primary_cost(
+        self, part_ms: float, pass_prefill_ms: float, parts: int
     ) -> float:
-        goal_ms = self.goals.get(attempt.gap_goal_ms)
-        if goal_ms is None:
+        """Returns the cost of answering the request.
+
+        Args:
+            part_ms: Prefill time of a part.
+            pass_prefill_ms: Longest prefill time of a part in one pass.
+            parts: Number of parts.
+        """
+        cost = self._usage + self._opening
+        if parts > 1:
+            cost += self._suspicion
+        cost += delay_cost(
+            self.first_token_ms(part_ms), self._demand, self._weight
+        )
+        gap_ms = self.engine.pass_ms + pass_prefill_ms * self.engine.slowness
+        # The streams of waiting prompts start before this one is prefilled.
+        for limit_ms, weight in self._own_prompts.items():
+            if gap_ms > limit_ms:
+                cost += weight * LATE_COST
+        return cost + self._stream_cost(part_ms, pass_prefill_ms)
+
+    def helper_cost(self, part_ms: float, pass_prefill_ms: float) -> float:
+        """Returns the cost of prefilling a part for another engine.
+
+        The part precedes the engine's own prompts, which become later.
+
+        Args:
+            part_ms: Prefill time of a part.
+            pass_prefill_ms: Longest prefill time of a part in one pass.
+        """
+        cost = self._usage + self._stream_cost(part_ms, pass_prefill_ms)
+        delay_ms = part_ms * self.engine.slowness
+        for first_ms, goal_ms, weight in self._waiting:
+            cost += _lateness_cost(first_ms + delay_ms, goal_ms, weight)
+            cost -= _lateness_cost(first_ms, goal_ms, weight)
+        return cost
+
+    def helper_delay_cost(self, part_ms: float, parts: int) -> float:
+        """Returns the share of a helper in the cost of the request's delay."""
+        ready_ms = self.helper_ready_ms(part_ms)
+        cost = delay_cost(ready_ms, self._demand, self._weight)
+        return cost / parts + self._suspicion
+
+    def _stream_cost(self, part_ms: float, pass_prefill_ms: float) -> float:
+        if not self._streams:
             return 0.0
-        end = max(attempt.prefill_end, self.now)
-        first_ms = (end - attempt.placed_at) * 1000.0
-        later_ms = first_ms + self.part_ms * engine.slowness
-        return _lateness_cost(
-            later_ms, goal_ms, attempt.weight
-        ) - _lateness_cost(first_ms, goal_ms, attempt.weight)
+        engine = self.engine
+        before_ms = engine.pass_ms + min(engine.backlog_ms, part_ms)
+        after_ms = engine.pass_ms + pass_prefill_ms * engine.slowness
+        cost = 0.0
+        for limit_ms, weight in self._streams.items():
+            if after_ms > CALLER_TIMEOUT_GAP_MS:
+                cost += weight
+            elif after_ms > limit_ms:
+                cost += weight * LATE_COST
+            elif before_ms + pass_prefill_ms > limit_ms:
+                cost += weight * LATE_COST * 0.5
+        return cost
+
+
+def find_harmed(
+    figures: route_table.EngineFigures,
+    expected: Iterable[stream_demand.ExpectedStreams],
+    part_ms: float,
+    pass_prefill_ms: float,
+) -> list[stream_demand.ExpectedStreams]:
+    """Returns the streams that the prefill of a part would make late.
+
+    Args:
+        figures: Published figures of the engines.
+        expected: The streams that are expected.
+        part_ms: Prefill time of the part.
+        pass_prefill_ms: Longest prefill time of the part in one pass.
+    """
+    pass_ms = engine_cost.decode_pass_ms(figures, 1, 0)
+    return [
+        kind
+        for kind in expected
+        if kind.gap_goal_ms * GAP_GOAL_SHARE < pass_ms + pass_prefill_ms
+        or kind.goal_ms * FIRST_TOKEN_GOAL_SHARE < part_ms
+    ]
 
 
 class Reservation:
@@ -254,13 +330,7 @@
             pass_prefill_ms: Longest prefill time of a part in one pass.
             gap_goal_ms: Goal for the gaps of the prompt's answer.
         """
-        pass_ms = engine_cost.decode_pass_ms(figures, 1, 0)
-        self._harmed = [
-            kind
-            for kind in expected
-            if kind.gap_goal_ms * GAP_GOAL_SHARE < pass_ms + pass_prefill_ms
-            or kind.goal_ms * FIRST_TOKEN_GOAL_SHARE < part_ms
-        ]
+        self._harmed = find_harmed(figures, expected, part_ms, pass_prefill_ms)
         self._part_ms = part_ms
         self._slots: dict[str, int] = {}
         self._cost_per_stream = 0.0
--- a/catkintrail/core/target_choice.py
+++ b/catkintrail/core/target_choice.py
@@ -176,11 +176,12 @@
             query.gap_goal_ms,
         )
         choice = None
+        described: dict[str, engine_placement.EngineState] = {}
         # Later sends of a request are no further demand.
         is_recorded = bool(query.tried)
         compared: list[target_records.Target] = []
         for compared in self._candidate_sets(candidates):
-            engines = self._describe_engines(compared, figures, now)
+            engines = self._describe_engines(compared, described, figures, now)
             if not is_recorded:
                 self._record_demand(query, engines, figures, now)
                 is_recorded = True
@@ -280,23 +281,32 @@
     def _describe_engines(
         self,
         targets: list[target_records.Target],
+        described: dict[str, engine_placement.EngineState],
         figures: route_table.EngineFigures,
         now: float,
     ) -> list[engine_placement.EngineState]:
-        """Returns the states of engines, in random order."""
+        """Returns the states of engines, in random order.
+
+        Args:
+            targets: The engines.
+            described: States of engines by name, to which missing ones are
+                added.
+            figures: Published figures of the engines.
+            now: Time in seconds.
+        """
         zone = self.availability_zone
-        engines = [
-            engine_placement.describe_engine(
-                target,
-                tuple(self.load.at(target.name).values()),
-                figures,
-                now,
-                self.health.slowness(target.name, now),
-                self.health.penalty(target.name, now),
-                target.availability_zone == zone,
-            )
-            for target in targets
-        ]
+        for target in targets:
+            if target.name not in described:
+                described[target.name] = engine_placement.describe_engine(
+                    target,
+                    tuple(self.load.at(target.name).values()),
+                    figures,
+                    now,
+                    self.health.slowness(target.name, now),
+                    self.health.penalty(target.name, now),
+                    target.availability_zone == zone,
+                )
+        engines = [described[target.name] for target in targets]
         self.rng.shuffle(engines)
         return engines
 
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -187,18 +187,22 @@
 
     MIN_ATTAINMENT = 0.95
 
+    def play(self, bursts, seconds, share, zone_sizes):
+        """Returns the attainment of three loads together."""
+        outcomes = []
+        for seed in (1, 2, 3):
+            load = contention_load.make_load(
+                contention_load.KINDS, bursts, seconds, share, seed
+            )
+            zones = contention_load.Zones(zone_sizes)
+            result = contention_load.simulate(load, zones)
+            self.assertEqual(len(load), len(result.outcomes))
+            outcomes += result.outcomes
+        return contention_load.attainment(outcomes)
+
     def test_alternating_bursts_in_three_zones(self):
-        load = contention_load.make_load(
-            contention_load.KINDS,
-            contention_load.ALTERNATING_BURSTS,
-            30.0,
-            1.0,
-            seed=1,
-        )
-        zones = contention_load.Zones((26, 26, 26))
-        result = contention_load.simulate(load, zones)
-        self.assertEqual(len(load), len(result.outcomes))
-        for share in contention_load.attainment(result.outcomes):
+        bursts = contention_load.ALTERNATING_BURSTS
+        for share in self.play(bursts, 30.0, 1.0, (26, 26, 26)):
             self.assertGreaterEqual(share, self.MIN_ATTAINMENT)
 
     def test_each_burst_alone(self):
@@ -207,29 +211,12 @@
             contention_load.SHORT_BURST,
             contention_load.MIDDLE_BURST,
         ):
-            outcomes = []
-            for seed in (1, 2, 3):
-                load = contention_load.make_load(
-                    contention_load.KINDS, bursts, 15.0, 1 / 3, seed
-                )
-                zones = contention_load.Zones((26,))
-                outcomes += contention_load.simulate(load, zones).outcomes
-            for share in contention_load.attainment(outcomes):
+            for share in self.play(bursts, 15.0, 1 / 3, (26,)):
                 self.assertGreaterEqual(share, self.MIN_ATTAINMENT, bursts)
 
-
-class EmptiedZoneTests(testtools.TestCase):
-
     def test_other_zones_take_the_load_of_a_zone_without_engines(self):
         # The coordinator of such a zone spread its streams over the engines of
         # others, which left few engines to long prompts: 0.93 of the short
         # requests were in time.
-        outcomes = []
-        for seed in (1, 2, 3):
-            load = contention_load.make_load(
-                contention_load.KINDS, (), 12.0, 1.0, seed
-            )
-            zones = contention_load.Zones((26, 26, 0))
-            outcomes += contention_load.simulate(load, zones).outcomes
-        for share in contention_load.attainment(outcomes):
-            self.assertGreaterEqual(share, 0.95)
+        for share in self.play((), 12.0, 1.0, (26, 26, 0)):
+            self.assertGreaterEqual(share, self.MIN_ATTAINMENT)
