--- a/catkintrail/core/target_choice.py
+++ b/catkintrail/core/target_choice.py
@@ -22,6 +22,7 @@
 from catkintrail.core import target_notices
 from catkintrail.core import targets as target_records
 from catkintrail.core.scheduling import stream_demand
+from catkintrail.core.zones import cold_targets
 
 __all__ = [
     "NOT_READY_RETRY_SECONDS",
@@ -42,6 +43,9 @@
 OTHER_ZONE_ENGINES = 8
 # Retry-After of requests for which no target is available.
 NO_TARGET_RETRY_SECONDS = 0.4
+# Retry-After while all targets are in evacuated zones. The end of an evacuation
+# is in force within some seconds.
+EVACUATED_RETRY_SECONDS = 2.0
 
 
 class TargetChooser:
@@ -100,6 +104,20 @@
         listed = list(
             self.fleet_state.targets.by_service.get(query.service, {}).values()
         )
+        known_count = len(listed)
+        evacuations = self.notices.evacuations
+        listed = [
+            t
+            for t in listed
+            if not evacuations.is_evacuated(t.availability_zone)
+        ]
+        if known_count and not listed:
+            return self._decline(
+                query,
+                verdicts.Reason.NO_TARGET,
+                f"all {known_count} targets are in evacuated zones",
+                EVACUATED_RETRY_SECONDS,
+            )
         waits = [self.notices.wait_seconds(t, now) for t in listed]
         if listed and all(waits):
             return self._decline(
@@ -127,11 +145,39 @@
                 f"none of {len(listed)} targets is available",
                 NO_TARGET_RETRY_SECONDS,
             )
+        preferred = self._prefer_warm(query, candidates, now)
+        answer = self._choose(query, preferred, now)
+        if not answer.targets and len(preferred) < len(candidates):
+            answer = self._choose(query, candidates, now)
+        return answer
+
+    def _choose(
+        self,
+        query: messages.PlacementQuery,
+        candidates: list[target_records.Target],
+        now: float,
+    ) -> messages.PlacementAnswer:
         figures = self._engine_figures(query.service)
         if figures is None or not query.prompt_tokens:
             return self._choose_plain(query, candidates, now)
         return self._choose_engines(query, candidates, figures, now)
 
+    def _prefer_warm(
+        self,
+        query: messages.PlacementQuery,
+        candidates: list[target_records.Target],
+        now: float,
+    ) -> list[target_records.Target]:
+        figures = self._engine_figures(query.service)
+        return cold_targets.prefer_warm(
+            candidates,
+            self.notices.cold,
+            lambda target: len(self.load.at(target.name)),
+            figures is None
+            or query.prompt_tokens <= figures.mean_prompt_tokens,
+            now,
+        )
+
     def _choose_plain(
         self,
         query: messages.PlacementQuery,
@@ -242,10 +288,10 @@
         )
         if choice is None or len(choice.engines) == 1:
             return choice
-        limits = self.notices.limits
-        if all(limits.find(engine) is None for engine in choice.engines):
+        find_limit = self.notices.find_limit
+        if all(find_limit(engine, now) is None for engine in choice.engines):
             return choice
-        unlimited = [e for e in engines if limits.find(e.target) is None]
+        unlimited = [e for e in engines if find_limit(e.target, now) is None]
         other_choice = engine_placement.choose(
             demand, unlimited, figures, expected=expected, now=now
         )
--- a/catkintrail/ports/fleet_state_source.py
+++ b/catkintrail/ports/fleet_state_source.py
@@ -46,11 +46,16 @@
         name: The target's name.
         target: The target; None if its entry was removed or is invalid.
         is_removed: Whether the entry was removed.
+        cold_seconds: For how long the target stays cold; None if the entry does
+            not state it.
+        revision: Revision of the entry; -1 if it is not stated.
     """
 
     name: str
     target: target_records.Target | None
     is_removed: bool
+    cold_seconds: float | None = None
+    revision: int = -1
 
 
 class TargetUpdate(NamedTuple):
@@ -59,10 +64,13 @@
     Attributes:
         events: The changes; for a list, one event for each entry.
         position: Where to watch from.
+        revisions: Revisions of the entries in the events, as far as they are
+            stated.
     """
 
     events: tuple[TargetEvent, ...]
     position: store_views.Position
+    revisions: tuple[int, ...] = ()
 
 
 class FleetStateSource(Protocol):
--- a/catkintrail/relay_settings.py
+++ b/catkintrail/relay_settings.py
@@ -33,6 +33,10 @@
         cores: Processing power of the machine, in cores.
         zone_count: Number of availability zones of the deployment; 0 if
             unknown.
+        evacuation_seconds: Time within which an evacuated zone's targets get
+            nothing more; 0 if zones are never evacuated.
+        limits_cold_targets: Whether targets that are cold get no more requests
+            than their service states.
     """
 
     name: str
@@ -53,3 +57,5 @@
     memory_free_seconds: float
     cores: float = 1.0
     zone_count: int = 0
+    evacuation_seconds: float = 0.0
+    limits_cold_targets: bool = False
--- a/tests/test_layering.py
+++ b/tests/test_layering.py
@@ -42,6 +42,10 @@
     "Prompt-Prefix",
     "Token-Counts",
     "api-keys",
+    "cold-left-ms",
+    "cold-ms",
+    "cold-per-s",
+    "evacuate-ms",
     "goal-ms",
     "max-attempts",
     "path-prefix",
@@ -75,7 +79,7 @@
 
     def test_core_and_ports_import_only_inward(self):
         for folder in ("core", "ports"):
-            for path in (PACKAGE / folder).glob("*.py"):
+            for path in (PACKAGE / folder).rglob("*.py"):
                 for name in imported_names(path):
                     forbidden = [
                         module
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -43,6 +43,9 @@
         retry_extra=100,
         module="catkintrail.relay_start",
         retry_window_seconds=10,
+        seeds=("127.0.0.1", "127.0.0.2"),
+        memory_mb=300,
+        max_fds=4000,
     ):
         self.ip = ip
         self.ports = ports
@@ -53,10 +56,12 @@
                 f"i-{ip}",
                 ip,
                 ports,
-                ("127.0.0.1", "127.0.0.2"),
+                seeds,
                 store,
                 extra=retry_extra,
                 window_seconds=retry_window_seconds,
+                memory_mb=memory_mb,
+                max_fds=max_fds,
             )
         )
         self.log = open(path / "log", "w+", encoding="utf-8")
@@ -145,6 +150,14 @@
     return False
 
 
+def accepts_connections(address):
+    try:
+        socket.create_connection(address, 5.0).close()
+    except ConnectionRefusedError:
+        return False
+    return True
+
+
 class StartTests(testtools.TestCase):
 
     def test_sighup_is_ignored_before_slow_modules_are_imported(self):
@@ -466,6 +479,9 @@
 
     def test_metrics_are_served(self):
         self.relay.request("/ask/a", "r1")
+        # The port opens after those for callers and the readiness check.
+        address = "127.0.0.1", self.ports["control"]
+        self.assertTrue(wait_until(lambda: accepts_connections(address)))
         url = f"http://127.0.0.1:{self.ports['control']}/metrics"
         with urllib.request.urlopen(url, timeout=5.0) as response:
             text = response.read().decode()
