--- a/catkintrail/core/scheduling/placement_cost.py
+++ b/catkintrail/core/scheduling/placement_cost.py
@@ -33,7 +33,7 @@
 LATE_COST = 0.75
 # How much more the delay of a request counts that is more urgent than the one
 # placed: no kind of request may be served worse than a less urgent one.
-URGENT_FACTOR = 2.0
+URGENT_FACTOR = 4.0
 # A predicted event gap counts as too long above this share of the goal, because
 # predictions do not include network transit time.
 GAP_GOAL_SHARE = 0.85
