Retry-After of a prompt without memory is when memory will be free

Cause: a prompt for which no engines had enough free memory was refused with Retry-After 0.4 s, although the requests that held the memory ran for seconds. Callers came back to be refused again.

Change: the coordinator knows the mean duration of each kind of request and states when enough of the present ones will have ended, at least 0.4 s. The search for memory moved to core/scheduling/engine_memory.

--- a/catkintrail/core/engine_placement.py
+++ b/catkintrail/core/engine_placement.py
@@ -14,6 +14,7 @@
 from catkintrail.core import fleet_load
 from catkintrail.core import route_table
 from catkintrail.core import targets as target_records
+from catkintrail.core.scheduling import engine_memory
 from catkintrail.core.scheduling import engine_state
 from catkintrail.core.scheduling import placement_cost
 from catkintrail.core.scheduling import stream_demand
@@ -33,8 +34,6 @@
 # A prompt is not divided further if its first event is predicted within this
 # share of its goal. Predictions do not include prompts that arrive later.
 COMFORTABLE_GOAL_SHARE = 0.5
-# Share of an engine's KV cache that prompts and predicted outputs may fill.
-USABLE_KV_SHARE = 0.95
 # A first token counts as overdue this long after its predicted time. Reports
 # from other availability zones arrive later, because they are batched.
 OVERDUE_TOLERANCE_MS = 60.0
@@ -182,7 +181,7 @@
         figures, demand.prompt_tokens
     )
     required_tokens = demand.prompt_tokens + demand.output_tokens
-    usable_tokens = int(figures.kv_tokens * USABLE_KV_SHARE)
+    usable_tokens = engine_memory.usable_tokens(figures)
     weight = engine_cost.request_weight(figures, demand.prompt_tokens)
     stream_pass_ms = engine_cost.decode_pass_ms(
         figures, 1, demand.prompt_tokens
@@ -207,7 +206,7 @@
         part_ms = single_engine_ms / parts
         part_pass_ms = min(part_ms, pass_prefill_ms)
         for group in _candidate_groups(engines, parts):
-            holders = _find_memory_holders(
+            holders = engine_memory.find_holders(
                 group, required_tokens, usable_tokens, parts
             )
             if not holders:
@@ -314,7 +313,9 @@
         self._reservation = reservation
 
     def choose(
-        self, holders: "_MemoryHolders", engines: Sequence[EngineState]
+        self,
+        holders: engine_memory.MemoryHolders,
+        engines: Sequence[EngineState],
     ) -> Choice:
         """Returns the engines of a group with the lowest cost."""
         cost, number = min(
@@ -348,7 +349,7 @@
 
     def _choose_helpers(
         self,
-        holders: "_MemoryHolders",
+        holders: engine_memory.MemoryHolders,
         engines: Sequence[EngineState],
         primary: EngineState,
     ) -> list[tuple[float, EngineState]]:
@@ -417,42 +418,3 @@
         zones.setdefault(engine.target.availability_zone, []).append(engine)
     groups = [zone for zone in zones.values() if len(zone) >= parts]
     return groups or [engines]
-
-
-class _MemoryHolders(NamedTuple):
-    """Engines that can keep a request's KV cache.
-
-    Attributes:
-        engines: Engines with enough free memory for a share.
-        count: Number of engines among which the KV cache is divided.
-        tokens: Tokens kept by each of them.
-    """
-
-    engines: list[EngineState]
-    count: int
-    tokens: int
-
-
-def _find_memory_holders(
-    engines: Sequence[EngineState],
-    required_tokens: int,
-    usable_tokens: int,
-    parts: int,
-) -> _MemoryHolders | None:
-    """Finds the smallest number of engines that can keep the KV cache.
-
-    Args:
-        engines: The candidate engines.
-        required_tokens: KV cache that the request needs.
-        usable_tokens: KV cache of each engine that may be filled.
-        parts: Maximum number of engines.
-
-    Returns:
-        The eligible engines; None if they do not have enough free memory.
-    """
-    for count in range(-(-required_tokens // usable_tokens), parts + 1):
-        tokens = -(-required_tokens // count)
-        eligible = [e for e in engines if e.kv_tokens + tokens <= usable_tokens]
-        if len(eligible) >= count:
-            return _MemoryHolders(eligible, count, tokens)
-    return None
--- a/catkintrail/core/scheduling/stream_demand.py
+++ b/catkintrail/core/scheduling/stream_demand.py
@@ -133,6 +133,21 @@
         kind.running += running
         kind.weight += weight
 
+    def durations(self, now: float) -> dict[float, float]:
+        """Returns the mean durations of requests, by their goal for gaps.
+
+        Args:
+            now: Time in seconds.
+
+        Returns:
+            Seconds from the placement of a request to its end.
+        """
+        found = {}
+        for (_, gap_goal_ms), kind in self._kinds.items():
+            kind.decay(now)
+            found[gap_goal_ms] = kind.duration(now)
+        return found
+
     def expect(
         self, engines: Iterable[engine_state.EngineState], now: float
     ) -> list[ExpectedStreams]:
--- a/catkintrail/core/target_choice.py
+++ b/catkintrail/core/target_choice.py
@@ -21,6 +21,7 @@
 from catkintrail.core import target_health
 from catkintrail.core import target_notices
 from catkintrail.core import targets as target_records
+from catkintrail.core.scheduling import engine_memory
 from catkintrail.core.scheduling import stream_demand
 from catkintrail.core.zones import cold_targets
 
@@ -237,11 +238,18 @@
             ):
                 break
         if choice is None:
+            wait_seconds = engine_memory.wait_seconds(
+                demand,
+                list(described.values()),
+                figures,
+                self.demand.durations(now),
+                now,
+            )
             return self._decline(
                 query,
                 verdicts.Reason.OVERLOADED,
                 "no engine has enough free memory",
-                NO_TARGET_RETRY_SECONDS,
+                max(wait_seconds or 0.0, NO_TARGET_RETRY_SECONDS),
             )
         answer = self._accept(
             query,
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -2,6 +2,7 @@
 
 from catkintrail.core import engine_placement
 from catkintrail.core import fleet_load
+from catkintrail.core.scheduling import engine_memory
 from catkintrail.core.scheduling import stream_demand
 from tests import contention_load
 from tests import relaying as builders
@@ -136,6 +137,33 @@
         self.assertEqual(0, self.taken(60.0))
 
 
+class MemoryWaitTests(testtools.TestCase):
+    """Callers that repeat before memory is free are refused again."""
+
+    DURATIONS = {1_000.0: 3.0}
+
+    def wait(self, prompt_tokens, state):
+        return engine_memory.wait_seconds(
+            LONG_PROMPT._replace(prompt_tokens=prompt_tokens),
+            state,
+            FIGURES,
+            self.DURATIONS,
+            1.0,
+        )
+
+    def test_wait_ends_with_the_requests_that_hold_the_memory(self):
+        # Both engines hold 90,000 tokens for a request that was placed 1 s ago.
+        state = engines(
+            [part("a", "e-0", 500.0, "e-0")], [part("b", "e-1", 500.0, "e-1")]
+        )
+        self.assertEqual(0.0, self.wait(90_000, state))
+        self.assertEqual(2.0, self.wait(150_000, state))
+        self.assertEqual(2.0, self.wait(300_000, state))
+
+    def test_prompt_beyond_the_memory_of_all_engines_never_fits(self):
+        self.assertIsNone(self.wait(600_000, engines([], [])))
+
+
 class StreamDemandTests(testtools.TestCase):
 
     def meter(self, rates):
