--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -18,8 +18,10 @@
 from catkintrail.adapters import evacuation_exchange
 from catkintrail.adapters import fleet_broadcast
 from catkintrail.adapters import limit_exchange
+from catkintrail.adapters import message_batch
 from catkintrail.adapters import permit_exchange
 from catkintrail.adapters import quarantine_exchange
+from catkintrail.adapters import router_status
 from catkintrail.core import fleet_peers
 from catkintrail.core import rendezvous
 from catkintrail.core import request_quarantine
@@ -29,17 +31,14 @@
 from catkintrail.core import store_views
 from catkintrail.core import target_paths
 from catkintrail.core import targets as target_records
-from catkintrail.core.zones import evacuation
 from catkintrail.core.target_speed import speed_changes
+from catkintrail.core.zones import evacuation
 from catkintrail.core.zones import regions
 from catkintrail.ports import fleet_state_source
 
 __all__ = [
-    "PeerState",
     "PendingPlacement",
-    "QuarantineStatus",
     "RouterActor",
-    "RouterStatus",
     "STORE_SOURCE",
 ]
 
@@ -57,95 +56,12 @@
 MAX_TARGETS_PER_MESSAGE = 100
 SNAPSHOT_INTERVAL_SECONDS = 1.0
 LARGE_FLEET_SNAPSHOT_INTERVAL_SECONDS = 4.0
-# Load messages of other zones are delayed this long; a prefill takes longer.
-BATCH_DELAY_SECONDS = 0.1
-MAX_BATCH_MESSAGES = 100
 # A coordinator that did not answer in time is not asked again for this long.
 COORDINATOR_PAUSE_SECONDS = 1.0
 
 Clock = Callable[[], float]
 
 
-class PeerState(NamedTuple):
-    """State that an instance fetches from a peer rather than from the store.
-
-    Attributes:
-        version: Version of the newest known configuration; -1 for none.
-        configuration: The newest known configuration; None if the requesting
-            instance has it already.
-        proof_age_seconds: Seconds since that configuration was last known to
-            be the newest.
-        targets: The listed targets.
-        targets_position: Position of the store that the targets reflect.
-        evacuations: The evacuated zones.
-    """
-
-    version: int
-    configuration: route_table.Configuration | None
-    proof_age_seconds: float
-    targets: tuple[target_records.Target, ...]
-    targets_position: store_views.Position
-    evacuations: evacuation.EvacuationState = evacuation.UNKNOWN_STATE
-
-
-class RouterStatus(NamedTuple):
-    """What an instance knows of the configuration, the targets and its peers.
-
-    Attributes:
-        is_ready: Whether requests can be served.
-        version: Version of the newest known configuration; -1 for none.
-        proof_age_seconds: Seconds since that configuration was last known to
-            be the newest.
-        is_proof_holder: Whether the instance polls the store for its zone, to
-            confirm that the configuration is the newest.
-        has_target_list: Whether a list of targets has been received.
-        peers: The live peers.
-        attempts: Number of known attempts at targets, of this instance and its
-            peers.
-        newest_peer_version: Newest configuration version that a peer reported.
-        is_watcher: Whether the instance watches the store for its zone.
-        newer_peer: Address of a peer with newer state; "" for none.
-        slow_targets: Number of targets that are suspected of being slow.
-        strained_targets: Number of targets that handle fewer requests well
-            than they have slots.
-        greatest_slowness: Slowness of the slowest target, at least 1.
-        targets_age_seconds: Seconds since the known targets had all changes
-            that the store had.
-        newest_targets_position: Newest position at which a peer knows the
-            targets.
-        cold_targets: Number of targets that are cold.
-    """
-
-    is_ready: bool
-    version: int
-    proof_age_seconds: float
-    is_proof_holder: bool
-    has_target_list: bool
-    peers: tuple[target_paths.PeerAddress, ...]
-    attempts: int
-    newest_peer_version: int
-    is_watcher: bool
-    newer_peer: str
-    slow_targets: int
-    strained_targets: int
-    greatest_slowness: float
-    targets_age_seconds: float
-    newest_targets_position: store_views.Position
-    cold_targets: int = 0
-
-
-class QuarantineStatus(NamedTuple):
-    """A quarantine in force.
-
-    Attributes:
-        remainder: What is left of it.
-        is_owner: Whether this instance stores it for all.
-    """
-
-    remainder: request_quarantine.Remainder
-    is_owner: bool
-
-
 class PendingPlacement(NamedTuple):
     """A placement that waits for a peer.
 
@@ -165,31 +81,6 @@
 PlacementResult = request_router.Placement | verdicts.Refusal | PendingPlacement
 
 
-class _Batch:
-    """Encoded messages that are sent together after a delay."""
-
-    def __init__(self) -> None:
-        self._contents: list[bytes] = []
-        self._since = float("inf")
-
-    def add(self, content: bytes, now: float) -> None:
-        """Adds a message."""
-        self._contents.append(content)
-        self._since = min(self._since, now)
-
-    def take_due(self, now: float) -> list[messages.Batch]:
-        """Returns the messages to send now, and removes them."""
-        if now - self._since < BATCH_DELAY_SECONDS:
-            return []
-        contents = self._contents
-        self._contents = []
-        self._since = float("inf")
-        return [
-            messages.Batch(tuple(contents[start : start + MAX_BATCH_MESSAGES]))
-            for start in range(0, len(contents), MAX_BATCH_MESSAGES)
-        ]
-
-
 class RouterActor(pykka.ThreadingActor):
     """Runs the router of one instance, one call at a time."""
 
@@ -225,8 +116,8 @@
         self._next_snapshot = 0.0
         # Messages of other zones for this one, and load of this zone for
         # others.
-        self._zone_batch = _Batch()
-        self._load_batch = _Batch()
+        self._zone_batch = message_batch.MessageBatch()
+        self._load_batch = message_batch.MessageBatch()
         self._load_recipients: list[str] = []
         self._pending: dict[str, PendingPlacement] = {}
         self._speed_changes = speed_changes.SpeedChanges()
@@ -438,12 +329,12 @@
 
     def quarantine_statuses(
         self,
-    ) -> dict[request_quarantine.Traits, QuarantineStatus]:
+    ) -> dict[request_quarantine.Traits, router_status.QuarantineStatus]:
         """Returns the quarantines in force."""
         now = self._clock()
         quarantine = self._router.quarantine
         return {
-            traits: QuarantineStatus(
+            traits: router_status.QuarantineStatus(
                 request_quarantine.Remainder(
                     until - now, quarantine.trials[traits].failed
                 ),
@@ -783,7 +674,7 @@
                 },
             )
 
-    def peer_state(self, known_version: int = -1) -> PeerState:
+    def peer_state(self, known_version: int = -1) -> router_status.PeerState:
         """Returns the state that another instance fetches from this one.
 
         Args:
@@ -793,7 +684,7 @@
         table = router.fleet_state.configuration.table
         is_newer = table and table.configuration.version > known_version
         age = self._clock() - router.fleet_state.configuration.proven_at
-        return PeerState(
+        return router_status.PeerState(
             router.fleet_state.configuration.version,
             table.configuration if is_newer else None,
             age,
@@ -802,11 +693,11 @@
             router.fleet_state.evacuations.state,
         )
 
-    def status(self) -> RouterStatus:
+    def status(self) -> router_status.RouterStatus:
         """Returns the status, for readiness checks and background threads."""
         router = self._router
         now = self._clock()
-        return RouterStatus(
+        return router_status.RouterStatus(
             router.fleet_state.is_ready(now),
             router.fleet_state.configuration.version,
             now - router.fleet_state.configuration.proven_at,
--- a/catkintrail/adapters/router_client.py
+++ b/catkintrail/adapters/router_client.py
@@ -6,6 +6,7 @@
 
 from catkintrail import verdict as verdicts
 from catkintrail.adapters import router_actor
+from catkintrail.adapters import router_status
 from catkintrail.core import request_quarantine
 from catkintrail.core import request_router
 from catkintrail.core import service_retry_budget
@@ -153,7 +154,7 @@
 
     def quarantine_statuses(
         self,
-    ) -> dict[request_quarantine.Traits, router_actor.QuarantineStatus]:
+    ) -> dict[request_quarantine.Traits, router_status.QuarantineStatus]:
         """Returns the quarantines in force."""
         if not self.quarantine.quarantined:
             return {}
@@ -194,7 +195,7 @@
         future = self.proxy.find_target(name)
         return _await_result(future)
 
-    def status(self) -> router_actor.RouterStatus:
+    def status(self) -> router_status.RouterStatus:
         """Returns the actor's status."""
         return _await_result(self.proxy.status())
 
@@ -202,7 +203,7 @@
         """Returns how much of the retry budget of each service is used."""
         return _await_result(self.proxy.retry_usage())
 
-    def peer_state(self, known_version: int = -1) -> router_actor.PeerState:
+    def peer_state(self, known_version: int = -1) -> router_status.PeerState:
         """Returns the state that another instance fetches from this one.
 
         Args:
--- a/catkintrail/fleet_state_updater.py
+++ b/catkintrail/fleet_state_updater.py
@@ -16,6 +16,7 @@
 from catkintrail import errors
 from catkintrail.adapters import router_actor
 from catkintrail.adapters import router_client
+from catkintrail.adapters import router_status
 from catkintrail.core import store_views
 from catkintrail.core import watch_progress
 from catkintrail.ports import fleet_state_source
@@ -69,7 +70,7 @@
 # read soon.
 PEER_ROUND_SECONDS = 0.45
 
-PeerReader = Callable[[str, int, float], router_actor.PeerState]
+PeerReader = Callable[[str, int, float], router_status.PeerState]
 PositionObserver = Callable[[store_views.Position, Iterable[int]], None]
 
 
@@ -416,7 +417,7 @@
                 if not is_read and status.is_watcher:
                     self._query_peers(status, next(peer_timeouts))
 
-    def _end_lost_watches(self, status: router_actor.RouterStatus) -> None:
+    def _end_lost_watches(self, status: router_status.RouterStatus) -> None:
         """Ends watches that miss changes which are known from elsewhere."""
         now = self.clock()
         marks = {
@@ -449,7 +450,7 @@
             self._ended[subject] = must_reread
             self.source.end_watch(subject)
 
-    def _log_targets_age(self, status: router_actor.RouterStatus) -> None:
+    def _log_targets_age(self, status: router_status.RouterStatus) -> None:
         """Logs when the age of the known targets passes its bound."""
         are_stale = (
             status.has_target_list
@@ -463,7 +464,7 @@
                 extra={"age_ms": round(status.targets_age_seconds * 1000.0)},
             )
 
-    def _is_stale(self, status: router_actor.RouterStatus) -> bool:
+    def _is_stale(self, status: router_status.RouterStatus) -> bool:
         """Returns whether the known state is old or incomplete."""
         max_age_seconds = STALE_PROOF_SECONDS
         if status.is_watcher:
@@ -490,7 +491,7 @@
         return True
 
     def _query_peers(
-        self, status: router_actor.RouterStatus, timeout_seconds: float
+        self, status: router_status.RouterStatus, timeout_seconds: float
     ) -> bool:
         """Queries random peers until one of them has recent state.
 
@@ -514,7 +515,7 @@
     def _query_peer(
         self,
         peer: str,
-        status: router_actor.RouterStatus,
+        status: router_status.RouterStatus,
         timeout_seconds: float,
     ) -> bool:
         """Adopts a peer's state; returns whether that state is recent."""
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -28,6 +28,7 @@
 from catkintrail.adapters import logs
 from catkintrail.adapters import router_actor
 from catkintrail.adapters import router_client
+from catkintrail.adapters import router_status
 from catkintrail.adapters import stop_request
 from catkintrail.adapters import target_connector
 from catkintrail.adapters import target_probes
@@ -373,7 +374,7 @@
 
     def _read_peer(
         self, address: str, known_version: int, timeout_seconds: float
-    ) -> router_actor.PeerState:
+    ) -> router_status.PeerState:
         port = self.settings.peer_address.rpartition(":")[2]
         try:
             response = self.http.request(
@@ -382,7 +383,7 @@
                 timeout=timeout_seconds,
             )
             return msgspec.json.decode(
-                zlib.decompress(response.data), type=router_actor.PeerState
+                zlib.decompress(response.data), type=router_status.PeerState
             )
         except (
             urllib3.exceptions.HTTPError,
--- a/tests/test_fleet_state_updater.py
+++ b/tests/test_fleet_state_updater.py
@@ -10,6 +10,7 @@
 from catkintrail import fleet_state_updater
 from catkintrail.adapters import router_actor
 from catkintrail.adapters import router_client
+from catkintrail.adapters import router_status
 from catkintrail.core import request_router
 from catkintrail.core import store_views
 from catkintrail.platform import store
@@ -240,7 +241,7 @@
                 name="a-2", address="10.0.0.2"
             ).fleet_state.heartbeat(1.0),
         ).get()
-        self.peer_state = router_actor.PeerState(
+        self.peer_state = router_status.PeerState(
             4,
             builders.make_configuration(4),
             0.5,
@@ -292,7 +293,7 @@
     def test_peers_that_answer_slowly_are_waited_for_in_the_end(self):
         self.source.is_up = False
         self.answer_seconds = 0.7
-        self.peer_state = router_actor.PeerState(
+        self.peer_state = router_status.PeerState(
             4,
             builders.make_configuration(4),
             0.5,
