Callers that never finish a request no longer fill an instance or block it

Cause: framing of a body was read without limits, each request that was not whole held a thread until its own deadline, and nothing bounded the bytes held for all callers.

Change: requests are read without waiting; a connection whose request is not whole goes back to the selector (adapters/caller_connections). Bodies are read step by step with limits on lines, trailers and framing (adapters/request_bodies). core/callers/byte_budget grants the bytes of the instance, from memory-mb, and chooses who gives way: the slowest, else the newest. Connections are bounded by max-fds, the processor time of tiny chunks is paced, and freed buffers are returned. platform/callers is parted in callers and caller_requests. docs/design/CALLER-LIMITS.md has the design, OPERATIONS.md the limits.

--- a/catkintrail/adapters/metrics.py
+++ b/catkintrail/adapters/metrics.py
@@ -148,6 +148,23 @@
         aioprometheus.Gauge,
         "Messages to or from peers that were dropped since the start.",
     ),
+    "catkintrail_caller_connections": (
+        aioprometheus.Gauge,
+        "Open connections of callers.",
+    ),
+    "catkintrail_caller_bytes": (
+        aioprometheus.Gauge,
+        "Bytes held for callers.",
+    ),
+    "catkintrail_caller_bytes_allowed": (
+        aioprometheus.Gauge,
+        "Bytes that may be held for callers.",
+    ),
+    "catkintrail_callers_refused": (
+        aioprometheus.Gauge,
+        "Requests and connections refused before a request was whole, or cut"
+        " off for slow reading, since the start, by cause.",
+    ),
     "catkintrail_orders_total": (
         aioprometheus.Counter,
         "Orders given to engines, by outcome.",
--- /dev/null
+++ b/catkintrail/core/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about callers that nobody controls; no I/O."""
--- a/catkintrail/platform/boot.py
+++ b/catkintrail/platform/boot.py
@@ -109,6 +109,8 @@
             memory_free_seconds=bounds.get("free-ms", 4000) / 1000.0,
             cores=float(limits.get("cpu-share", 1) * limits.get("cores", 1)),
             zone_count=len(data.get("zones", ())),
+            memory_mb=float(limits.get("memory-mb", 0)),
+            max_descriptors=int(limits.get("max-fds", 0)),
         )
     except (
         AttributeError,
--- a/catkintrail/ports/relaying.py
+++ b/catkintrail/ports/relaying.py
@@ -93,6 +93,9 @@
     def write(self, data: bytes) -> None:
         """Sends a part of the body."""
 
+    def hold(self, size: int) -> None:
+        """Counts bytes of an answer that are kept until it is whole."""
+
     def abort(self) -> None:
         """Closes the connection, so that the caller detects a truncation."""
 
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -18,6 +18,7 @@
 from catkintrail import quarantine_keeper
 from catkintrail import relay as relays
 from catkintrail import relay_settings
+from catkintrail.adapters import allocator
 from catkintrail.adapters import bounded_http
 from catkintrail.adapters import caller_watch
 from catkintrail.adapters import clock
@@ -177,6 +178,8 @@
             self.relay.handle,
             self.watch,
             clock.boot_seconds,
+            settings.memory_mb,
+            settings.max_descriptors,
         )
         self.http = bounded_http.make_pool_manager(MAX_PEER_POOLS)
         self._stop_request = stop_request.StopRequest()
@@ -330,6 +333,9 @@
                 self._applied_version = state.configuration.version
                 self._services = state.configuration.services
                 self.callers.apply_limits(state.configuration.limits)
+                self.callers.organisations = (
+                    state.configuration.organisations or {}
+                )
         self.connector.peers = status.peers
         instances = len(status.peers) + 1
         self.client.connection_shares = {
@@ -419,6 +425,8 @@
         }
         for name, value in gauges.items():
             self.metrics.set(name, float(value), {})
+        for name, labels, value in self.callers.read_figures():
+            self.metrics.set(name, float(value), labels)
         for service, usage in self.router.retry_usage().items():
             labels = {"service": service}
             self.metrics.set("catkintrail_retries", usage.retries, labels)
@@ -461,6 +469,7 @@
     path = boot.settings_path()
     settings_text = boot.read_text(path)
     settings = boot.parse_settings(settings_text, path)
+    allocator.limit_retention()
     threading.stack_size(THREAD_STACK_BYTES)
     log_handler, listener = logs.configure_queued(
         "info", settings.name, settings.availability_zone
--- a/catkintrail/relay_settings.py
+++ b/catkintrail/relay_settings.py
@@ -31,6 +31,8 @@
         memory_free_seconds: Time within which memory that no request uses any
             more has to be free again.
         cores: Processing power of the machine, in cores.
+        memory_mb: Memory of the machine, in MiB; 0 if unknown.
+        max_descriptors: Descriptors that the process may have; 0 if unknown.
         zone_count: Number of availability zones of the deployment; 0 if
             unknown.
     """
@@ -53,3 +55,5 @@
     memory_free_seconds: float
     cores: float = 1.0
     zone_count: int = 0
+    memory_mb: float = 0.0
+    max_descriptors: int = 0
--- a/catkintrail/response_forwarder.py
+++ b/catkintrail/response_forwarder.py
@@ -106,6 +106,7 @@
         chunks = []
         size = 0
         while data := response.read(progress.deadline):
+            writer.hold(len(data))
             chunks.append(data)
             size += len(data)
             if size > MAX_RESPONSE_BYTES:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -39,6 +39,9 @@
         if self.on_write:
             self.on_write()
 
+    def hold(self, size):
+        pass
+
     def abort(self):
         self.is_aborted = True
 
