--- a/catkintrail/platform/boot.py
+++ b/catkintrail/platform/boot.py
@@ -116,6 +116,8 @@
             evacuation_seconds=float(bounds.get("evacuate-ms", 0)) / 1000.0,
             limits_cold_targets=float(bounds.get("cold-excess", 0)) > 0,
             regions=_decode_regions(data),
+            memory_mb=float(limits.get("memory-mb", 0)),
+            max_descriptors=int(limits.get("max-fds", 0)),
         )
     except (
         AttributeError,
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -21,6 +21,7 @@
 from catkintrail import relay as relays
 from catkintrail import relay_metrics
 from catkintrail import relay_settings
+from catkintrail.adapters import allocator
 from catkintrail.adapters import bounded_http
 from catkintrail.adapters import caller_watch
 from catkintrail.adapters import clock
@@ -184,6 +185,8 @@
             self.relay.handle,
             self.watch,
             clock.boot_seconds,
+            settings.memory_mb,
+            settings.max_descriptors,
         )
         self.http = bounded_http.make_pool_manager(MAX_PEER_POOLS)
         self._stop_request = stop_request.StopRequest()
@@ -361,6 +364,9 @@
                 self._applied_version = state.configuration.version
                 self._services = state.configuration.services
                 self.callers.apply_limits(state.configuration.limits)
+                self.callers.organisations = (
+                    state.configuration.organisations or {}
+                )
         self.connector.peers = status.peers
         instances = len(status.peers) + 1
         self.client.connection_shares = {
@@ -454,6 +460,8 @@
         self._evacuation_gauges.update(
             self.router.notices.evacuations, clock.boot_seconds()
         )
+        for name, labels, value in self.callers.read_figures():
+            self.metrics.set(name, float(value), labels)
         body, headers = self.metrics.render(
             gauges, self.router.retry_usage(), request.headers.get("accept", "")
         )
@@ -475,6 +483,7 @@
     path = boot.settings_path()
     settings_text = boot.read_text(path)
     settings = boot.parse_settings(settings_text, path)
+    allocator.limit_retention()
     threading.stack_size(THREAD_STACK_BYTES)
     log_handler, listener = logs.configure_queued(
         "info", settings.name, settings.availability_zone
--- a/catkintrail/relay_settings.py
+++ b/catkintrail/relay_settings.py
@@ -33,6 +33,8 @@
         memory_free_seconds: Time within which memory that no request uses any
             more has to be free again.
         cores: Processing power of the machine, in cores.
+        memory_mb: Memory of the machine, in MiB; 0 if unknown.
+        max_descriptors: Descriptors that the process may have; 0 if unknown.
         zone_count: Number of availability zones of the deployment; 0 if
             unknown.
         evacuation_seconds: Time within which an evacuated zone's targets get
@@ -63,3 +65,5 @@
     evacuation_seconds: float = 0.0
     limits_cold_targets: bool = False
     regions: zone_regions.ZoneRegions = zone_regions.ZoneRegions()
+    memory_mb: float = 0.0
+    max_descriptors: int = 0
