A coordinator places a request at many plain targets in less time

Cause: the learned speed doubled the time of a placement at 100 plain targets, from 253 to 602 us of processor time.

Change: trials look at the targets known to be slow only, an estimate is read once for a target, and a request younger than the last overdue time is not looked at further.

--- a/catkintrail/core/target_choice.py
+++ b/catkintrail/core/target_choice.py
@@ -183,7 +183,12 @@
         """Returns a slow target that the request is to measure again."""
         if query.tried:
             return None
-        idle = {t.name: t for t in candidates if not self.load.at(t.name)}
+        slow = self.health.speeds.slow_targets(query.service)
+        idle = {
+            target.name: target
+            for target in candidates
+            if target.name in slow and not self.load.at(target.name)
+        }
         left_ms = query.goal_ms - query.elapsed_ms
         name = self.health.speeds.choose_trial(
             query.service, idle.keys(), left_ms, now
--- a/catkintrail/core/target_speed/peer_times.py
+++ b/catkintrail/core/target_speed/peer_times.py
@@ -186,11 +186,13 @@
 
     Attributes:
         curves: Averages of each target.
+        slow: Names of the targets that were last found to be slow.
         spread: Mean absolute deviation of the logarithm of single times.
     """
 
     def __init__(self, fixed_reference: float | None = None) -> None:
         self.curves: dict[str, _Curve] = {}
+        self.slow: set[str] = set()
         self.spread = FIRST_SPREAD
         self._fixed_reference = fixed_reference
         self._recent: collections.deque[tuple[str, float]] = collections.deque(
@@ -198,6 +200,7 @@
         )
         self._reference: float | None = None
         self._computed_at = -math.inf
+        self._late_ms = 0.0
 
     def record(
         self,
@@ -252,6 +255,10 @@
         if now - curve.computed_at > CACHE_SECONDS:
             curve.estimate = self._compute(curve, now)
             curve.computed_at = now
+            if curve.estimate.slowness > 1.0:
+                self.slow.add(target)
+            else:
+                self.slow.discard(target)
         return curve.estimate
 
     def typical_ms(self, now: float) -> float | None:
@@ -273,6 +280,9 @@
         Returns:
             The least ratio to the normal time; 1 if nothing is overdue.
         """
+        # An earlier normal time is enough to tell that nothing is overdue.
+        if (now - placed_at) * 1000.0 <= self._late_ms:
+            return 1.0
         typical_ms = self.typical_ms(now)
         if typical_ms is None:
             return 1.0
@@ -282,6 +292,7 @@
         age_ms = (now - max(placed_at, heard_at)) * 1000.0
         slowness = self.estimate(target, now).slowness
         late_ms = typical_ms * math.exp(OVERDUE_DEVIATIONS * deviation)
+        self._late_ms = late_ms
         if age_ms <= late_ms * slowness:
             return 1.0
         return min(MAX_SLOWNESS, age_ms / typical_ms)
@@ -289,6 +300,7 @@
     def forget(self, target: str) -> None:
         """Removes what is known of a target."""
         self.curves.pop(target, None)
+        self.slow.discard(target)
 
     def _standard_deviation(self) -> float:
         return max(MIN_SPREAD, self.spread * STANDARD_PER_MEAN_DEVIATION)
--- a/catkintrail/core/target_speed/target_speeds.py
+++ b/catkintrail/core/target_speed/target_speeds.py
@@ -146,13 +146,20 @@
 
     def slowness_with(self, target: str, requests: int, now: float) -> float:
         """Returns the slowness of a target with a number of requests."""
-        slowness = self.slowness(target, now)
-        estimates = (
-            self._strains.estimate(target, now),
-            self._run_time_estimate(target, now),
-        )
-        strains = [e.strain for e in estimates if requests > e.comfortable]
-        return slowness * max(strains, default=1.0)
+        run_times = self._run_time_estimate(target, now)
+        strains = self._strains.estimate(target, now)
+        slowness = self.first_tokens.slowness(target, now)
+        slowness = max(slowness, run_times.slowness)
+        if requests > run_times.comfortable:
+            slowness *= run_times.strain
+        elif requests > strains.comfortable:
+            slowness *= strains.strain
+        return slowness
+
+    def slow_targets(self, service: str) -> Collection[str]:
+        """Returns the names of the slow targets of a plain service."""
+        times = self._services.get(service)
+        return times.slow if times is not None else ()
 
     def overdue_ratio(
         self, target: target_records.Target, placed_at: float, now: float
