--- a/catkintrail/core/target_speed/peer_times.py
+++ b/catkintrail/core/target_speed/peer_times.py
@@ -9,7 +9,7 @@
 import math
 from typing import NamedTuple, Sequence
 
-__all__ = ["Estimate", "PeerTimes", "UNKNOWN"]
+__all__ = ["Estimate", "PeerTimes", "UNKNOWN", "normal"]
 
 # Times at a target are kept apart by its number of requests, in this many
 # equal bands up to its slots.
@@ -53,8 +53,8 @@
 FADE_SECONDS = 20.0
 # The number of requests that a target handles well rises again from the first
 # time after the last slow measurement above it, over the second.
-STRAIN_HOLD_SECONDS = 2.0
-STRAIN_FADE_SECONDS = 6.0
+STRAIN_HOLD_SECONDS = 4.0
+STRAIN_FADE_SECONDS = 12.0
 # How long a computed estimate or reference is used.
 CACHE_SECONDS = 0.2
 # The slower targets must not count as the normal ones if they are half.
@@ -75,6 +75,7 @@
             least 1.
         measured_at: Time of the last measurement, in seconds.
         slow_ms: The average time that the slowness rests on.
+        is_recovering: Whether the last time was a normal one.
     """
 
     slowness: float
@@ -82,9 +83,10 @@
     strain: float
     measured_at: float
     slow_ms: float
+    is_recovering: bool
 
 
-UNKNOWN = Estimate(1.0, math.inf, 1.0, -math.inf, 0.0)
+UNKNOWN = Estimate(1.0, math.inf, 1.0, -math.inf, 0.0, False)
 
 
 class _Band(NamedTuple):
@@ -121,6 +123,7 @@
         ranks: For the last times, the newest at the end, the negative logarithm
             of the share of the peers' times that are longer.
         measured_at: Time of the last measurement, in seconds.
+        last_level: The last measurement.
         estimate: What was computed from these.
         computed_at: Time of that, in seconds.
     """
@@ -132,6 +135,7 @@
             maxlen=RANK_COUNTS[-1]
         )
         self.measured_at = -math.inf
+        self.last_level = -math.inf
         self.estimate = UNKNOWN
         self.computed_at = -math.inf
 
@@ -182,11 +186,13 @@
 
     Attributes:
         curves: Averages of each target.
+        slow: Names of the targets that were last found to be slow.
         spread: Mean absolute deviation of the logarithm of single times.
     """
 
     def __init__(self, fixed_reference: float | None = None) -> None:
         self.curves: dict[str, _Curve] = {}
+        self.slow: set[str] = set()
         self.spread = FIRST_SPREAD
         self._fixed_reference = fixed_reference
         self._recent: collections.deque[tuple[str, float]] = collections.deque(
@@ -194,6 +200,7 @@
         )
         self._reference: float | None = None
         self._computed_at = -math.inf
+        self._late_ms = 0.0
 
     def record(
         self,
@@ -237,6 +244,7 @@
             band = band.add(level, now)
         curve.bands[index] = band
         curve.measured_at = now
+        curve.last_level = level
         curve.computed_at = -math.inf
 
     def estimate(self, target: str, now: float) -> Estimate:
@@ -247,6 +255,10 @@
         if now - curve.computed_at > CACHE_SECONDS:
             curve.estimate = self._compute(curve, now)
             curve.computed_at = now
+            if curve.estimate.slowness > 1.0:
+                self.slow.add(target)
+            else:
+                self.slow.discard(target)
         return curve.estimate
 
     def typical_ms(self, now: float) -> float | None:
@@ -268,6 +280,9 @@
         Returns:
             The least ratio to the normal time; 1 if nothing is overdue.
         """
+        # An earlier normal time is enough to tell that nothing is overdue.
+        if (now - placed_at) * 1000.0 <= self._late_ms:
+            return 1.0
         typical_ms = self.typical_ms(now)
         if typical_ms is None:
             return 1.0
@@ -277,6 +292,7 @@
         age_ms = (now - max(placed_at, heard_at)) * 1000.0
         slowness = self.estimate(target, now).slowness
         late_ms = typical_ms * math.exp(OVERDUE_DEVIATIONS * deviation)
+        self._late_ms = late_ms
         if age_ms <= late_ms * slowness:
             return 1.0
         return min(MAX_SLOWNESS, age_ms / typical_ms)
@@ -284,6 +300,7 @@
     def forget(self, target: str) -> None:
         """Removes what is known of a target."""
         self.curves.pop(target, None)
+        self.slow.discard(target)
 
     def _standard_deviation(self) -> float:
         return max(MIN_SPREAD, self.spread * STANDARD_PER_MEAN_DEVIATION)
@@ -293,11 +310,8 @@
             return self._fixed_reference
         if now - self._computed_at > CACHE_SECONDS:
             bases = (curve.base(now) for curve in self.curves.values())
-            levels = sorted(base[0].level for base in bases if base)
-            self._reference = None
-            if levels:
-                index = int((len(levels) - 1) * REFERENCE_SHARE)
-                self._reference = levels[index]
+            levels = [base[0].level for base in bases if base]
+            self._reference = normal(levels) if levels else None
             self._computed_at = now
         return self._reference
 
@@ -335,6 +349,7 @@
             strain,
             curve.measured_at,
             math.exp(base.level),
+            curve.last_level - reference < math.log(MIN_SLOWNESS),
         )
 
     def _find_strain(
@@ -361,6 +376,13 @@
         return float(curve.slots), 1.0
 
 
+def normal(values: Sequence[float]) -> float:
+    """Returns the value of the faster targets; 1 without any."""
+    if not values:
+        return 1.0
+    return sorted(values)[int((len(values) - 1) * REFERENCE_SHARE)]
+
+
 def _is_unlikely(ranks: Sequence[float]) -> bool:
     """Returns whether some last ranks are unlikely to be so high by chance."""
     ranks = tuple(ranks)
