Coordinators of several zones do not fill the same engine in a burst

Change: streams gather on engines of other zones only from a zone without engines, and only up to half of the slots.

--- a/catkintrail/core/engine_placement.py
+++ b/catkintrail/core/engine_placement.py
@@ -180,16 +180,22 @@
     pass_prefill_ms = engine_cost.max_prefill_per_pass_ms(
         figures, demand.prompt_tokens
     )
-    required_tokens = demand.prompt_tokens + demand.output_tokens
     usable_tokens = engine_memory.usable_tokens(figures)
     weight = engine_cost.request_weight(figures, demand.prompt_tokens)
     stream_pass_ms = engine_cost.decode_pass_ms(
         figures, 1, demand.prompt_tokens
     )
     goals = {kind.gap_goal_ms: kind.goal_ms for kind in expected}
+    has_local_engines = any(engine.is_local for engine in engines)
     costs = {
         engine.target.name: placement_cost.EngineCosts(
-            engine, demand, weight, stream_pass_ms, goals, now
+            engine,
+            demand,
+            weight,
+            stream_pass_ms,
+            goals,
+            now,
+            has_local_engines,
         )
         for engine in engines
     }
@@ -207,7 +213,10 @@
         part_pass_ms = min(part_ms, pass_prefill_ms)
         for group in _candidate_groups(engines, parts):
             holders = engine_memory.find_holders(
-                group, required_tokens, usable_tokens, parts
+                group,
+                demand.prompt_tokens + demand.output_tokens,
+                usable_tokens,
+                parts,
             )
             if not holders:
                 continue
