--- a/catkintrail/core/scheduling/placement_cost.py
+++ b/catkintrail/core/scheduling/placement_cost.py
@@ -106,19 +106,26 @@
     return LATE_COST if demand.gap_goal_ms and is_late else 0.0
 
 
-def opening_cost(engine: engine_state.EngineState) -> float:
+def opening_cost(
+    engine: engine_state.EngineState, has_local_engines: bool
+) -> float:
     """Returns the cost of another stream on an engine.
 
-    Streams are not gathered on slow engines, and less on engines of other
-    zones, whose coordinators may fill the same slots at the same time. Requests
+    Streams are not gathered on slow engines. On engines of other zones, whose
+    coordinators may fill the same slots at the same time, they are gathered
+    less, only up to half of the slots, and only if this zone has none. Requests
     without a first token do not count, because several prompts that start
     together on an engine would delay each other.
     """
     slow_share = 1.0 - 1.0 / engine.slowness
     used_share = 0.0
-    if not engine.queued_requests and not engine.is_suspect:
+    slots = max(1, engine.target.slots)
+    has_room = engine.is_local or (
+        not has_local_engines and 2 * len(engine.attempts) <= slots
+    )
+    if has_room and not engine.queued_requests and not engine.is_suspect:
         streams = sum(attempt.is_decoding for attempt in engine.attempts)
-        used_share = streams / max(1, engine.target.slots)
+        used_share = streams / slots
         if not engine.is_local:
             used_share *= OTHER_ZONE_GATHERING_SHARE
     return FIRST_STREAM_COST * (slow_share + max(0.0, 1.0 - used_share))
@@ -163,6 +170,7 @@
         stream_pass_ms: float,
         goals: Mapping[float, float],
         now: float,
+        has_local_engines: bool,
     ) -> None:
         """Initializes the costs.
 
@@ -173,12 +181,13 @@
             stream_pass_ms: Duration of a pass that decodes only this request.
             goals: Goal for the time to the first event, by the goal for gaps.
             now: Time in seconds.
+            has_local_engines: Whether engines of the own zone are compared.
         """
         self.engine = engine
         self._demand = demand
         self._weight = weight
         self._usage = usage_cost(engine)
-        self._opening = opening_cost(engine)
+        self._opening = opening_cost(engine, has_local_engines)
         self._opening += weight * own_gap_cost(engine, stream_pass_ms, demand)
         self._suspicion = weight * suspicion_cost(engine)
         self._wait_ms = engine.first_token_ms(0.0)
