Half requests and half TLS handshakes no longer stop internal ports or entries

Cause: the internal, metrics and readiness ports and the product's own interface read with cheroot's line reader: half a head held one of their one to four threads, half a TLS handshake held the port, and the line before a chunk was read into memory without end.

Change: adapters/wsgi uses the same connections as the callers' port; the handshake is part of the first reads. adapters/caller_guard holds what the limits of all servers share. Datagrams that are no messages are logged at a bounded rate. A body over the limit is refused without being read, as before.

--- a/catkintrail/adapters/caller_connections.py
+++ b/catkintrail/adapters/caller_connections.py
@@ -9,6 +9,7 @@
 import logging
 import select
 import socket
+import ssl
 import time
 from typing import Any
 
@@ -21,6 +22,8 @@
 
 _LOG = logging.getLogger("catkintrail.callers")
 
+# A TLS handshake is a part of the first reads.
+WOULD_BLOCK = (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError)
 READ_BYTES = 64 << 10
 # One turn of a thread at a connection: reads, and processor time for parsing.
 TURN_READS = 16
@@ -75,7 +78,7 @@
         while view:
             try:
                 sent = connection.socket.send(view)
-            except BlockingIOError:
+            except WOULD_BLOCK:
                 connection.await_reader()
                 continue
             self.bytes_written += sent
@@ -180,7 +183,7 @@
         except ConnectionError:
             pass
         except OSError as error:
-            self.server.error_log(f"socket error {error}")
+            self._owner.record_fault(str(error))
         return False
 
     def await_reader(self) -> None:
@@ -235,7 +238,7 @@
             for _ in range(TURN_READS):
                 try:
                     data = self.socket.recv(READ_BYTES)
-                except BlockingIOError:
+                except WOULD_BLOCK:
                     break
                 if not data:
                     self._end_early()
@@ -326,6 +329,10 @@
             )
         else:
             length = int(request.inheaders.get(b"Content-Length", 0))
+            if length > limits.max_body_bytes:
+                # The request is answered without its body.
+                length = 0
+                request.close_connection = True
             self._body = request_bodies.LengthBody(length)
         now = self.clock()
         seconds, sources = self._owner.describe_body(request, now)
@@ -342,7 +349,7 @@
             request.respond()
         except OSError as error:
             if not isinstance(error, ConnectionError):
-                self.server.error_log(f"socket error {error}")
+                self._owner.record_fault(str(error))
             return False
         except Exception as error:  # pylint: disable=broad-exception-caught
             self.server.error_log(repr(error), logging.ERROR, traceback=True)
@@ -352,7 +359,9 @@
         self._clear()
         self._owner.memory.release(self.held)
         self.last_used = self.clock()
-        self.has_more = bool(self._received)
+        # Decrypted bytes do not make a TLS socket readable.
+        pending = getattr(self.socket, "pending", None)
+        self.has_more = bool(self._received or (pending and pending()))
         if self._received:
             self._begin_head(self.last_used)
         return not request.close_connection
@@ -404,7 +413,7 @@
         """Answers a request of which nothing has run; does not wait."""
         data = self._owner.make_refusal(self._request, status, reason)
         with contextlib.suppress(OSError):
-            self.socket.send(data, socket.MSG_DONTWAIT)
+            self.socket.send(data)
 
 
 def _find_head_end(data: bytearray, start: int) -> int:
--- a/catkintrail/adapters/datagrams.py
+++ b/catkintrail/adapters/datagrams.py
@@ -3,10 +3,12 @@
 import logging
 import socket
 import threading
+import time
 from typing import Callable
 
 from catkintrail import errors
 from catkintrail import messages
+from catkintrail.adapters import log_limits
 
 __all__ = ["DatagramTransport"]
 
@@ -45,6 +47,8 @@
                 f"cannot bind UDP port {port} for peers: {error}"
             ) from error
         self._socket.settimeout(RECEIVE_POLL_SECONDS)
+        # Anyone can send datagrams that are no messages.
+        self._limited_log = log_limits.LimitedLog(_LOG, time.monotonic)
 
     def start(self) -> None:
         """Starts the thread that receives messages."""
@@ -97,4 +101,4 @@
 
     def _record_drop(self, cause: str, reason: str) -> None:
         self.dropped += 1
-        _LOG.info("datagram_dropped", extra={"cause": cause, "reason": reason})
+        self._limited_log.info("datagram_dropped", cause=cause, reason=reason)
--- a/catkintrail/adapters/wsgi.py
+++ b/catkintrail/adapters/wsgi.py
@@ -1,19 +1,28 @@
 """Helpers for WSGI applications and the cheroot server."""
 
 import http
+import io
 import logging
+import socket
 import ssl
+import time
 from typing import Any, Callable, Iterable, Iterator, NamedTuple
 import urllib.parse
 
+from cheroot import server as cheroot_server
 from cheroot import wsgi
 from cheroot.ssl import builtin
 import msgspec
 
 from catkintrail import errors
+from catkintrail.adapters import caller_connections
+from catkintrail.adapters import caller_guard
+from catkintrail.adapters import caller_server
+from catkintrail.core import route_table
 
 __all__ = [
     "Application",
+    "INTERNAL_CONNECTIONS",
     "Request",
     "Response",
     "json_response",
@@ -27,6 +36,21 @@
 MAX_HEADER_BYTES = 32 << 10
 MAX_JSON_DEPTH = 64
 LISTEN_BACKLOG = 256
+# The budget of a port for bodies, and its least size.
+BUDGET_BODIES = 16
+MIN_BUDGET_BYTES = 4 << 20
+MAX_BODY_SECONDS = 60.0
+MAX_CONNECTIONS = 4_096
+# For ports that only peers, operators and balancers use.
+INTERNAL_CONNECTIONS = 128
+DEFAULT_BODY_BYTES = 16 << 20
+
+_REFUSAL_TYPES = {
+    413: "too_large",
+    431: "too_large",
+    429: "overloaded",
+    503: "overloaded",
+}
 
 
 class Request(NamedTuple):
@@ -131,6 +155,8 @@
     timeout_seconds: float,
     certificate: str = "",
     private_key: str = "",
+    max_body_bytes: int = DEFAULT_BODY_BYTES,
+    max_connections: int = MAX_CONNECTIONS,
 ) -> wsgi.Server:
     """Creates a server that has bound its port but does not serve yet.
 
@@ -142,11 +168,13 @@
         timeout_seconds: Socket timeout of connections.
         certificate: Path of the TLS certificate; "" serves plain HTTP.
         private_key: Path of the certificate's key.
+        max_body_bytes: Maximum size of a request body.
+        max_connections: Maximum number of connections.
 
     Raises:
         errors.StartError: The port or the certificate cannot be used.
     """
-    server = wsgi.Server(
+    server = _Server(
         (address, port),
         application,
         numthreads=threads,
@@ -154,14 +182,16 @@
         request_queue_size=LISTEN_BACKLOG,
         timeout=timeout_seconds,
     )
+    server.caller_server = _Guard(
+        max_body_bytes, max_connections, timeout_seconds
+    )
     server.max_request_header_size = MAX_HEADER_BYTES
+    server.max_request_body_size = 0
     server.error_log = _log_error
     server.shutdown_timeout = 1
     if certificate:
         try:
-            server.ssl_adapter = builtin.BuiltinSSLAdapter(
-                certificate, private_key
-            )
+            server.ssl_adapter = _TlsAdapter(certificate, private_key)
         except (OSError, ssl.SSLError) as error:
             raise errors.StartError(
                 f"cannot use certificate {certificate!r} with key"
@@ -191,6 +221,76 @@
     pass
 
 
+class _TlsAdapter(builtin.BuiltinSSLAdapter):
+    """Leaves the handshake to the reads, so that it cannot hold the port."""
+
+    def wrap(self, sock: socket.socket) -> tuple[ssl.SSLSocket, dict]:
+        """Returns a TLS socket, and nothing for the environment."""
+        connection = self.context.wrap_socket(
+            sock, server_side=True, do_handshake_on_connect=False
+        )
+        return connection, {}
+
+
+class _HttpRequest(cheroot_server.HTTPRequest):
+    """A request whose body the connection has read."""
+
+    def respond(self) -> None:
+        """Serves the request."""
+        # pylint: disable-next=attribute-defined-outside-init
+        self.rfile = io.BytesIO(self.conn.take_body())
+        self.server.gateway(self).respond()
+        if self.ready:
+            self.ensure_headers_sent()
+        if self.chunked_write:
+            self.conn.wfile.write(b"0\r\n\r\n")
+
+
+class _Connection(caller_connections.CallerConnection):
+    RequestHandlerClass = _HttpRequest
+
+
+class _Server(caller_server.Server, wsgi.Server):
+    ConnectionClass = _Connection
+    caller_server: "_Guard"
+
+
+class _Guard(caller_guard.CallerGuard):
+    """The limits of one port."""
+
+    def __init__(
+        self, max_body_bytes: int, connections: int, timeout_seconds: float
+    ) -> None:
+        timeout_ms = int(timeout_seconds * 1000)
+        limits = route_table.CallerLimits(
+            MAX_HEADER_BYTES, max_body_bytes, timeout_ms, timeout_ms
+        )
+        budget = max(MIN_BUDGET_BYTES, BUDGET_BODIES * max_body_bytes)
+        super().__init__(limits, time.monotonic, budget, connections)
+
+    def describe_body(
+        self, request: _HttpRequest, unused_now: float
+    ) -> tuple[float, tuple[str, ...]]:
+        """Returns how long a body may take, and to whom its bytes count."""
+        return MAX_BODY_SECONDS, (f"address {request.conn.remote_addr}",)
+
+    def make_refusal(
+        self, unused_request: Any, status: int, reason: str
+    ) -> bytes:
+        """Logs the refusal of a request that is not whole; returns it."""
+        self.record_refusal(status, reason, "")
+        retry = "Retry-After: 1\r\n" if status in (429, 503) else ""
+        kind = _REFUSAL_TYPES.get(status, "bad_request")
+        error = {"message": reason, "type": kind, "verdict": "not_run"}
+        body = msgspec.json.encode({"error": error}) + b"\n"
+        head = (
+            f"HTTP/1.1 {status} {_phrase(status)}\r\n{retry}"
+            "Content-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
+        return head.encode("latin-1") + body
+
+
 def _read_request(environ: dict, max_body_bytes: int) -> Request:
     length = environ.get("CONTENT_LENGTH") or "0"
     if not length.isdigit():
--- a/catkintrail/cli.py
+++ b/catkintrail/cli.py
@@ -491,6 +491,7 @@
         wsgi.make_application(handler, MAX_STANDIN_BODY_BYTES),
         STANDIN_SERVER_THREADS,
         60.0,
+        max_body_bytes=MAX_STANDIN_BODY_BYTES,
     )
     start()
     thread = threading.Thread(target=server.serve, daemon=True)
--- a/catkintrail/daemon.py
+++ b/catkintrail/daemon.py
@@ -93,6 +93,7 @@
             callers.read_timeout_seconds,
             callers.certificate,
             callers.private_key,
+            callers.max_body_bytes,
         )
         self._start_components()
         try:
--- a/catkintrail/platform/callers.py
+++ b/catkintrail/platform/callers.py
@@ -1,6 +1,5 @@
 """HTTP/1.1 server for callers, based on cheroot."""
 
-import collections
 import logging
 import select
 import sys
@@ -12,11 +11,9 @@
 
 from catkintrail import errors
 from catkintrail import verdict as verdicts
-from catkintrail.adapters import caller_connections
-from catkintrail.adapters import caller_memory
+from catkintrail.adapters import caller_guard
 from catkintrail.adapters import caller_server
 from catkintrail.adapters import caller_watch
-from catkintrail.adapters import log_limits
 from catkintrail.adapters import sockets
 from catkintrail.core import route_table
 from catkintrail.core.callers import byte_budget
@@ -37,10 +34,7 @@
 IDLE_MARGIN_SECONDS = 5.0
 # When no thread is free, callers that have not read for this long are cut off.
 READ_STALL_SECONDS = 1.0
-# Share of a core for bodies whose framing takes long to read.
-PACED_SHARE = 0.2
-# Such bodies are refused if they would have to wait longer for their next turn.
-MAX_PACED_SECONDS = 2.0
+
 # Retry-After of requests that are read while the server stops. Other instances
 # can take them at once.
 LATE_RETRY_SECONDS = 0.05
@@ -79,7 +73,7 @@
     ConnectionClass = caller_requests.Connection
 
 
-class CallerServer:
+class CallerServer(caller_guard.CallerGuard):
     """HTTP server that passes callers' requests to a handler.
 
     Each request occupies a thread. `threads` holds the initial and the maximum
@@ -92,13 +86,8 @@
             infinite if it does not. Requests whose deadlines are later are
             refused.
         in_flight: Number of requests being served.
-        limits: Limits on the size and duration of callers' requests.
-        organisations: The organisation that holds each API key.
-        clock: Returns the time in seconds.
-        max_connections: Maximum number of connections.
-        memory: The budget of bytes held for callers.
-        connections: The open connections.
-        refusals: Number of requests and connections refused, by cause.
+        organisations: The organisation that holds each API key; None if
+            requests need no key.
     """
 
     def __init__(
@@ -122,23 +111,20 @@
             memory_mb: Memory of the machine; 0 if unknown.
             max_descriptors: Descriptors of the process; 0 if unknown.
         """
+        connections = byte_budget.connection_limit(max_descriptors)
+        super().__init__(
+            route_table.CallerLimits(),
+            clock,
+            byte_budget.budget_bytes(memory_mb, connections),
+            connections,
+        )
         host, _, port = address.rpartition(":")
         self.is_draining = False
         self.ends_at = float("inf")
         self.in_flight = 0
         self._handler = handler
         self._watch = watch
-        self.limits = route_table.CallerLimits()
-        self.organisations: dict[str, route_table.Organisation] = {}
-        self.clock = clock
-        self.max_connections = byte_budget.connection_limit(max_descriptors)
-        self.memory = caller_memory.CallerMemory(
-            byte_budget.budget_bytes(memory_mb, self.max_connections), clock
-        )
-        self.connections: set[caller_connections.CallerConnection] = set()
-        self.refusals: collections.Counter[str] = collections.Counter()
-        self._limited_log = log_limits.LimitedLog(_LOG, clock)
-        self._paced_until = 0.0
+        self.organisations: dict[str, route_table.Organisation] | None = None
         self._lock = threading.Lock()
         # By the identifier of the thread.
         self._served: dict[int, _ServedRequest] = {}
@@ -227,38 +213,6 @@
             limits.idle_timeout_ms / 1000.0 + IDLE_MARGIN_SECONDS
         )
 
-    @property
-    def is_full(self) -> bool:
-        """Whether a further connection takes the place of another."""
-        return len(self.connections) >= self.max_connections
-
-    @property
-    def is_overfull(self) -> bool:
-        """Whether there are more connections than may be."""
-        return len(self.connections) > self.max_connections
-
-    def read_figures(self) -> list[tuple[str, dict[str, str], int]]:
-        """Returns name, labels and value of metrics."""
-        budget = self.memory.budget
-        return [
-            ("catkintrail_caller_connections", {}, len(self.connections)),
-            ("catkintrail_caller_bytes", {}, budget.used),
-            ("catkintrail_caller_bytes_allowed", {}, budget.total),
-        ] + [
-            ("catkintrail_callers_refused", {"cause": cause}, count)
-            for cause, count in list(self.refusals.items())
-        ]
-
-    def add_connection(self, conn: caller_connections.CallerConnection) -> None:
-        """Counts a connection."""
-        self.connections.add(conn)
-
-    def remove_connection(
-        self, conn: caller_connections.CallerConnection
-    ) -> None:
-        """Forgets a connection; may be called again."""
-        self.connections.discard(conn)
-
     def describe_body(
         self, request: caller_requests.Request, now: float
     ) -> tuple[float, tuple[str, ...]]:
@@ -280,7 +234,7 @@
         key = wire.decode_api_key(
             caller_requests.get_header(request, wire.AUTHORIZATION)
         )
-        organisation = self.organisations.get(key)
+        organisation = (self.organisations or {}).get(key)
         name = organisation.name if organisation else ""
         sources = (
             f"address {request.conn.remote_addr}",
@@ -288,25 +242,6 @@
         )
         return request.deadline_ms / 1000.0, sources
 
-    def reserve_time(self, now: float, seconds: float) -> float:
-        """Returns when a body whose framing takes long to read goes on.
-
-        Args:
-            now: Time in seconds.
-            seconds: Processor time of its last turn.
-
-        Raises:
-            caller_connections.Rejection: Too many such bodies wait.
-        """
-        with self._lock:
-            until = max(self._paced_until, now) + seconds / PACED_SHARE
-            if until - now > MAX_PACED_SECONDS:
-                raise caller_connections.Rejection(
-                    429, "reading the chunks takes too long"
-                )
-            self._paced_until = until
-            return until
-
     def make_refusal(
         self, request: caller_requests.Request | None, status: int, reason: str
     ) -> bytes:
@@ -319,21 +254,6 @@
         self.record_refusal(status, reason, request_id)
         return caller_requests.make_refusal(status, request_id)
 
-    def record_refusal(self, status: int, reason: str, request_id: str) -> None:
-        """Counts and logs a request that was refused before it was whole."""
-        self.refusals[str(status)] += 1
-        self._limited_log.info(
-            "request_malformed",
-            request_id=request_id,
-            status=status,
-            reason=reason,
-        )
-
-    def record_displaced(self, reason: str) -> None:
-        """Counts and logs a connection that was closed to serve others."""
-        self.refusals[reason] += 1
-        self._limited_log.info("caller_displaced", reason=reason)
-
     def serve_request(self, request: caller_requests.Request) -> None:
         """Serves one request whose body has been read."""
         with self._lock:
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -333,9 +333,7 @@
                 self._applied_version = state.configuration.version
                 self._services = state.configuration.services
                 self.callers.apply_limits(state.configuration.limits)
-                self.callers.organisations = (
-                    state.configuration.organisations or {}
-                )
+                self.callers.organisations = state.configuration.organisations
         self.connector.peers = status.peers
         instances = len(status.peers) + 1
         self.client.connection_shares = {
@@ -493,6 +491,8 @@
         wsgi.make_application(application, 0),
         threads,
         CONNECTION_TIMEOUT_SECONDS,
+        max_body_bytes=0,
+        max_connections=wsgi.INTERNAL_CONNECTIONS,
     )
     threading.Thread(
         target=server.serve, name=f"serve-{port}", daemon=True
