--- a/catkintrail/adapters/wsgi.py
+++ b/catkintrail/adapters/wsgi.py
@@ -167,21 +167,6 @@
         ) from error
 
 
-class _Server(wsgi.Server):
-    """A server that may get a listening socket instead of opening a port."""
-
-    listener: socket.socket | None = None
-
-    def bind(
-        self, family: int, type: int, proto: int = 0
-    ) -> socket.socket:  # pylint: disable=redefined-builtin
-        if self.listener is None:
-            return super().bind(family, type, proto)
-        # pylint: disable-next=attribute-defined-outside-init
-        self.socket = self.listener
-        return self.listener
-
-
 def make_server(
     address: str,
     port: int,
@@ -190,9 +175,9 @@
     timeout_seconds: float,
     certificate: str = "",
     private_key: str = "",
-    listener: socket.socket | None = None,
     max_body_bytes: int = DEFAULT_BODY_BYTES,
     max_connections: int = MAX_CONNECTIONS,
+    listener: socket.socket | None = None,
 ) -> wsgi.Server:
     """Creates a server that has bound its port but does not serve yet.
 
@@ -204,9 +189,9 @@
         timeout_seconds: Socket timeout of connections.
         certificate: Path of the TLS certificate; "" serves plain HTTP.
         private_key: Path of the certificate's key.
-        listener: Socket that listens on the port already; None opens one.
         max_body_bytes: Maximum size of a request body.
         max_connections: Maximum number of connections.
+        listener: Socket that listens on the port already; None opens one.
 
     Raises:
         errors.StartError: The port or the certificate cannot be used.
@@ -289,8 +274,21 @@
 
 
 class _Server(caller_server.Server, wsgi.Server):
+    """A server that may get a listening socket instead of opening a port."""
+
     ConnectionClass = _Connection
     caller_server: "_Guard"
+    listener: socket.socket | None = None
+
+    def bind(
+        self, family: int, type: int, proto: int = 0
+    ) -> socket.socket:  # pylint: disable=redefined-builtin
+        """Opens the port, unless there is a listening socket."""
+        if self.listener is None:
+            return super().bind(family, type, proto)
+        # pylint: disable-next=attribute-defined-outside-init
+        self.socket = self.listener
+        return self.listener
 
 
 class _Guard(caller_guard.CallerGuard):
