--- a/catkintrail/evacuation_watcher.py
+++ b/catkintrail/evacuation_watcher.py
@@ -30,6 +30,8 @@
 # read waits longer, for a store that is slow.
 READ_TIMEOUTS_SECONDS = (0.5, 0.5, 1.5)
 CHECK_SECONDS = 0.25
+# How often the threads look whether reloaded settings ask for evacuations.
+INACTIVE_CHECK_SECONDS = 5.0
 # Pauses after failed calls, with jitter.
 MIN_PAUSE_SECONDS = 0.1
 MAX_PAUSE_SECONDS = 1.0
@@ -175,12 +177,17 @@
             return True
         with self._lock:
             self._missed = missed_changes.MissedChanges()
-        self._stop.wait(2.0 * CHECK_SECONDS)
+        self._stop.wait(2.0 * self._check_seconds())
         return False
 
+    def _check_seconds(self) -> float:
+        if self.router.notices.evacuations.is_active:
+            return CHECK_SECONDS
+        return INACTIVE_CHECK_SECONDS
+
     def _check(self) -> None:
         """Ends watches that miss changes which are known from elsewhere."""
-        while not self._stop.wait(CHECK_SECONDS):
+        while not self._stop.wait(self._check_seconds()):
             with self._lock:
                 is_lost = not self._is_ended and self._missed.is_call_lost(
                     self.clock()
