--- a/catkintrail/core/target_choice.py
+++ b/catkintrail/core/target_choice.py
@@ -24,6 +24,7 @@
 from catkintrail.core.scheduling import engine_memory
 from catkintrail.core.scheduling import stream_demand
 from catkintrail.core.zones import cold_targets
+from catkintrail.core.zones import target_filter
 
 __all__ = [
     "NOT_READY_RETRY_SECONDS",
@@ -48,9 +49,6 @@
 OTHER_ZONE_ENGINES = 8
 # Retry-After of requests for which no target is available.
 NO_TARGET_RETRY_SECONDS = 0.4
-# Retry-After while all targets are in evacuated zones. The end of an evacuation
-# is in force within some seconds.
-EVACUATED_RETRY_SECONDS = 2.0
 
 
 class TargetChooser:
@@ -106,40 +104,14 @@
                 "the targets are not known yet",
                 NOT_READY_RETRY_SECONDS,
             )
-        listed = list(
-            self.fleet_state.targets.by_service.get(query.service, {}).values()
+        listed, exclusion = target_filter.find_allowed(
+            self.fleet_state.targets.by_service.get(query.service, {}).values(),
+            query.allowed_regions,
+            self.fleet_state.settings.regions,
+            self.notices.evacuations,
         )
-        if query.allowed_regions is not None:
-            regions = self.fleet_state.settings.regions
-            listed = [
-                target
-                for target in listed
-                if regions.is_allowed(
-                    target.availability_zone, query.allowed_regions
-                )
-            ]
-            if not listed:
-                return self._decline(
-                    query,
-                    verdicts.Reason.NO_TARGET,
-                    "no target is in one of the allowed regions:"
-                    f" {', '.join(query.allowed_regions) or 'none'}",
-                    NO_TARGET_RETRY_SECONDS,
-                )
-        known_count = len(listed)
-        evacuations = self.notices.evacuations
-        listed = [
-            t
-            for t in listed
-            if not evacuations.is_evacuated(t.availability_zone)
-        ]
-        if known_count and not listed:
-            return self._decline(
-                query,
-                verdicts.Reason.NO_TARGET,
-                f"all {known_count} targets are in evacuated zones",
-                EVACUATED_RETRY_SECONDS,
-            )
+        if exclusion is not None:
+            return self._decline(query, verdicts.Reason.NO_TARGET, *exclusion)
         waits = [self.notices.wait_seconds(t, now) for t in listed]
         if listed and all(waits):
             return self._decline(
