Revert the placement costs for contention between callers

Cause: on deployments of 7 and 8 instances, long prompts that were divided over the fewest engines predicted to meet their goal came late.

--- a/catkintrail/core/engine_placement.py
+++ b/catkintrail/core/engine_placement.py
@@ -8,16 +8,13 @@
 tokens share engines.
 """
 
-from typing import NamedTuple, Sequence
+from typing import Callable, NamedTuple, Sequence
 
 from catkintrail.core import engine_cost
 from catkintrail.core import fleet_load
 from catkintrail.core import route_table
+from catkintrail.core import target_health
 from catkintrail.core import targets as target_records
-from catkintrail.core.scheduling import engine_memory
-from catkintrail.core.scheduling import engine_state
-from catkintrail.core.scheduling import placement_cost
-from catkintrail.core.scheduling import stream_demand
 
 __all__ = [
     "Choice",
@@ -31,17 +28,94 @@
 # Numbers of engines among which a prompt may be divided. The protocol allows 16
 # helpers.
 PART_COUNTS = (1, 2, 3, 4, 6, 8, 12, 16)
-# A prompt is not divided further if its first event is predicted within this
-# share of its goal. Predictions do not include prompts that arrive later.
-COMFORTABLE_GOAL_SHARE = 0.5
+# Cost of a late answer or a stream with too long an event gap, as a share of
+# the request's weight: the users' measure credits late answers with a quarter.
+LATE_COST = 0.75
+# A predicted event gap counts as too long above this share of the goal, because
+# predictions do not include network transit time.
+GAP_GOAL_SHARE = 0.85
+# Event gap at which callers of the shortest streams disconnect, as specified by
+# the platform.
+CALLER_TIMEOUT_GAP_MS = 2_000.0
+# The first event is planned for this share of its goal, because predictions do
+# not include network transit time.
+FIRST_TOKEN_GOAL_SHARE = 0.8
+# Cost of a delay as long as the goal, and less for shorter delays, so that the
+# sooner of two answers in time is preferred.
+WITHIN_GOAL_COST = 0.15
+# Cost, on top of `LATE_COST`, of each further delay as long as the goal.
+OVERDUE_COST_SLOPE = 0.25
+# Limit of the cost that grows with lateness: the remaining value of a late
+# answer.
+MAX_OVERDUE_COST = 0.5
+# Cost of each helper, relative to a request of mean length: transferring its
+# part disturbs the other requests of the engine.
+HELPER_COST = 0.02
+# Cost of the first stream on an engine: engines without streams are kept free
+# for long prompts, whose prefill would delay streams elsewhere.
+FIRST_STREAM_COST = 0.12
+# Cost of an engine in another availability zone, for traffic between zones.
+OTHER_ZONE_COST = 0.03
+# Cost of each request beyond the engine's slots, which waits for another
+# request to end.
+QUEUED_COST = 1.0
+# Share of an engine's KV cache that prompts and predicted outputs may fill.
+USABLE_KV_SHARE = 0.95
 # A first token counts as overdue this long after its predicted time. Reports
 # from other availability zones arrive later, because they are batched.
 OVERDUE_TOLERANCE_MS = 60.0
 OTHER_ZONE_OVERDUE_TOLERANCE_MS = 300.0
 OVERDUE_TOLERANCE_SHARE = 0.5
+# Cost of another request on a suspect engine before its next first token has
+# arrived.
+SUSPECT_COST = 0.5
+# Mean wait for the end of the running pass, as a share of a pass.
+MEAN_PASS_WAIT_SHARE = 0.5
 
-RequestDemand = engine_state.RequestDemand
-EngineState = engine_state.EngineState
+
+class RequestDemand(NamedTuple):
+    """The resources and response time that a request needs.
+
+    Attributes:
+        prompt_tokens: Length of the prompt.
+        output_tokens: Maximum number of output tokens.
+        goal_ms: Goal for the time from the request's arrival to its first
+            event.
+        elapsed_ms: Time since the request arrived.
+        gap_goal_ms: Goal for the longest gap between events; 0 for none.
+    """
+
+    prompt_tokens: int
+    output_tokens: int
+    goal_ms: float
+    elapsed_ms: float
+    gap_goal_ms: float = 0.0
+
+
+class EngineState(NamedTuple):
+    """An engine and its known load.
+
+    Attributes:
+        target: The engine.
+        attempts: Attempts in progress on the engine.
+        backlog_ms: Time until the queued prefills are done.
+        pass_ms: Duration of a decoding pass without prefills; 0 if no request
+            is being decoded.
+        kv_tokens: KV cache in use, in tokens.
+        slowness: Ratio of measured to predicted time; 1 if the engine is as
+            fast as published.
+        penalty: Cost of using the engine because of recent failures.
+        is_local: Whether the engine is in this instance's availability zone.
+    """
+
+    target: target_records.Target
+    attempts: Sequence[fleet_load.Attempt]
+    backlog_ms: float
+    pass_ms: float
+    kv_tokens: int
+    slowness: float
+    penalty: float
+    is_local: bool
 
 
 class Choice(NamedTuple):
@@ -85,21 +159,19 @@
         is_local: Whether the engine is in this instance's availability zone.
     """
     prefill_backlog_ms = 0.0
-    helper_backlog_ms = 0.0
     decoding_requests = 0
     context_tokens = 0
     kv_tokens = 0
     for attempt in attempts:
-        tokens = attempt.memory[attempt.targets.index(target.name)]
+        tokens = dict(zip(attempt.targets, attempt.memory))[target.name]
         kv_tokens += tokens
         if attempt.is_decoding:
             decoding_requests += 1
             context_tokens += tokens
         else:
-            left_ms = (attempt.prefill_end - now) * 1000.0
-            prefill_backlog_ms = max(prefill_backlog_ms, left_ms)
-            if attempt.targets[0] != target.name:
-                helper_backlog_ms = max(helper_backlog_ms, left_ms)
+            prefill_backlog_ms = max(
+                prefill_backlog_ms, (attempt.prefill_end - now) * 1000.0
+            )
     overdue_ms, overdue_ratio = _overdue(attempts, now, is_local)
     prefill_backlog_ms = max(prefill_backlog_ms, overdue_ms)
     slowness = max(slowness, overdue_ratio)
@@ -117,7 +189,6 @@
         slowness,
         penalty,
         is_local,
-        max(helper_backlog_ms, overdue_ms),
     )
 
 
@@ -160,8 +231,6 @@
     engines: Sequence[EngineState],
     figures: route_table.EngineFigures,
     max_parts: int = PART_COUNTS[-1],
-    expected: Sequence[stream_demand.ExpectedStreams] = (),
-    now: float = 0.0,
 ) -> Choice | None:
     """Chooses the engines with the lowest placement cost.
 
@@ -170,87 +239,47 @@
         engines: The candidate engines.
         figures: Published figures of the engines.
         max_parts: Maximum number of engines among which the prompt is divided.
-        expected: Streams that are expected to start on these engines.
-        now: Time in seconds.
 
     Returns:
         The choice; None if the engines do not have enough free memory.
     """
+    own_weight = engine_cost.request_weight(figures, demand.prompt_tokens)
     single_engine_ms = engine_cost.prefill_ms(figures, demand.prompt_tokens)
     pass_prefill_ms = engine_cost.max_prefill_per_pass_ms(
         figures, demand.prompt_tokens
     )
-    usable_tokens = engine_memory.usable_tokens(figures)
-    weight = engine_cost.request_weight(figures, demand.prompt_tokens)
     stream_pass_ms = engine_cost.decode_pass_ms(
         figures, 1, demand.prompt_tokens
     )
-    goals = {kind.gap_goal_ms: kind.goal_ms for kind in expected}
-    has_local_engines = any(engine.is_local for engine in engines)
-    costs = {
-        engine.target.name: placement_cost.EngineCosts(
-            engine,
-            demand,
-            weight,
-            stream_pass_ms,
-            goals,
-            now,
-            has_local_engines,
-        )
-        for engine in engines
-    }
-    # Small parts of some prompts harm no stream, so that they leave the engines
-    # without streams to longer prompts.
-    least_part_ms = single_engine_ms / PART_COUNTS[-1]
-    is_harmless_if_divided = not placement_cost.find_harmed(
-        figures, expected, least_part_ms, min(least_part_ms, pass_prefill_ms)
-    )
+    required_tokens = demand.prompt_tokens + demand.output_tokens
+    usable_tokens = int(figures.kv_tokens * USABLE_KV_SHARE)
     best: Choice | None = None
     for parts in PART_COUNTS:
         if parts > min(max_parts, len(engines)):
             break
         part_ms = single_engine_ms / parts
-        part_pass_ms = min(part_ms, pass_prefill_ms)
         for group in _candidate_groups(engines, parts):
-            holders = engine_memory.find_holders(
-                group,
-                demand.prompt_tokens + demand.output_tokens,
-                usable_tokens,
-                parts,
+            holders = _find_memory_holders(
+                group, required_tokens, usable_tokens, parts
             )
             if not holders:
                 continue
-            reservation = placement_cost.Reservation(
-                group,
-                figures,
-                expected,
-                part_ms,
-                part_pass_ms,
-                demand.gap_goal_ms,
-            )
-            division = _Division(
+            choice = _choose_parts(
                 demand,
-                weight,
+                holders,
+                group,
                 parts,
                 part_ms,
-                part_pass_ms,
-                costs,
-                reservation,
+                min(part_ms, pass_prefill_ms),
+                stream_pass_ms,
+                own_weight,
             )
-            choice = division.choose(holders, group)
             if best is None or choice.cost < best.cost:
                 best = choice
         # Smaller parts gain nothing once a part takes less time than the
-        # decoding steps of a pass, or once the goal is met with a margin and
-        # no other request delayed.
+        # decoding steps of a pass.
         if part_ms < figures.step_ms * figures.steps_per_pass:
             break
-        if (
-            best is not None
-            and not is_harmless_if_divided
-            and _is_comfortable(best, demand, weight)
-        ):
-            break
     return best
 
 
@@ -264,151 +293,77 @@
     Other engines could then only be slightly better.
     """
     weight = engine_cost.request_weight(figures, demand.prompt_tokens)
-    engine_cost_limit = (
-        placement_cost.FIRST_STREAM_COST
-        + placement_cost.HELPER_COST
-        + placement_cost.OTHER_ZONE_COST
-    )
+    engine_cost_limit = FIRST_STREAM_COST + HELPER_COST + OTHER_ZONE_COST
     return (
         choice.cost
-        <= min(1.0, weight) * placement_cost.WITHIN_GOAL_COST
-        + len(choice.engines) * engine_cost_limit
-    )
-
-
-def _is_comfortable(
-    choice: Choice, demand: RequestDemand, weight: float
-) -> bool:
-    """Returns whether a choice leaves time and delays no other request."""
-    first_ms = demand.elapsed_ms + choice.first_token_ms
-    return (
-        first_ms < demand.goal_ms * COMFORTABLE_GOAL_SHARE
-        and choice.cost
-        <= min(1.0, weight) * placement_cost.WITHIN_GOAL_COST
-        + len(choice.engines) * placement_cost.HELPER_COST
+        <= weight * WITHIN_GOAL_COST + len(choice.engines) * engine_cost_limit
     )
 
 
-class _Division:
-    """The division of a prompt into a number of parts."""
-
-    def __init__(
-        self,
-        demand: RequestDemand,
-        weight: float,
-        parts: int,
-        part_ms: float,
-        pass_prefill_ms: float,
-        costs: dict[str, placement_cost.EngineCosts],
-        reservation: placement_cost.Reservation,
-    ) -> None:
-        """Initializes the division.
-
-        Args:
-            demand: The demand of the request.
-            weight: Weight of the request.
-            parts: Number of parts.
-            part_ms: Prefill time of a part.
-            pass_prefill_ms: Longest prefill time of a part in one pass.
-            costs: Costs of a part on each engine, by name.
-            reservation: Costs to streams that will start meanwhile.
-        """
-        self._demand = demand
-        self._weight = weight
-        self._parts = parts
-        self._part_ms = part_ms
-        self._pass_prefill_ms = pass_prefill_ms
-        self._costs = costs
-        self._reservation = reservation
-
-    def choose(
-        self,
-        holders: engine_memory.MemoryHolders,
-        engines: Sequence[EngineState],
-    ) -> Choice:
-        """Returns the engines of a group with the lowest cost."""
-        cost, number = min(
-            (self._primary_cost(engine), number)
-            for number, engine in enumerate(holders.engines)
-        )
-        primary = holders.engines[number]
-        primary_delay_ms = self._costs[primary.target.name].first_token_ms(
-            self._part_ms
-        )
-        delay_ms = primary_delay_ms
-        chosen = [primary]
-        if self._parts > 1:
-            self._reservation.take(primary)
-            for helper_cost, engine in self._choose_helpers(
-                holders, engines, primary
-            ):
-                chosen.append(engine)
-                cost += helper_cost + placement_cost.HELPER_COST
-                ready_ms = self._costs[engine.target.name].helper_ready_ms(
-                    self._part_ms
-                )
-                delay_ms = max(delay_ms, ready_ms)
-            cost += self._delay_cost(delay_ms)
-            cost -= self._delay_cost(primary_delay_ms)
-        memory = [0] * len(chosen)
-        memory[: holders.count] = [holders.tokens] * holders.count
-        return Choice(
-            tuple(e.target for e in chosen), tuple(memory), delay_ms, cost
+def _choose_parts(
+    demand: RequestDemand,
+    holders: "_MemoryHolders",
+    engines: Sequence[EngineState],
+    parts: int,
+    part_ms: float,
+    pass_prefill_ms: float,
+    stream_pass_ms: float,
+    own_weight: float,
+) -> Choice:
+    interference = _interference_cost(part_ms, pass_prefill_ms)
+
+    def primary_cost(engine: EngineState) -> float:
+        delay_ms = _first_token_ms(engine, part_ms)
+        opening_cost = 0.0 if engine.pass_ms else FIRST_STREAM_COST
+        if parts > 1:
+            opening_cost += own_weight * _suspicion_cost(engine)
+        return (
+            own_weight * _delay_cost(delay_ms, demand)
+            + own_weight * _own_gap_cost(engine, stream_pass_ms, demand)
+            + interference(engine)
+            + opening_cost
+            + _usage_cost(engine)
         )
 
-    def _choose_helpers(
-        self,
-        holders: engine_memory.MemoryHolders,
-        engines: Sequence[EngineState],
-        primary: EngineState,
-    ) -> list[tuple[float, EngineState]]:
-        """Returns the helpers with their costs, holders of memory first."""
-        helpers: list[tuple[float, EngineState]] = []
-        costs = {}
-        delay_costs = {}
-        for engine in engines:
-            engine_costs = self._costs[engine.target.name]
-            costs[engine.target.name] = engine_costs.helper_cost(
-                self._part_ms, self._pass_prefill_ms
-            )
-            delay_costs[engine.target.name] = engine_costs.helper_delay_cost(
-                self._part_ms, self._parts
-            )
+    ranked = sorted(holders.engines, key=primary_cost)
+    primary = ranked[0]
+    primary_delay_ms = delay_ms = _first_token_ms(primary, part_ms)
+    cost = primary_cost(primary)
+    chosen = [primary]
+    if parts > 1:
 
-        def rank(engine: EngineState) -> float:
-            name = engine.target.name
+        def helper_cost(engine: EngineState) -> float:
+            ready_ms = _part_ready_ms(engine, part_ms)
             return (
-                costs[name] + delay_costs[name] + self._reservation.cost(engine)
+                own_weight * _delay_cost(ready_ms, demand) / parts
+                + own_weight * _suspicion_cost(engine)
+                + interference(engine)
+                + _usage_cost(engine)
             )
 
-        left = [engine for engine in engines if engine is not primary]
-        for candidates, count in (
-            (holders.engines, holders.count - 1),
-            (engines, self._parts - 1),
-        ):
-            eligible = {engine.target.name for engine in candidates}
-            is_stale = True
-            found: list[EngineState] = []
-            while len(helpers) < count:
-                # The costs of engines with usable slots grow with each one that
-                # is taken.
-                if is_stale:
-                    found = [e for e in left if e.target.name in eligible]
-                    found.sort(key=rank)
-                engine = found.pop(0)
-                left.remove(engine)
-                cost = costs[engine.target.name]
-                helpers.append((cost + self._reservation.cost(engine), engine))
-                is_stale = self._reservation.take(engine)
-        return helpers
-
-    def _delay_cost(self, delay_ms: float) -> float:
-        return placement_cost.delay_cost(delay_ms, self._demand, self._weight)
-
-    def _primary_cost(self, engine: EngineState) -> float:
-        return self._costs[engine.target.name].primary_cost(
-            self._part_ms, self._pass_prefill_ms, self._parts
-        ) + self._reservation.cost(engine)
+        memory_helpers = sorted(ranked[1:], key=helper_cost)[
+            : holders.count - 1
+        ]
+        other_helpers = [
+            e for e in engines if e is not primary and e not in memory_helpers
+        ]
+        other_helpers.sort(key=helper_cost)
+        helpers = (
+            memory_helpers + other_helpers[: parts - 1 - len(memory_helpers)]
+        )
+        chosen += helpers
+        for engine in helpers:
+            delay_ms = max(delay_ms, _part_ready_ms(engine, part_ms))
+            cost += interference(engine) + _usage_cost(engine) + HELPER_COST
+        cost += own_weight * (
+            _delay_cost(delay_ms, demand)
+            - _delay_cost(primary_delay_ms, demand)
+        )
+    memory = [0] * len(chosen)
+    memory[: holders.count] = [holders.tokens] * holders.count
+    return Choice(
+        tuple(e.target for e in chosen), tuple(memory), delay_ms, cost
+    )
 
 
 def _candidate_groups(
@@ -427,3 +382,144 @@
         zones.setdefault(engine.target.availability_zone, []).append(engine)
     groups = [zone for zone in zones.values() if len(zone) >= parts]
     return groups or [engines]
+
+
+class _MemoryHolders(NamedTuple):
+    """Engines that can keep a request's KV cache.
+
+    Attributes:
+        engines: Engines with enough free memory for a share.
+        count: Number of engines among which the KV cache is divided.
+        tokens: Tokens kept by each of them.
+    """
+
+    engines: list[EngineState]
+    count: int
+    tokens: int
+
+
+def _find_memory_holders(
+    engines: Sequence[EngineState],
+    required_tokens: int,
+    usable_tokens: int,
+    parts: int,
+) -> _MemoryHolders | None:
+    """Finds the smallest number of engines that can keep the KV cache.
+
+    Args:
+        engines: The candidate engines.
+        required_tokens: KV cache that the request needs.
+        usable_tokens: KV cache of each engine that may be filled.
+        parts: Maximum number of engines.
+
+    Returns:
+        The eligible engines; None if they do not have enough free memory.
+    """
+    for count in range(-(-required_tokens // usable_tokens), parts + 1):
+        tokens = -(-required_tokens // count)
+        eligible = [e for e in engines if e.kv_tokens + tokens <= usable_tokens]
+        if len(eligible) >= count:
+            return _MemoryHolders(eligible, count, tokens)
+    return None
+
+
+def _part_ready_ms(engine: EngineState, part_ms: float) -> float:
+    """Returns the time until a helper has prefilled its part."""
+    return part_ms * engine.slowness + engine.pass_ms + engine.backlog_ms
+
+
+def _queued_requests(engine: EngineState) -> int:
+    """Returns how many requests would wait for a slot after one more."""
+    return max(0, len(engine.attempts) + 1 - engine.target.slots)
+
+
+def _first_token_ms(engine: EngineState, part_ms: float) -> float:
+    slot_wait_ms = _queued_requests(engine) * engine.pass_ms * 4
+    pass_wait_ms = engine.pass_ms * (1 + MEAN_PASS_WAIT_SHARE)
+    return (
+        slot_wait_ms
+        + engine.backlog_ms
+        + part_ms * engine.slowness
+        + pass_wait_ms
+    )
+
+
+def _delay_cost(delay_ms: float, demand: RequestDemand) -> float:
+    """Returns the cost of a delay, as a share of the request's weight."""
+    share = (demand.elapsed_ms + delay_ms) / (
+        demand.goal_ms * FIRST_TOKEN_GOAL_SHARE
+    )
+    if share <= 1.0:
+        return WITHIN_GOAL_COST * share * share
+    lateness = min(1.0, (share - 1.0) * 4.0)
+    overdue_cost = min(MAX_OVERDUE_COST, OVERDUE_COST_SLOPE * (share - 1.0))
+    return WITHIN_GOAL_COST + LATE_COST * lateness + overdue_cost
+
+
+def _own_gap_cost(
+    engine: EngineState, stream_pass_ms: float, demand: RequestDemand
+) -> float:
+    """Returns the cost of too long event gaps, as a share of the weight."""
+    gap_ms = max(engine.pass_ms, stream_pass_ms * engine.slowness)
+    is_late = gap_ms > demand.gap_goal_ms * GAP_GOAL_SHARE
+    return LATE_COST if demand.gap_goal_ms and is_late else 0.0
+
+
+def _suspicion_cost(engine: EngineState) -> float:
+    """Returns the cost of a suspect engine, as a share of the weight.
+
+    All engines of a divided prompt wait for the slowest. Short prompts show
+    sooner and at less cost whether a suspect engine is fast again.
+    """
+    return LATE_COST if _is_suspect(engine) else 0.0
+
+
+def _is_suspect(engine: EngineState) -> bool:
+    return engine.slowness > target_health.SUSPECT_SLOWNESS
+
+
+def _usage_cost(engine: EngineState) -> float:
+    cost = engine.penalty + QUEUED_COST * _queued_requests(engine)
+    if _is_suspect(engine) and any(
+        not attempt.is_decoding for attempt in engine.attempts
+    ):
+        cost += SUSPECT_COST
+    if not engine.is_local:
+        cost += OTHER_ZONE_COST
+    return cost
+
+
+def _interference_cost(
+    part_ms: float, pass_prefill_ms: float
+) -> Callable[[EngineState], float]:
+    """Returns a function for the cost of a prefill to an engine's streams.
+
+    Args:
+        part_ms: Prefill time of the part.
+        pass_prefill_ms: Longest prefill time of the part in one pass.
+
+    Returns:
+        A function that returns the cost for the streams of an engine.
+    """
+
+    def interference(engine: EngineState) -> float:
+        cost = 0.0
+        for attempt in engine.attempts:
+            if not attempt.gap_goal_ms:
+                continue
+            gap_limit_ms = attempt.gap_goal_ms * GAP_GOAL_SHARE
+            gap_before_ms = engine.pass_ms + min(engine.backlog_ms, part_ms)
+            gap_after_ms = engine.pass_ms + pass_prefill_ms * engine.slowness
+            if attempt.is_decoding:
+                if gap_after_ms > CALLER_TIMEOUT_GAP_MS:
+                    cost += attempt.weight
+                elif gap_after_ms > gap_limit_ms:
+                    cost += attempt.weight * LATE_COST
+                elif gap_before_ms + pass_prefill_ms > gap_limit_ms:
+                    cost += attempt.weight * LATE_COST * 0.5
+            elif gap_after_ms > gap_limit_ms:
+                # The stream may start while this prompt is prefilled.
+                cost += attempt.weight * LATE_COST * 0.5
+        return cost
+
+    return interference
--- a/catkintrail/core/fleet_load.py
+++ b/catkintrail/core/fleet_load.py
@@ -76,27 +76,6 @@
             if memory or not attempt.is_decoding or not any(attempt.memory):
                 self.by_target.setdefault(target, {})[attempt.key] = attempt
 
-    def delay_prefills(self, target: str, key: str, seconds: float) -> None:
-        """Delays the prefills that wait at a target, except that of an attempt.
-
-        Args:
-            target: Name of the target.
-            key: Key of the attempt.
-            seconds: Duration by which they end later.
-        """
-        waiting = {
-            other.key
-            for other in self.at(target).values()
-            if not other.is_decoding and other.key != key
-        }
-        if not waiting:
-            return
-        for owner, attempts in self.by_owner.items():
-            for other_key in waiting & attempts.keys():
-                other = attempts[other_key]
-                end = other.prefill_end + seconds
-                self.put(owner, other._replace(prefill_end=end))
-
     def drop(self, owner: str, key: str) -> None:
         """Removes an attempt, if it is known."""
         attempt = self.by_owner.get(owner, {}).pop(key, None)
--- a/catkintrail/core/scheduling/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Decides which of competing requests get which share of the engines."""
--- a/catkintrail/core/target_choice.py
+++ b/catkintrail/core/target_choice.py
@@ -21,8 +21,6 @@
 from catkintrail.core import target_health
 from catkintrail.core import target_notices
 from catkintrail.core import targets as target_records
-from catkintrail.core.scheduling import engine_memory
-from catkintrail.core.scheduling import stream_demand
 from catkintrail.core.zones import cold_targets
 from catkintrail.core.zones import target_filter
 
@@ -44,7 +42,7 @@
 LATER_QUEUED_COST = 4.0
 OTHER_ZONE_COST = 0.12
 # Largest number of engines that are all compared for each request. With more,
-# those of the own zone come first, then at least this many of each other zone.
+# those of the own zone come first, then this many of each other zone.
 MAX_ENGINES_COMPARED = 48
 OTHER_ZONE_ENGINES = 8
 # Retry-After of requests for which no target is available.
@@ -62,7 +60,6 @@
         load: Attempts in progress.
         health: Failures and response times of targets.
         notices: What targets have stated of themselves.
-        demand: Arrivals of requests for engines.
     """
 
     def __init__(
@@ -81,7 +78,6 @@
         self.load = load
         self.health = health
         self.notices = notices
-        self.demand = stream_demand.StreamDemand()
 
     def answer_query(
         self, query: messages.PlacementQuery, now: float
@@ -248,37 +244,25 @@
             query.elapsed_ms,
             query.gap_goal_ms,
         )
-        trial = self._find_engine_trial(query, candidates, figures, now)
-        candidates = trial or candidates
+        candidates = (
+            self._find_engine_trial(query, candidates, figures, now)
+            or candidates
+        )
         choice = None
-        described: dict[str, engine_placement.EngineState] = {}
-        # Later sends of a request are no further demand. A trial compares one
-        # engine, which does not show how many streams there are.
-        is_recorded = bool(query.tried or trial)
         compared: list[target_records.Target] = []
         for compared in self._candidate_sets(candidates):
-            engines = self._describe_engines(compared, described, figures, now)
-            if not is_recorded:
-                self._record_demand(query, engines, figures, now)
-                is_recorded = True
+            engines = self._describe_engines(compared, figures, now)
             choice = self._choose_group(demand, engines, figures, now)
             if choice is not None and engine_placement.is_untroubled(
                 choice, demand, figures
             ):
                 break
         if choice is None:
-            wait_seconds = engine_memory.wait_seconds(
-                demand,
-                list(described.values()),
-                figures,
-                self.demand.durations(now),
-                now,
-            )
             return self._decline(
                 query,
                 verdicts.Reason.OVERLOADED,
                 "no engine has enough free memory",
-                max(wait_seconds or 0.0, NO_TARGET_RETRY_SECONDS),
+                NO_TARGET_RETRY_SECONDS,
             )
         answer = self._accept(
             query,
@@ -291,22 +275,6 @@
         self.record_attempt(query, answer, now)
         return answer
 
-    def _record_demand(
-        self,
-        query: messages.PlacementQuery,
-        engines: list[engine_placement.EngineState],
-        figures: route_table.EngineFigures,
-        now: float,
-    ) -> None:
-        running = stream_demand.count_streams(e for e in engines if e.is_local)
-        self.demand.record(
-            query.goal_ms,
-            query.gap_goal_ms,
-            engine_cost.request_weight(figures, query.prompt_tokens),
-            running.get(query.gap_goal_ms, 0),
-            now,
-        )
-
     def _find_engine_trial(
         self,
         query: messages.PlacementQuery,
@@ -338,20 +306,14 @@
         A part of a prompt counts as a request at its engine, and a group whose
         engines all need permits would seldom get them at the same time.
         """
-        expected = self.demand.expect(engines, now)
-        choice = engine_placement.choose(
-            demand, engines, figures, expected=expected, now=now
-        )
+        choice = engine_placement.choose(demand, engines, figures)
         if choice is None or len(choice.engines) == 1:
             return choice
         find_limit = self.notices.find_limit
         if all(find_limit(engine, now) is None for engine in choice.engines):
             return choice
         unlimited = [e for e in engines if find_limit(e.target, now) is None]
-        other_choice = engine_placement.choose(
-            demand, unlimited, figures, expected=expected, now=now
-        )
-        return other_choice or choice
+        return engine_placement.choose(demand, unlimited, figures) or choice
 
     def _candidate_sets(
         self, candidates: list[target_records.Target]
@@ -360,8 +322,7 @@
 
         Describing all engines of a large fleet takes longer than placing a
         short prompt may take, and a few engines of each other zone are enough
-        to find one with room. A zone without engines of its own compares more
-        of them, as streams gather on few engines only if most of them are seen.
+        to find one with room.
         """
         if len(candidates) <= MAX_ENGINES_COMPARED:
             yield candidates
@@ -372,46 +333,36 @@
         near = zones.pop(self.availability_zone, [])
         if near:
             yield near
-        room = (MAX_ENGINES_COMPARED - len(near)) // max(1, len(zones))
-        count = max(OTHER_ZONE_ENGINES, room)
         yield near + [
             target
             for _, others in sorted(zones.items())
-            for target in self.rng.sample(others, min(count, len(others)))
+            for target in self.rng.sample(
+                others, min(OTHER_ZONE_ENGINES, len(others))
+            )
         ]
 
     def _describe_engines(
         self,
         targets: list[target_records.Target],
-        described: dict[str, engine_placement.EngineState],
         figures: route_table.EngineFigures,
         now: float,
     ) -> list[engine_placement.EngineState]:
-        """Returns the states of engines, in random order.
-
-        Args:
-            targets: The engines.
-            described: States of engines by name, to which missing ones are
-                added.
-            figures: Published figures of the engines.
-            now: Time in seconds.
-        """
+        """Returns the states of engines, in random order."""
         zone = self.availability_zone
-        for target in targets:
-            if target.name not in described:
-                attempts = self.load.at(target.name)
-                described[target.name] = engine_placement.describe_engine(
-                    target,
-                    tuple(attempts.values()),
-                    figures,
-                    now,
-                    self.health.speeds.slowness_with(
-                        target.name, len(attempts) + 1, now
-                    ),
-                    self.health.penalty(target.name, now),
-                    target.availability_zone == zone,
-                )
-        engines = [described[target.name] for target in targets]
+        engines = [
+            engine_placement.describe_engine(
+                target,
+                tuple(self.load.at(target.name).values()),
+                figures,
+                now,
+                self.health.speeds.slowness_with(
+                    target.name, len(self.load.at(target.name)) + 1, now
+                ),
+                self.health.penalty(target.name, now),
+                target.availability_zone == zone,
+            )
+            for target in targets
+        ]
         self.rng.shuffle(engines)
         return engines
 
@@ -479,12 +430,6 @@
             now,
         )
         self.load.put(query.sender, attempt)
-        if figures is not None and len(attempt.targets) > 1:
-            # The parts precede the prompts that wait at the helpers.
-            prefill_ms = engine_cost.prefill_ms(figures, query.prompt_tokens)
-            part_seconds = prefill_ms / len(attempt.targets) / 1000.0
-            for helper in attempt.targets[1:]:
-                self.load.delay_prefills(helper, attempt.key, part_seconds)
 
     def _engine_figures(self, service: str) -> route_table.EngineFigures | None:
         table = self.fleet_state.configuration.table
--- a/tests/engine_fleet.py
+++ b/tests/engine_fleet.py
@@ -2,14 +2,11 @@
 
 An engine works in passes. A pass without streams is a single step. A pass with
 streams has `steps_per_pass` steps and ends with an event of each stream. Each
-step prefills at most one chunk of tokens. With `Limits`, an engine works on so
-many requests at once, queues some more and rejects what exceeds its queue or
-its memory.
+step prefills at most one chunk of tokens.
 """
 
 import heapq
 import itertools
-import math
 import random
 from typing import NamedTuple
 
@@ -94,45 +91,13 @@
         self.ms_per_token = cost_ms / max(1, tokens)
 
 
-class Limits(NamedTuple):
-    """What an engine accepts.
-
-    Attributes:
-        slots: Number of requests that it works on at once.
-        queue: Number of requests that may wait for a slot.
-        kv_tokens: Size of the KV cache, in tokens.
-    """
-
-    slots: float
-    queue: float
-    kv_tokens: float
-
-
-NO_LIMITS = Limits(math.inf, math.inf, math.inf)
-# Time until a rejected request is placed again.
-REJECTION_SECONDS = 0.002
-
-
-class Spot(NamedTuple):
-    """Where a request runs.
-
-    Attributes:
-        names: Names of the engine that answers and of its helpers.
-        memory: KV cache tokens that it keeps on each of them.
-    """
-
-    names: list
-    memory: tuple = ()
-
-
 class _Job:
     """A request in progress, with its times so far."""
 
-    def __init__(self, key, arrival, spot):
+    def __init__(self, key, arrival, parts):
         self.key = key
-        self.spot = spot
         self.arrival = arrival
-        self.parts_left = len(spot.names)
+        self.parts_left = parts
         self.first_at = 0.0
         self.last_at = 0.0
         self.max_gap = 0.0
@@ -166,9 +131,6 @@
         self.slowdown = slowdown
         self.parts = []
         self.streams = []
-        self.in_slots = 0
-        self.waiting = []
-        self.kv_tokens = 0
         self.is_busy = False
 
     def factor(self, now):
@@ -183,27 +145,14 @@
 
     Attributes:
         engines: The engines, by name.
-        place: Placement function; called with the key, arrival, time and names
-            of the engines tried before, returns a Spot, or None to refuse.
+        place: Placement function; called with the key, arrival and time of a
+            request, returns the names of its engines.
         on_first: Called with the key and time of each first token.
         on_end: Called with the key and time of each end of a request.
-        outcomes: Results of the requests that have ended; refused requests
-            have an infinite time to the first event.
-        rejections: Number of arrivals that engines rejected.
-        figures: Published figures of the engines.
-        limits: What each engine accepts.
+        outcomes: Results of the requests that have ended.
     """
 
-    def __init__(
-        self,
-        names,
-        place,
-        on_first,
-        on_end,
-        slowdown=NO_SLOWDOWN,
-        figures=FIGURES,
-        limits=NO_LIMITS,
-    ):
+    def __init__(self, names, place, on_first, on_end, slowdown=NO_SLOWDOWN):
         self.engines = {
             name: _SimulatedEngine(name, slowdown) for name in names
         }
@@ -211,75 +160,34 @@
         self.on_first = on_first
         self.on_end = on_end
         self.outcomes = []
-        self.rejections = 0
-        self.figures = figures
-        self.limits = limits
         self._queue = []
         self._order = itertools.count()
 
     def simulate(self, load):
         """Runs a load until all requests have ended; returns the outcomes."""
         for number, arrival in enumerate(load):
-            self.schedule(arrival.at, self._arrive, f"k{number}", arrival, ())
+            self._schedule(arrival.at, self._arrive, f"k{number}", arrival)
         while self._queue:
             now, _, function, arguments = heapq.heappop(self._queue)
             function(now, *arguments)
         return self.outcomes
 
-    def schedule(self, when, function, *arguments):
-        """Calls a function with the time and some arguments at a time."""
+    def _schedule(self, when, function, *arguments):
         entry = (when, next(self._order), function, arguments)
         heapq.heappush(self._queue, entry)
 
-    def _arrive(self, now, key, arrival, tried):
-        spot = self.place(key, arrival, now, tried)
-        if spot is None:
-            self.outcomes.append(Outcome(arrival, math.inf, 0.0))
-            return
-        if any(self._is_full(*share) for share in self._shares(spot)):
-            self.rejections += 1
-            self.on_end(key, now)
-            self.schedule(
-                now + REJECTION_SECONDS,
-                self._arrive,
-                f"{key}+",
-                arrival,
-                (*tried, spot.names[0]),
-            )
-            return
-        job = _Job(key, arrival, spot)
-        for name, memory in self._shares(spot):
-            self.engines[name].kv_tokens += memory
-        primary = self.engines[spot.names[0]]
-        if primary.in_slots < self.limits.slots:
-            self._admit(now, primary, job)
-        else:
-            primary.waiting.append(job)
-        for name in spot.names[1:]:
+    def _arrive(self, now, key, arrival):
+        names = self.place(key, arrival, now)
+        job = _Job(key, arrival, len(names))
+        cost = engine_cost.prefill_ms(FIGURES, arrival.tokens) / len(names)
+        tokens = arrival.tokens // len(names)
+        for index, name in enumerate(names):
+            engine = self.engines[name]
+            part = _Part((job, names[0]), tokens, cost)
             # Parts prefilled for another engine precede the engine's own.
-            self._add_part(now, self.engines[name], job, 0)
-
-    def _shares(self, spot):
-        return itertools.zip_longest(spot.names, spot.memory, fillvalue=0)
-
-    def _is_full(self, name, memory):
-        engine = self.engines[name]
-        return (
-            len(engine.waiting) >= self.limits.queue
-            or engine.kv_tokens + memory > self.limits.kv_tokens
-        )
-
-    def _admit(self, now, engine, job):
-        engine.in_slots += 1
-        self._add_part(now, engine, job, len(engine.parts))
-
-    def _add_part(self, now, engine, job, index):
-        parts = len(job.spot.names)
-        cost = engine_cost.prefill_ms(self.figures, job.arrival.tokens) / parts
-        part = _Part(job, job.arrival.tokens // parts, cost)
-        engine.parts.insert(index, part)
-        if not engine.is_busy:
-            self._start_pass(now, engine)
+            engine.parts.insert(0 if index else len(engine.parts), part)
+            if not engine.is_busy:
+                self._start_pass(now, engine)
 
     def _start_pass(self, now, engine):
         """Starts the next pass of an engine."""
@@ -287,9 +195,9 @@
             engine.is_busy = False
             return
         engine.is_busy = True
-        steps = self.figures.steps_per_pass if engine.streams else 1
-        token_budget = steps * self.figures.prefill_chunk_tokens
-        length = steps * self.figures.step_ms
+        steps = FIGURES.steps_per_pass if engine.streams else 1
+        token_budget = steps * FIGURES.prefill_chunk_tokens
+        length = steps * FIGURES.step_ms
         finished_parts = []
         for part in list(engine.parts):
             taken = min(token_budget, part.tokens)
@@ -300,7 +208,7 @@
                 break
             engine.parts.remove(part)
             finished_parts.append(part)
-        self.schedule(
+        self._schedule(
             now + length * engine.factor(now) / 1000.0,
             self._finish_pass,
             engine,
@@ -312,16 +220,15 @@
         for job in streams:
             self._emit_event(now, engine, job)
         for part in finished_parts:
-            job = part.job
-            primary = self.engines[job.spot.names[0]]
+            job, primary = part.job
             job.parts_left -= 1
             if not job.parts_left:
                 job.first_at = job.last_at = now
                 job.events = 1
-                primary.streams.append(job)
+                self.engines[primary].streams.append(job)
                 self.on_first(job.key, now)
-                if not primary.is_busy:
-                    self._start_pass(now, primary)
+                if not self.engines[primary].is_busy:
+                    self._start_pass(now, self.engines[primary])
         self._start_pass(now, engine)
 
     def _emit_event(self, now, engine, job):
@@ -330,11 +237,6 @@
         job.events += 1
         if job.events >= job.arrival.events:
             engine.streams.remove(job)
-            for name, memory in self._shares(job.spot):
-                self.engines[name].kv_tokens -= memory
-            engine.in_slots -= 1
-            if engine.waiting:
-                self._admit(now, engine, engine.waiting.pop(0))
             self.on_end(job.key, now)
             first_ms = (job.first_at - job.arrival.at) * 1000.0
             self.outcomes.append(
@@ -367,7 +269,7 @@
     router = builders.make_router(targets, now=0.0, revocation_seconds=0.0)
     placements = {}
 
-    def place(key, arrival, now, _):
+    def place(key, arrival, now):
         router.fleet_state.configuration.proven_at = now
         admission = router.admit("wells.example", "/ask/a", "key-1", now)
         route = admission.route._replace(
@@ -389,7 +291,7 @@
         names = [placement.target.name] + [h.name for h in placement.helpers]
         if placed is not None:
             placed.append(Placed(now, tuple(names)))
-        return Spot(names)
+        return names
 
     def on_first(key, now):
         placement, placed_at = placements[key]
@@ -410,11 +312,11 @@
     running = {f"e-{n}": 0 for n in range(engines)}
     names = {}
 
-    def place(key, arrival, now, _):
+    def place(key, arrival, now):
         name = min(running, key=running.get)
         running[name] += 1
         names[key] = name
-        return Spot([name])
+        return [name]
 
     def on_end(key, now):
         running[names[key]] -= 1
