One piece of code for what this work had written twice

The backoff of calls to the store (core/backoff), the recipients of repeated news (fleet_broadcast.choose_fleet_recipients), serving a request that the connection has read (caller_connections.CallerRequest), and the lines about states that begin and end in reports (request_trace) each stood two or three times. Nothing called TargetSpeeds.record_first_token, TargetSpeeds.suspects and TargetHealth.suspects. Targets are compared with regions and evacuations only where there are some. No change of behaviour; no test changed.

--- a/catkintrail/adapters/caller_connections.py
+++ b/catkintrail/adapters/caller_connections.py
@@ -18,7 +18,7 @@
 from catkintrail.adapters import caller_memory
 from catkintrail.adapters import request_bodies
 
-__all__ = ["CallerConnection", "Rejection", "SocketWriter"]
+__all__ = ["CallerConnection", "CallerRequest", "Rejection", "SocketWriter"]
 
 _LOG = logging.getLogger("catkintrail.callers")
 
@@ -55,6 +55,18 @@
         self.reason = reason
 
 
+class CallerRequest(cheroot_server.HTTPRequest):
+    """A request that the connection has read with its whole body."""
+
+    def respond(self) -> None:
+        """Serves the request."""
+        self.server.gateway(self).respond()
+        if self.ready:
+            self.ensure_headers_sent()
+        if self.chunked_write:
+            self.conn.wfile.write(b"0\r\n\r\n")
+
+
 class SocketWriter:
     """Writes to a caller without a buffer; waits while the caller is slow.
 
--- a/catkintrail/adapters/cold_exchange.py
+++ b/catkintrail/adapters/cold_exchange.py
@@ -113,13 +113,9 @@
 
     def refresh(self, now: float) -> None:
         """Repeats recent statements, as messages may be lost."""
-        peers = self._router.fleet_state.peers
-        recipients = fleet_broadcast.choose_refresh_recipients(peers)
-        if peers.is_large_fleet:
-            if peers.coordinators()[0] == peers.own_address:
-                recipients += peers.gateways()
-            else:
-                recipients += self._router.fleet_state.load_recipients()
+        recipients = fleet_broadcast.choose_fleet_recipients(
+            self._router.fleet_state
+        )
         recent = {
             key: statement
             for key, statement in self._cold.statements.items()
--- a/catkintrail/adapters/fleet_broadcast.py
+++ b/catkintrail/adapters/fleet_broadcast.py
@@ -10,7 +10,13 @@
 from catkintrail.core import fleet_peers
 from catkintrail.core import fleet_state
 
-__all__ = ["Send", "choose_refresh_recipients", "passes_news_on", "spread"]
+__all__ = [
+    "Send",
+    "choose_fleet_recipients",
+    "choose_refresh_recipients",
+    "passes_news_on",
+    "spread",
+]
 
 # Sends a message to addresses.
 Send = Callable[[list[str], messages.Message], None]
@@ -43,6 +49,21 @@
     return []
 
 
+def choose_fleet_recipients(state: fleet_state.FleetState) -> list[str]:
+    """Returns to whom an instance repeats news that all zones need.
+
+    In a large fleet, the first coordinator of each zone also repeats them to
+    the other zones, and the others to the coordinators of their own.
+    """
+    peers = state.peers
+    recipients = choose_refresh_recipients(peers)
+    if not peers.is_large_fleet:
+        return recipients
+    if peers.coordinators()[0] == peers.own_address:
+        return recipients + peers.gateways()
+    return recipients + state.load_recipients()
+
+
 def passes_news_on(peers: fleet_peers.FleetPeers, address: str) -> bool:
     """Returns whether the news of a peer reach others only through us."""
     sender = peers.peers.get(address)
--- a/catkintrail/adapters/limit_exchange.py
+++ b/catkintrail/adapters/limit_exchange.py
@@ -52,15 +52,9 @@
 
     def refresh(self, now: float) -> None:
         """Repeats recent statements, as messages may be lost."""
-        peers = self._router.fleet_state.peers
-        recipients = fleet_broadcast.choose_refresh_recipients(peers)
-        if peers.is_large_fleet:
-            is_first = peers.coordinators()[0] == peers.own_address
-            recipients += (
-                peers.gateways()
-                if is_first
-                else self._router.fleet_state.load_recipients()
-            )
+        recipients = fleet_broadcast.choose_fleet_recipients(
+            self._router.fleet_state
+        )
         statements = self._router.notices.limits.statements
         recent = {
             key: statement
--- a/catkintrail/adapters/wsgi.py
+++ b/catkintrail/adapters/wsgi.py
@@ -9,7 +9,6 @@
 from typing import Any, Callable, Iterable, Iterator, NamedTuple
 import urllib.parse
 
-from cheroot import server as cheroot_server
 from cheroot import wsgi
 from cheroot.ssl import builtin
 import msgspec
@@ -255,18 +254,14 @@
         return connection, {}
 
 
-class _HttpRequest(cheroot_server.HTTPRequest):
-    """A request whose body the connection has read."""
+class _HttpRequest(caller_connections.CallerRequest):
+    """A request whose body the application reads like a file."""
 
     def respond(self) -> None:
         """Serves the request."""
         # pylint: disable-next=attribute-defined-outside-init
         self.rfile = io.BytesIO(self.conn.take_body())
-        self.server.gateway(self).respond()
-        if self.ready:
-            self.ensure_headers_sent()
-        if self.chunked_write:
-            self.conn.wfile.write(b"0\r\n\r\n")
+        super().respond()
 
 
 class _Connection(caller_connections.CallerConnection):
--- a/catkintrail/core/target_health.py
+++ b/catkintrail/core/target_health.py
@@ -146,10 +146,6 @@
         """
         return self.speeds.comfortable_requests(target, now)
 
-    def suspects(self, now: float) -> dict[str, float]:
-        """Returns the slowness of the targets that are suspected of it."""
-        return self.speeds.suspects(now)
-
     def forget(self, target: str) -> None:
         """Removes the record of a target."""
         self._records.pop(target, None)
--- a/catkintrail/core/target_speed/target_speeds.py
+++ b/catkintrail/core/target_speed/target_speeds.py
@@ -118,14 +118,6 @@
             is_good = estimate.is_recovering or estimate.slowness == 1.0
             self._trials[service].settle(target.name, is_good)
 
-    def record_first_token(
-        self, target: str, measured_ms: float, predicted_ms: float, now: float
-    ) -> None:
-        """Records a time to first token; see `FirstTokenTimes.record`."""
-        self.first_tokens.record(target, measured_ms, predicted_ms, now)
-        is_good = self.first_tokens.is_recovering(target)
-        self._engine_trials.settle(target, is_good)
-
     def slowness(self, target: str, now: float) -> float:
         """Returns the ratio of a target's times to normal ones, at least 1."""
         return max(
@@ -265,16 +257,6 @@
             normal_ms or 0.0,
         )
 
-    def suspects(self, now: float) -> dict[str, float]:
-        """Returns the slowness of the targets that are suspected of it."""
-        names = self.first_tokens.targets() | self._service_of.keys()
-        slowness = {name: self.slowness(name, now) for name in names}
-        return {
-            name: ratio
-            for name, ratio in slowness.items()
-            if ratio > SUSPECT_SLOWNESS
-        }
-
     def forget(self, target: str) -> None:
         """Removes what is known of a target."""
         self.first_tokens.forget(target)
--- a/catkintrail/core/target_speed/trials.py
+++ b/catkintrail/core/target_speed/trials.py
@@ -64,7 +64,7 @@
 
     def choose(
         self,
-        due: Iterable[tuple[float, str, float]],
+        due: Iterable[DueTrial],
         left_ms: float,
         now: float,
     ) -> str:
--- a/catkintrail/core/zones/cold_targets.py
+++ b/catkintrail/core/zones/cold_targets.py
@@ -189,12 +189,12 @@
         rule = self.rules.get(target.service)
         if rule is None or not self.is_active:
             return 0.0
+        key = target_limits.make_key(target)
         until = self._start_of(target) + rule.cold_seconds
         until += CLOCK_MARGIN_SECONDS
-        statement = self.statements.get(target_limits.make_key(target))
+        statement = self.statements.get(key)
         if statement is not None:
             until = max(until, statement.until)
-        key = target_limits.make_key(target)
         return max(0.0, until - now, self._suspects.get(key, now) - now)
 
     def expire(self, now: float) -> None:
--- a/catkintrail/core/zones/target_filter.py
+++ b/catkintrail/core/zones/target_filter.py
@@ -49,17 +49,21 @@
         The targets, and why there are none; None if there are some, or if the
         service has none at all.
     """
-    in_regions = [
-        target
-        for target in targets
-        if regions.is_allowed(target.availability_zone, allowed_regions)
-    ]
-    if allowed_regions is not None and not in_regions:
-        names = ", ".join(allowed_regions) or "none"
-        return [], Exclusion(
-            f"no target is in one of the allowed regions: {names}",
-            REGION_RETRY_SECONDS,
-        )
+    in_regions = list(targets)
+    if allowed_regions is not None:
+        in_regions = [
+            target
+            for target in in_regions
+            if regions.is_allowed(target.availability_zone, allowed_regions)
+        ]
+        if not in_regions:
+            names = ", ".join(allowed_regions) or "none"
+            return [], Exclusion(
+                f"no target is in one of the allowed regions: {names}",
+                REGION_RETRY_SECONDS,
+            )
+    if not evacuations.evacuations:
+        return in_regions, None
     allowed = [
         target
         for target in in_regions
--- a/catkintrail/evacuation_watcher.py
+++ b/catkintrail/evacuation_watcher.py
@@ -12,6 +12,7 @@
 from catkintrail import errors
 from catkintrail.adapters import router_actor
 from catkintrail.adapters import router_client
+from catkintrail.core import backoff as backoffs
 from catkintrail.core import store_views
 from catkintrail.core.zones import evacuation
 from catkintrail.core.zones import missed_changes
@@ -32,9 +33,6 @@
 CHECK_SECONDS = 0.25
 # How often the threads look whether reloaded settings ask for evacuations.
 INACTIVE_CHECK_SECONDS = 5.0
-# Pauses after failed calls, with jitter.
-MIN_PAUSE_SECONDS = 0.1
-MAX_PAUSE_SECONDS = 1.0
 
 
 class EvacuationWatcher:
@@ -95,14 +93,14 @@
             except Exception:  # pylint: disable=broad-exception-caught
                 # An unexpected exception must not end the thread.
                 _LOG.exception("loop_failed", extra={"loop": SUBJECT})
-                self._stop.wait(MAX_PAUSE_SECONDS)
+                self._stop.wait(backoffs.MAX_PAUSE_SECONDS)
 
     def _read_and_watch(self) -> None:
         """Reads the evacuations, then watches them while this is needed."""
         position: store_views.Position | None = None
         zones: set[str] = set()
         timeouts = itertools.cycle(READ_TIMEOUTS_SECONDS)
-        pause_seconds = MIN_PAUSE_SECONDS
+        backoff = backoffs.Backoff(self._rng)
         while not self._stop.is_set():
             if not self._has_to_watch():
                 return
@@ -124,8 +122,7 @@
                         "reason": str(error),
                     },
                 )
-                self._stop.wait(pause_seconds * self._rng.uniform(0.5, 1.0))
-                pause_seconds = min(MAX_PAUSE_SECONDS, 2.0 * pause_seconds)
+                self._stop.wait(backoff.next())
                 continue
             is_read = position is None
             if is_read:
@@ -137,7 +134,7 @@
                 )
             else:
                 # A read may succeed while each watch fails.
-                pause_seconds = MIN_PAUSE_SECONDS
+                backoff.reset()
             for event in update.events:
                 if event.is_removed:
                     zones.discard(event.zone)
--- a/catkintrail/fleet_state_updater.py
+++ b/catkintrail/fleet_state_updater.py
@@ -17,6 +17,7 @@
 from catkintrail.adapters import router_actor
 from catkintrail.adapters import router_client
 from catkintrail.adapters import router_status
+from catkintrail.core import backoff as backoffs
 from catkintrail.core import store_views
 from catkintrail.core import watch_progress
 from catkintrail.ports import fleet_state_source
@@ -57,9 +58,6 @@
 # A watcher's proof is renewed by its watch calls. If they hang, it is renewed
 # separately this long after it has become stale.
 WATCHER_GRACE_SECONDS = 0.5
-# Exponential backoff with jitter after failed calls to the store.
-BACKOFF_SECONDS = 0.1
-BACKOFF_LIMIT_SECONDS = 1.0
 
 # Maximum number of peers called in one round.
 MAX_PEERS_QUERIED = 4
@@ -74,24 +72,6 @@
 PositionObserver = Callable[[store_views.Position, Iterable[int]], None]
 
 
-class _Backoff:
-    """Pauses that grow exponentially, with jitter."""
-
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
-        self._pause = BACKOFF_SECONDS
-
-    def next(self) -> float:
-        """Returns the next pause in seconds."""
-        pause = self._pause
-        self._pause = min(BACKOFF_LIMIT_SECONDS, pause * 2)
-        return pause * self._rng.uniform(0.5, 1.0)
-
-    def reset(self) -> None:
-        """Restarts from the shortest pause, after a success."""
-        self._pause = BACKOFF_SECONDS
-
-
 class _Loop(NamedTuple):
     name: str
     run: Callable[[], None]
@@ -187,7 +167,7 @@
             except Exception:  # pylint: disable=broad-exception-caught
                 # An unexpected exception must not end the thread.
                 _LOG.exception("loop_failed", extra={"loop": loop.name})
-                self._stop.wait(BACKOFF_LIMIT_SECONDS)
+                self._stop.wait(backoffs.MAX_PAUSE_SECONDS)
 
     def _watch_configuration(self) -> None:
         self._run_watch(
@@ -209,8 +189,8 @@
             fetch: Reads everything if its argument is None, otherwise watches
                 for changes after that position.
         """
-        backoff = _Backoff(self.rng)
-        rereads = _Backoff(self.rng)
+        backoff = backoffs.Backoff(self.rng)
+        rereads = backoffs.Backoff(self.rng)
         progress = self._progress[subject]
         position = None
         while not self._stop.is_set():
@@ -283,7 +263,7 @@
             if update.configuration is None:
                 # Nothing is published yet.
                 return _FetchResult(
-                    None, None, BACKOFF_LIMIT_SECONDS, lambda: None
+                    None, None, backoffs.MAX_PAUSE_SECONDS, lambda: None
                 )
         else:
             watch_seconds = self._configuration_watch_seconds()
@@ -386,7 +366,7 @@
         next_store_read = next_peer_query = 0.0
         timeouts = itertools.cycle(READ_TIMEOUTS_SECONDS)
         peer_timeouts = itertools.cycle(PEER_TIMEOUTS_SECONDS)
-        backoff = _Backoff(self.rng)
+        backoff = backoffs.Backoff(self.rng)
         while not self._stop.wait(CHECK_SECONDS):
             status = self.router.status()
             self._log_targets_age(status)
--- a/catkintrail/platform/caller_requests.py
+++ b/catkintrail/platform/caller_requests.py
@@ -84,19 +84,11 @@
         return headers
 
 
-class Request(cheroot_server.HTTPRequest):
+class Request(caller_connections.CallerRequest):
     """A request; its head is parsed by cheroot, its body by the connection."""
 
     header_reader = _HeaderReader()
 
-    def respond(self) -> None:
-        """Serves the request, which was read with its whole body."""
-        self.server.gateway(self).respond()
-        if self.ready:
-            self.ensure_headers_sent()
-        if self.chunked_write:
-            self.conn.wfile.write(b"0\r\n\r\n")
-
     def simple_response(self, status: str, msg: str = "") -> None:
         """Logs and rejects a request that was not read completely."""
         self.server.caller_server.record_refusal(
--- a/catkintrail/request_trace.py
+++ b/catkintrail/request_trace.py
@@ -3,7 +3,7 @@
 import collections
 import json
 import math
-from typing import Any, Callable, Iterable, Iterator, NamedTuple
+from typing import Any, Callable, Iterable, Iterator, NamedTuple, TypeVar
 
 from hdrh import histogram
 
@@ -51,6 +51,9 @@
         "target_strained",
     }
 )
+SLOW_EVENTS = frozenset({"target_slow", "target_fast"})
+STRAIN_EVENTS = frozenset({"target_strained", "target_relieved"})
+EVACUATION_EVENTS = frozenset({"zone_evacuated", "zone_returned"})
 INSTANCE_EVENTS = frozenset(
     {
         "configuration_in_force",
@@ -73,6 +76,7 @@
 PERCENTILES = (50, 95, 99)
 
 Line = dict[str, Any]
+_Summary = TypeVar("_Summary")
 
 
 class SlowTarget(NamedTuple):
@@ -239,14 +243,14 @@
     causes: collections.Counter[tuple[str, str, int]] = collections.Counter()
     prompt_tokens_by_request: dict[str, int] = {}
     first_token_times = {name: _new_histogram() for name in _bucket_names()}
-    slow_targets = _SlowTargets()
-    zone_lines: dict[str, list[Line]] = {}
+    slow_targets = _StateLines(SLOW_EVENTS, "target")
+    strained_targets = _StateLines(STRAIN_EVENTS, "target")
+    evacuations = _StateLines(EVACUATION_EVENTS, "zone")
     version_by_instance: dict[str, tuple[str, int]] = {}
     for line in lines:
-        slow_targets.add(line)
-        if line["event"] in ("zone_evacuated", "zone_returned"):
-            zone_lines.setdefault(line["zone"], []).append(line)
-        elif line["event"] == "configuration_in_force":
+        for state_lines in (slow_targets, strained_targets, evacuations):
+            state_lines.add(line)
+        if line["event"] == "configuration_in_force":
             version_by_instance[line["instance"]] = (
                 line.get("availability_zone", ""),
                 line["version"],
@@ -275,16 +279,52 @@
             )
             for name, recorded in first_token_times.items()
         ],
-        slow_targets.summarise(),
+        slow_targets.summarise(_describe_slow),
         dict(collections.Counter(version_by_instance.values())),
-        [_summarise_zone(*item) for item in sorted(zone_lines.items())],
-        slow_targets.summarise_strained(),
+        evacuations.summarise(_describe_zone),
+        strained_targets.summarise(_describe_strained),
     )
 
 
-def _summarise_zone(zone: str, unsorted_lines: list[Line]) -> EvacuatedZone:
-    lines = _sort_by_time(unsorted_lines)
-    last_events = {line["instance"]: line["event"] for line in lines}
+class _StateLines:
+    """Lines about states that begin and end, by what has the state.
+
+    Attributes:
+        events: Names of the events.
+        field: Field of a line that names what has the state.
+        lines: The lines by that name.
+    """
+
+    def __init__(self, events: frozenset[str], field: str) -> None:
+        self.events = events
+        self.field = field
+        self.lines: dict[str, list[Line]] = {}
+
+    def add(self, line: Line) -> None:
+        """Adds a line, if it is about such a state."""
+        if line["event"] in self.events:
+            self.lines.setdefault(line[self.field], []).append(line)
+
+    def summarise(
+        self, describe: Callable[[str, list[Line], dict[str, str]], _Summary]
+    ) -> list[_Summary]:
+        """Returns what the lines say, in the order of the names.
+
+        Args:
+            describe: Takes a name, its lines in the order of time, and the last
+                event of each instance.
+        """
+        summaries = []
+        for name, unsorted_lines in sorted(self.lines.items()):
+            lines = _sort_by_time(unsorted_lines)
+            last_events = {line["instance"]: line["event"] for line in lines}
+            summaries.append(describe(name, lines, last_events))
+        return summaries
+
+
+def _describe_zone(
+    zone: str, lines: list[Line], last_events: dict[str, str]
+) -> EvacuatedZone:
     counts = collections.Counter(last_events.values())
     return EvacuatedZone(
         zone,
@@ -295,56 +335,31 @@
     )
 
 
-class _SlowTargets:
-    """Collects the lines about slow targets."""
-
-    def __init__(self) -> None:
-        self._lines: dict[str, list[Line]] = {}
-        self._strained_lines: dict[str, list[Line]] = {}
+def _describe_slow(
+    target: str, lines: list[Line], last_events: dict[str, str]
+) -> SlowTarget:
+    return SlowTarget(
+        target,
+        lines[0]["time"],
+        lines[-1]["time"],
+        max(line.get("slowness", 1.0) for line in lines),
+        tuple(sorted(last_events)),
+        set(last_events.values()) == {"target_fast"},
+        _describe_basis(lines),
+    )
 
-    def add(self, line: Line) -> None:
-        """Adds a line, if it is about a slow target."""
-        if line["event"] in ("target_slow", "target_fast"):
-            self._lines.setdefault(line["target"], []).append(line)
-        elif line["event"] in ("target_strained", "target_relieved"):
-            self._strained_lines.setdefault(line["target"], []).append(line)
-
-    def summarise(self) -> list[SlowTarget]:
-        """Returns what the lines say of each target."""
-        summaries = []
-        for target, unsorted_lines in sorted(self._lines.items()):
-            lines = _sort_by_time(unsorted_lines)
-            last_events = {line["instance"]: line["event"] for line in lines}
-            summaries.append(
-                SlowTarget(
-                    target,
-                    lines[0]["time"],
-                    lines[-1]["time"],
-                    max(line.get("slowness", 1.0) for line in lines),
-                    tuple(sorted(last_events)),
-                    set(last_events.values()) == {"target_fast"},
-                    _describe_basis(lines),
-                )
-            )
-        return summaries
 
-    def summarise_strained(self) -> list[StrainedTarget]:
-        """Returns what the lines say of each target with too many requests."""
-        summaries = []
-        for target, unsorted_lines in sorted(self._strained_lines.items()):
-            lines = _sort_by_time(unsorted_lines)
-            last_events = {line["instance"]: line["event"] for line in lines}
-            summaries.append(
-                StrainedTarget(
-                    target,
-                    lines[0]["time"],
-                    lines[-1]["time"],
-                    min(line.get("comfortable", math.inf) for line in lines),
-                    max(line.get("strain", 1.0) for line in lines),
-                    set(last_events.values()) == {"target_relieved"},
-                )
-            )
-        return summaries
+def _describe_strained(
+    target: str, lines: list[Line], last_events: dict[str, str]
+) -> StrainedTarget:
+    return StrainedTarget(
+        target,
+        lines[0]["time"],
+        lines[-1]["time"],
+        min(line.get("comfortable", math.inf) for line in lines),
+        max(line.get("strain", 1.0) for line in lines),
+        set(last_events.values()) == {"target_relieved"},
+    )
 
 
 def _describe_basis(lines: list[Line]) -> str:
