--- a/review/standins2/harness.py
+++ b/review/standins2/harness.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import random
+import re
 import shlex
 import signal
 import socket
@@ -96,6 +97,18 @@
 value-bytes = 1048576
 ttl-min-ms = 1000
 """
+# The bounds of the grown deployment, where they differ.
+GROWN_BOUNDS = {
+    "contact-ms": 4000,
+    "ack-ms": 6000,
+    "catch-up-s": 6,
+    "drain-ms": 3000,
+    "config-apply-ms": 3000,
+    "max-stretch-ms": 6000,
+    "budget-extra": 194,
+    "recovery-s": 15,
+    "pass-ms": 200,
+}
 ENGINE_FIGURES = {
     "slots": 8,
     "kv-capacity-tokens": 450_000,
@@ -237,9 +250,27 @@
 
             do_POST = do_PUT = do_DELETE = do_GET
 
+        self.handler = Handler
         self.server = _serve(Handler, ("127.0.0.1", 0))
         self.address = "127.0.0.1:%d" % self.server.server_address[1]
 
+    def add_slow_address(self, seconds):
+        """Returns an address whose answers to lists come later.
+
+        As over a link on which one packet of each such answer is lost.
+        """
+
+        class Handler(self.handler):
+            """Delays the answers to lists."""
+
+            def reply(self, status, body=b"", headers=()):
+                if "watch=" not in self.path:
+                    time.sleep(seconds)
+                super().reply(status, body, headers)
+
+        server = _serve(Handler, ("127.0.0.1", 0))
+        return "127.0.0.1:%d" % server.server_address[1]
+
     def put(self, kind, name, spec):
         with self.changed:
             self.revision += 1
@@ -411,25 +442,26 @@
         self.ip = f"{fleet.network}.{number}"
         self.zone = zone
         self.memory_mb = memory_mb
+        self.store_address = fleet.store.address
         self.process = None
 
     def start(self):
         directory = self.fleet.directory
         path = directory / f"{self.name}.toml"
         ports = self.fleet.ports
-        path.write_text(
-            SETTINGS.format(
-                name=self.name,
-                ip=self.ip,
-                zone=self.zone,
-                seeds=json.dumps(self.fleet.seeds),
-                store=self.fleet.store.address,
-                memory_mb=self.memory_mb,
-                udp_end=ports["udp"] + 15,
-                **ports,
-            ),
-            encoding="utf-8",
+        text = SETTINGS.format(
+            name=self.name,
+            ip=self.ip,
+            zone=self.zone,
+            seeds=json.dumps(self.fleet.seeds),
+            store=self.store_address,
+            memory_mb=self.memory_mb,
+            udp_end=ports["udp"] + 15,
+            **ports,
         )
+        for name, value in self.fleet.bounds.items():
+            text = re.sub(f"(?m)^{name} = .*$", f"{name} = {value}", text)
+        path.write_text(text, encoding="utf-8")
         environment = {
             "PATH": os.environ["PATH"],
             "HOME": str(directory),
@@ -485,7 +517,8 @@
 class Fleet:
     """Instances before one store."""
 
-    def __init__(self, store, zones, memory_mb=300):
+    def __init__(self, store, zones, memory_mb=300, bounds=None):
+        self.bounds = bounds or {}
         deploy = tomllib.loads((REPOSITORY / "deploy/system.toml").read_text())
         self.command = next(iter(deploy["roles"].values()))["run"]
         self.store = store
