--- a/review/standins2/harness.py
+++ b/review/standins2/harness.py
@@ -28,6 +28,8 @@
 HOST = "rota.example"
 KEY = "key-1"
 PORT_NAMES = ("front", "ready", "control", "udp")
+# Fixed in the program.
+METRICS_PORT = 9464
 # The bounds and limits of the deployment Brunnsrota.
 SETTINGS = """
 node = "{name}"
@@ -172,6 +174,14 @@
     }
 
 
+def _end(*_):
+    """Makes a case that is ended from outside end its processes."""
+    sys.exit(NOT_RUN)
+
+
+signal.signal(signal.SIGTERM, _end)
+
+
 class Record:
     """Writes what was sent, answered and run, with times, to a file."""
 
@@ -514,6 +524,26 @@
         return (self.ip, self.fleet.ports["front"])
 
 
+def _choose_addresses(count):
+    """Returns a loopback network and ports that are free there."""
+    rng = random.Random(os.urandom(8))
+    while True:
+        network = f"127.{rng.randint(60, 250)}.{rng.randint(1, 250)}"
+        base = rng.randrange(15_000, 30_000, 40)
+        ports = {
+            name: base + 20 * (name == "udp") + index
+            for index, name in enumerate(PORT_NAMES)
+        }
+        try:
+            for number in range(count):
+                for port in (*ports.values(), METRICS_PORT):
+                    address = (f"{network}.{number + 1}", port)
+                    socket.create_server(address).close()
+        except OSError:
+            continue
+        return network, ports
+
+
 class Fleet:
     """Instances before one store."""
 
@@ -524,13 +554,7 @@
         self.store = store
         self.temporary = tempfile.TemporaryDirectory()
         self.directory = pathlib.Path(self.temporary.name)
-        rng = random.Random(os.urandom(8))
-        self.network = f"127.{rng.randint(60, 250)}.{rng.randint(1, 250)}"
-        base = rng.randrange(15_000, 30_000, 40)
-        self.ports = {
-            name: base + 20 * (name == "udp") + index
-            for index, name in enumerate(PORT_NAMES)
-        }
+        self.network, self.ports = _choose_addresses(len(zones))
         self.seeds = [
             f"{self.network}.{n + 1}:{self.ports['control']}"
             for n in range(min(3, len(zones)))
