--- a/review/standins3/harness.py
+++ b/review/standins3/harness.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import queue
 import random
 import shlex
 import signal
@@ -88,12 +89,14 @@
         self._log_path = pathlib.Path(folder) / f"log-{ip}.txt"
         self.process = None
 
-    def write_settings(self, seeds):
+    def write_settings(self, seeds, store_address=""):
         """Writes the settings file, at once as a whole.
 
         Args:
             seeds: IP addresses of the seeds.
+            store_address: `IP:port` of the store; "" for the one before.
         """
+        self._store_address = store_address or self._store_address
         text = platform_standins.make_settings(
             f"i-{self.ip}", self.ip, self._ports, seeds, self._store_address
         )
@@ -208,6 +211,78 @@
         return False
 
 
+class DelayingProxy:
+    """Passes connections on, and what the far end sends with a delay.
+
+    Attributes:
+        delay_seconds: The delay.
+        address: `IP:port` of the proxy.
+    """
+
+    def __init__(self, far_address):
+        self.delay_seconds = 0.0
+        host, _, port = far_address.rpartition(":")
+        self._far = host, int(port)
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                near, _ = self._listener.accept()
+                far = socket.create_connection(self._far)
+            except OSError:
+                return
+            for function in (self._copy_requests, self._copy_answers):
+                threading.Thread(
+                    target=function, args=(near, far), daemon=True
+                ).start()
+
+    def _copy_requests(self, near, far):
+        try:
+            while data := near.recv(65_536):
+                far.sendall(data)
+        except OSError:
+            pass
+        _shut(far)
+
+    def _copy_answers(self, near, far):
+        waiting = queue.Queue()
+
+        def deliver():
+            while True:
+                due, data = waiting.get()
+                time.sleep(max(0.0, due - time.monotonic()))
+                try:
+                    near.sendall(data)
+                except OSError:
+                    data = b""
+                if not data:
+                    _shut(near)
+                    return
+
+        threading.Thread(target=deliver, daemon=True).start()
+        data = b"-"
+        while data:
+            try:
+                data = far.recv(65_536)
+            except OSError:
+                data = b""
+            waiting.put((time.monotonic() + self.delay_seconds, data))
+
+    def close(self):
+        """Closes the port."""
+        self._listener.close()
+
+
+def _shut(connection):
+    try:
+        connection.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass
+
+
 class Engine:
     """A target whose answers are given by `answer(handler, headers, body)`.
 
