--- a/review/standins3/harness.py
+++ b/review/standins3/harness.py
@@ -431,6 +431,8 @@
 
 def run(case):
     """Runs `case()`; exits with 1 if it returns False, 2 if it cannot run."""
+    # The processes end also when the time is over.
+    signal.signal(signal.SIGTERM, lambda *unused: sys.exit(2))
     try:
         holds = case()
     except Exception as error:  # pylint: disable=broad-exception-caught
