--- a/review/standins3/harness.py
+++ b/review/standins3/harness.py
@@ -1,7 +1,6 @@
 """Starts instances, a store and engines on loopback addresses, and records.
 
-The store is `tests.platform_standins.Store`. Engines are the small stand-in
-below, whose answers a case chooses. All addresses are loopback addresses with
+Engines are the small stand-ins below. All addresses are loopback addresses with
 free ports; settings are those of a small deployment.
 """
 
@@ -9,7 +8,6 @@
 import json
 import os
 import pathlib
-import queue
 import random
 import shlex
 import signal
@@ -22,14 +20,14 @@
 import tomllib
 import urllib.request
 
-from tests import platform_standins
+from review.standins3 import deployment
+from review.standins3 import store as stores
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "wells.example"
 START_SECONDS = 20.0
 # Below the range of ephemeral ports.
 PORT_RANGE = (15_000, 32_000)
-ZONE_TABLE = '\n[zones]\nza = "r1"\n'
 
 
 def is_disrupted():
@@ -78,30 +76,28 @@
 class Instance:
     """One process of the role `relay`, started as the deploy file says."""
 
-    def __init__(self, folder, ip, ports, seeds, store_address, tables):
+    def __init__(self, folder, ip, ports, seeds, store_address, memory_mb):
         self.ip = ip
+        self._memory_mb = memory_mb
         self.front = ports["front"]
         self._ports = ports
         self._store_address = store_address
-        self._tables = tables
         self._path = pathlib.Path(folder) / f"settings-{ip}.toml"
         self.write_settings(seeds)
         self._log_path = pathlib.Path(folder) / f"log-{ip}.txt"
         self.process = None
 
-    def write_settings(self, seeds, store_address=""):
+    def write_settings(self, seeds):
         """Writes the settings file, at once as a whole.
 
         Args:
             seeds: IP addresses of the seeds.
-            store_address: `IP:port` of the store; "" for the one before.
         """
-        self._store_address = store_address or self._store_address
-        text = platform_standins.make_settings(
-            f"i-{self.ip}", self.ip, self._ports, seeds, self._store_address
+        text = deployment.make_settings(
+            self.ip, self._ports, seeds, self._store_address, self._memory_mb
         )
         new = self._path.with_suffix(".new")
-        new.write_text(text + self._tables, encoding="utf-8")
+        new.write_text(text, encoding="utf-8")
         new.rename(self._path)
 
     def start(self):
@@ -157,21 +153,21 @@
 class Fleet:
     """A store and instances; ends them all on exit."""
 
-    def __init__(self, count=1, spec=None, tables=ZONE_TABLE, seeds=3):
+    def __init__(self, count=1, spec=None, seeds=3, memory_mb=300):
         """Prepares instances without starting them.
 
         Args:
             count: Number of instances.
-            spec: The operator's configuration.
-            tables: Further tables of the settings.
+            spec: The operator's configuration; None for the usual one.
             seeds: How many instances, from the first, the settings name.
+            memory_mb: Memory of each machine.
         """
         self.folder = tempfile.TemporaryDirectory()
-        self.store = platform_standins.Store()
-        self.store.put("config", "main", spec or platform_standins.make_spec())
+        self.store = stores.Store()
+        self.store.put("config", "main", spec or deployment.make_spec(HOST))
         base = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}"
         ips = [f"{base}.{number + 1}" for number in range(count)]
-        names = platform_standins.PORT_NAMES
+        names = deployment.PORT_NAMES
         ports = dict(zip(names, _free_ports(ips, len(names))))
         self.instances = [
             Instance(
@@ -180,7 +176,7 @@
                 ports,
                 ips[:seeds],
                 self.store.address,
-                tables,
+                memory_mb,
             )
             for ip in ips
         ]
@@ -211,78 +207,6 @@
         return False
 
 
-class DelayingProxy:
-    """Passes connections on, and what the far end sends with a delay.
-
-    Attributes:
-        delay_seconds: The delay.
-        address: `IP:port` of the proxy.
-    """
-
-    def __init__(self, far_address):
-        self.delay_seconds = 0.0
-        host, _, port = far_address.rpartition(":")
-        self._far = host, int(port)
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self):
-        while True:
-            try:
-                near, _ = self._listener.accept()
-                far = socket.create_connection(self._far)
-            except OSError:
-                return
-            for function in (self._copy_requests, self._copy_answers):
-                threading.Thread(
-                    target=function, args=(near, far), daemon=True
-                ).start()
-
-    def _copy_requests(self, near, far):
-        try:
-            while data := near.recv(65_536):
-                far.sendall(data)
-        except OSError:
-            pass
-        _shut(far)
-
-    def _copy_answers(self, near, far):
-        waiting = queue.Queue()
-
-        def deliver():
-            while True:
-                due, data = waiting.get()
-                time.sleep(max(0.0, due - time.monotonic()))
-                try:
-                    near.sendall(data)
-                except OSError:
-                    data = b""
-                if not data:
-                    _shut(near)
-                    return
-
-        threading.Thread(target=deliver, daemon=True).start()
-        data = b"-"
-        while data:
-            try:
-                data = far.recv(65_536)
-            except OSError:
-                data = b""
-            waiting.put((time.monotonic() + self.delay_seconds, data))
-
-    def close(self):
-        """Closes the port."""
-        self._listener.close()
-
-
-def _shut(connection):
-    try:
-        connection.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        pass
-
-
 class Engine:
     """A target whose answers are given by `answer(handler, headers, body)`.
 
@@ -375,6 +299,75 @@
         self._server.server_close()
 
 
+class PlainEngine:
+    """A target that takes heads of any number of fields, and answers at once.
+
+    The server of the standard library takes a hundred fields only.
+    """
+
+    def __init__(self, name, service):
+        self.name = name
+        self.service = service
+        self.zone = "za"
+        self.born = int(time.time() * 1000)
+        self.run_count = 0
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=512)
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    entry = Engine.entry
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection):
+        received = b""
+        try:
+            while True:
+                while (end := received.find(b"\r\n\r\n")) < 0:
+                    data = connection.recv(65_536)
+                    if not data:
+                        return
+                    received += data
+                head = received[:end].lower() + b"\r\n"
+                size = int(_find_field(head, b"content-length") or 0)
+                received = received[end + 4 :]
+                while len(received) < size:
+                    received += connection.recv(65_536)
+                received = received[size:]
+                connection.sendall(self._answer(head))
+        except OSError:
+            return
+
+    def _answer(self, head):
+        request_id = _find_field(head, b"attempt-id")
+        if _find_field(head, b"expect-instance") != self.name.encode():
+            return (
+                b"HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\n"
+                b"Content-Length: 0\r\n\r\n" % self.name.encode()
+            )
+        self.run_count += 1
+        return (
+            b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nEngine-Stamp: stamp\r\n"
+            b"Content-Length: 6\r\n\r\nbooked" % request_id
+        )
+
+
+def _find_field(head, name):
+    start = head.find(b"\r\n" + name + b":")
+    if start < 0:
+        return b""
+    start += len(name) + 3
+    return head[start : head.index(b"\r\n", start)].strip()
+
+
 def encode_request(
     path, request_id, body=b"{}", deadline_ms=10_000, headers=()
 ):
