Changes of targets are logged with the position that their source stated

The lines about targets named the source, but not how old its knowledge was, so that the logs could not tell an old statement from a new one.

--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -448,7 +448,7 @@
         targets = [event.target for event in events if event.target]
         was_known = state.has_target_list
         changes = state.replace_targets(targets, self._clock(), position)
-        self._apply_changes(changes, source, was_known)
+        self._apply_changes(changes, source, position, was_known)
         self._cold_exchange.apply_entries(events, position.era, self._clock())
         if source == STORE_SOURCE:
             self._broadcast_store_changes(changes)
@@ -474,7 +474,7 @@
                 event.is_removed,
                 now,
             )
-        self._apply_changes(changes, source)
+        self._apply_changes(changes, source, position)
         self._cold_exchange.apply_entries(events, position.era, now)
         if source == STORE_SOURCE:
             self._broadcast_store_changes(changes)
@@ -549,7 +549,11 @@
             changes = router.fleet_state.handle_fleet_news(
                 address, message, now
             )
-            self._apply_changes(changes, f"peer {message.sender}")
+            self._apply_changes(
+                changes,
+                f"peer {message.sender}",
+                store_views.Position(*message.position),
+            )
         elif isinstance(message, messages.Forwarded):
             self._handle_forwarded(address, message, now)
         elif isinstance(message, messages.Batch):
@@ -732,6 +736,7 @@
         self,
         changes: list[store_views.TargetChange],
         source: str,
+        position: store_views.Position | None = None,
         were_known: bool = True,
     ) -> None:
         """Applies changes of the targets to what depends on them.
@@ -739,6 +744,8 @@
         Args:
             changes: The changes.
             source: Who reported them.
+            position: Position of the store that the source stated; None if it
+                stated none.
             were_known: Whether other targets were known before, so that new
                 ones have just started.
         """
@@ -746,7 +753,7 @@
             self._cold_exchange.apply_changes(changes, self._clock())
         self._router.drop_removed_targets(changes)
         self._quarantine_exchange.apply_changes(changes, self._clock())
-        _log_changes(changes, source)
+        _log_changes(changes, source, position)
 
     def _broadcast_load(
         self,
@@ -861,7 +868,11 @@
         return True
 
 
-def _log_changes(changes: list[store_views.TargetChange], source: str) -> None:
+def _log_changes(
+    changes: list[store_views.TargetChange],
+    source: str,
+    position: store_views.Position | None,
+) -> None:
     for change in changes:
         _LOG.info(
             change.event,
@@ -871,6 +882,7 @@
                 "address": change.target.address,
                 "born": change.target.born,
                 "source": source,
+                "position": position,
             },
         )
 
