Changes between two pages of a list are not lost

Cause: a list's position was the as-of of its last page. Its pages are read at revisions of their own, so that a change on an earlier page is in no page, and the watch went on from a position after it.

The position is now that of the first page. The watch from there returns all that later pages may have had already, which is applied twice without harm.

--- a/catkintrail/platform/store.py
+++ b/catkintrail/platform/store.py
@@ -56,8 +56,10 @@
     """All objects of a kind.
 
     Attributes:
-        objects: The decoded JSON objects; not validated.
-        position: Era, and the store's revision as of the last page.
+        objects: The decoded JSON objects; not validated. Those after the first
+            page may be of a later revision than the position.
+        position: Era, and the store's revision as of the first page. A watch
+            from there returns all changes that the objects may lack.
     """
 
     objects: list[Any]
@@ -149,23 +151,24 @@
         objects: list[Any] = []
         path = _kind_path(kind)
         query = ""
-        era = None
+        position = None
         for _ in range(MAX_PAGES):
             response = self._get(self.http, path + query, timeout_seconds)
             if response.status != 200:
                 raise errors.PlatformError(f"{path}: status {response.status}")
-            if era not in (None, response.era):
+            if position is not None and response.era != position.era:
                 raise errors.HistoryReplacedError(
-                    f"{kind}: era {response.era} follows {era}"
+                    f"{kind}: era {response.era} follows {position.era}"
                 )
-            era = response.era
             page = response.content
             try:
                 objects += page["items"]
+                if position is None:
+                    # The pages are not read at one revision.
+                    position = store_views.Position(
+                        response.era, int(page["as-of"])
+                    )
                 if not page["has-more"]:
-                    # The store's revision, to watch from; objects have their
-                    # own revisions.
-                    position = store_views.Position(era, int(page["as-of"]))
                     return ObjectListing(objects, position)
                 # `after-rev` takes the name of the last object.
                 last = objects[-1]["metadata"]["name"]
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -51,6 +51,28 @@
             [event.name for event in reading.events],
         )
 
+    def test_change_between_two_pages_is_returned_by_a_watch(self):
+        # Guards against a removal that is lost while a list is read in pages.
+        self.store.page_size = 2
+        list_page = self.store._list
+
+        def list_page_before_removal(kind, after):
+            page = list_page(kind, after)
+            if not after:
+                self.store.remove(kind, "i-0")
+            return page
+
+        self.store._list = list_page_before_removal
+        for kind in ("servers", "evacuations"):
+            for number in range(3):
+                self.store.put(kind, f"i-{number}", {})
+            listing = self.client.list(kind)
+            changes = self.client.watch(kind, listing.position, 0.1).changes
+            removed = [
+                c.content["metadata"]["name"] for c in changes if c.is_removed
+            ]
+            self.assertEqual(["i-0"], removed)
+
     def test_invalid_entries_have_no_target(self):
         self.put_target("i-1", state="odd")
         self.put_target("i-2")
