What a peer or a list states late does not bring a removed target back

Callers saw: nothing at once.

Cause: changes of targets counted in the order of their arrival. An instance that woke told the others a change that it had read late, and they applied it over the removal that they knew.

Each statement about an entry has the era and revision of the entry now, and core.store_views.EntryOrder compares these, never the time of arrival. A removal is newer than the entry that it removed; an entry of a later revision is used again. An instance that follows the store knows all changes up to a position, so that an older entry that is not listed was removed, also where it never heard of that. The state that a peer is asked for carries the same.

Tests changed: they pass entries with positions; the fake store of the updater's tests states a position that rises with its changes, as a store's does; the test of a peer's older list goes through merge_targets.

--- a/bench/target_speed.py
+++ b/bench/target_speed.py
@@ -10,6 +10,7 @@
 from catkintrail.core import fleet_load
 from catkintrail.core import request_router
 from catkintrail.core import route_table
+from catkintrail.core import store_views
 from catkintrail.core import targets as target_records
 
 __all__ = [
@@ -135,7 +136,11 @@
             route_table.CallerLimits(),
         )
         router.fleet_state.update_configuration(configuration, now)
-        router.fleet_state.replace_targets(self._targets, now)
+        listed = [
+            store_views.EntryStatement(t.name, t, store_views.NO_POSITION)
+            for t in self._targets
+        ]
+        router.fleet_state.replace_targets(listed, now)
         for owner, attempts in load.by_owner.items():
             for attempt in attempts.values():
                 router.load.put(owner, attempt)
--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -51,8 +51,7 @@
 STARTUP_HEARTBEAT_INTERVAL_SECONDS = 0.1
 # Name of the platform's store as a source of updates.
 STORE_SOURCE = "store"
-# Limit of changed and of removed targets in one FleetNews message, which is
-# sent as one datagram.
+# Limit of targets in one FleetNews message, which is sent as one datagram.
 MAX_TARGETS_PER_MESSAGE = 100
 SNAPSHOT_INTERVAL_SECONDS = 1.0
 LARGE_FLEET_SNAPSHOT_INTERVAL_SECONDS = 4.0
@@ -438,20 +437,34 @@
         position: store_views.Position,
         source: str,
     ) -> None:
-        """Replaces the list of targets by one that a source reported.
-
-        A peer's list that is older than the known targets is ignored.
-        """
+        """Replaces the list of targets by one that was read from the store."""
         state = self._router.fleet_state
-        if source != STORE_SOURCE and state.is_older_list(position):
-            return
-        targets = [event.target for event in events if event.target]
+        listed = [
+            store_views.EntryStatement(
+                event.name, event.target, _find_position(event, position)
+            )
+            for event in events
+        ]
         was_known = state.has_target_list
-        changes = state.replace_targets(targets, self._clock(), position)
-        self._apply_changes(changes, source, position, was_known)
+        changes = state.replace_targets(listed, self._clock(), position)
+        self._apply_changes(changes, source, was_known)
         self._cold_exchange.apply_entries(events, position.era, self._clock())
-        if source == STORE_SOURCE:
-            self._broadcast_store_changes(changes)
+        self._broadcast_store_changes(changes)
+
+    def merge_targets(
+        self,
+        entries: tuple[store_views.EntryStatement, ...],
+        position: store_views.Position,
+        complete_position: store_views.Position,
+        source: str,
+    ) -> None:
+        """Applies the targets that a peer knows; see `FleetState`."""
+        state = self._router.fleet_state
+        was_known = state.has_target_list
+        changes = state.merge_targets(
+            entries, self._clock(), position, complete_position
+        )
+        self._apply_changes(changes, source, was_known)
 
     def apply_target_events(
         self,
@@ -465,19 +478,20 @@
         some may know from peers that a target was removed since.
         """
         now = self._clock()
-        self._router.fleet_state.targets_position = position
+        state = self._router.fleet_state
         changes = []
         for event in {event.name: event for event in events}.values():
-            changes += self._router.fleet_state.update_target(
+            changes += state.update_target(
                 event.target,
                 event.name,
                 event.is_removed,
                 now,
+                _find_position(event, position),
             )
-        self._apply_changes(changes, source, position)
+        state.complete_targets(position)
+        self._apply_changes(changes, source)
         self._cold_exchange.apply_entries(events, position.era, now)
-        if source == STORE_SOURCE:
-            self._broadcast_store_changes(changes)
+        self._broadcast_store_changes(changes)
 
     def confirm_targets(
         self, position: store_views.Position, complete_at: float
@@ -549,11 +563,7 @@
             changes = router.fleet_state.handle_fleet_news(
                 address, message, now
             )
-            self._apply_changes(
-                changes,
-                f"peer {message.sender}",
-                store_views.Position(*message.position),
-            )
+            self._apply_changes(changes, f"peer {message.sender}")
         elif isinstance(message, messages.Forwarded):
             self._handle_forwarded(address, message, now)
         elif isinstance(message, messages.Batch):
@@ -692,8 +702,9 @@
             router.fleet_state.configuration.version,
             table.configuration if is_newer else None,
             age,
-            tuple(router.fleet_state.targets.targets.values()),
+            router.fleet_state.describe_entries(),
             router.fleet_state.targets_position,
+            router.fleet_state.targets.order.complete_position,
             router.fleet_state.evacuations.state,
         )
 
@@ -736,7 +747,6 @@
         self,
         changes: list[store_views.TargetChange],
         source: str,
-        position: store_views.Position | None = None,
         were_known: bool = True,
     ) -> None:
         """Applies changes of the targets to what depends on them.
@@ -744,8 +754,6 @@
         Args:
             changes: The changes.
             source: Who reported them.
-            position: Position of the store that the source stated; None if it
-                stated none.
             were_known: Whether other targets were known before, so that new
                 ones have just started.
         """
@@ -753,7 +761,7 @@
             self._cold_exchange.apply_changes(changes, self._clock())
         self._router.drop_removed_targets(changes)
         self._quarantine_exchange.apply_changes(changes, self._clock())
-        _log_changes(changes, source, position)
+        _log_changes(changes, source, self._router.fleet_state.targets.order)
 
     def _broadcast_load(
         self,
@@ -790,25 +798,24 @@
     ) -> None:
         """Sends the configuration version and changed targets to peers."""
         router = self._router
-        known = [
-            c.target
-            for c in changes
-            if c.event not in store_views.REMOVAL_EVENTS
-        ]
-        removed = [
-            c.target.name
-            for c in changes
-            if c.event in store_views.REMOVAL_EVENTS
+        order = router.fleet_state.targets.order
+        entries = [
+            store_views.EntryStatement(
+                change.target.name,
+                None
+                if change.event in store_views.REMOVAL_EVENTS
+                else change.target,
+                order.find(change.target.name),
+            )
+            for change in changes
         ]
         direct_addresses, gateways = router.fleet_state.broadcast_recipients()
-        count = max(1, len(known), len(removed))
-        for start in range(0, count, MAX_TARGETS_PER_MESSAGE):
+        for start in range(0, max(1, len(entries)), MAX_TARGETS_PER_MESSAGE):
             end = start + MAX_TARGETS_PER_MESSAGE
             news = messages.FleetNews(
                 router.settings.name,
                 router.fleet_state.configuration.version,
-                tuple(known[start:end]),
-                tuple(removed[start:end]),
+                tuple(entries[start:end]),
                 router.fleet_state.targets_position,
             )
             self._send(direct_addresses, news)
@@ -868,10 +875,19 @@
         return True
 
 
+def _find_position(
+    event: fleet_state_source.TargetEvent, position: store_views.Position
+) -> store_views.Position:
+    """Returns the position of an entry; that of its source if not stated."""
+    if event.revision < 0:
+        return position
+    return position._replace(revision=event.revision)
+
+
 def _log_changes(
     changes: list[store_views.TargetChange],
     source: str,
-    position: store_views.Position | None,
+    order: store_views.EntryOrder,
 ) -> None:
     for change in changes:
         _LOG.info(
@@ -882,7 +898,7 @@
                 "address": change.target.address,
                 "born": change.target.born,
                 "source": source,
-                "position": position,
+                "position": order.find(change.target.name),
             },
         )
 
--- a/catkintrail/adapters/router_status.py
+++ b/catkintrail/adapters/router_status.py
@@ -6,7 +6,6 @@
 from catkintrail.core import route_table
 from catkintrail.core import store_views
 from catkintrail.core import target_paths
-from catkintrail.core import targets as target_records
 from catkintrail.core.zones import evacuation
 
 __all__ = ["PeerState", "QuarantineStatus", "RouterStatus"]
@@ -21,16 +20,19 @@
             instance has it already.
         proof_age_seconds: Seconds since that configuration was last known to
             be the newest.
-        targets: The listed targets.
+        entries: The listed targets, and recent removals.
         targets_position: Position of the store that the targets reflect.
+        complete_position: Position up to which the instance knows all changes
+            of the targets.
         evacuations: The evacuated zones.
     """
 
     version: int
     configuration: route_table.Configuration | None
     proof_age_seconds: float
-    targets: tuple[target_records.Target, ...]
+    entries: tuple[store_views.EntryStatement, ...]
     targets_position: store_views.Position
+    complete_position: store_views.Position
     evacuations: evacuation.EvacuationState = evacuation.UNKNOWN_STATE
 
 
--- a/catkintrail/core/fleet_state.py
+++ b/catkintrail/core/fleet_state.py
@@ -6,6 +6,7 @@
 
 import itertools
 import random
+from typing import Iterable
 
 from catkintrail import messages
 from catkintrail import relay_settings
@@ -108,24 +109,52 @@
 
     def replace_targets(
         self,
-        listed: list[target_records.Target],
+        listed: Iterable[store_views.EntryStatement],
         now: float,
         position: store_views.Position = store_views.NO_POSITION,
     ) -> list[store_views.TargetChange]:
-        """Applies a complete list of targets.
+        """Applies a complete list that was read from the store.
 
         Args:
-            listed: The targets.
+            listed: The entries.
             now: Time in seconds.
-            position: Position of the store that the list reflects.
+            position: Position of the store up to which the list has all
+                changes.
 
         Returns:
             The changes of the known targets.
         """
+        order = self.targets.order
+        if position.era < order.complete_position.era:
+            # The era that the store stated before was no valid one.
+            self.targets.order = store_views.EntryOrder()
         self.targets_position = position
-        self.has_target_list = True
-        changes = self.targets.replace_all(listed, self._lapse_grace_end(), now)
-        return self._record_leaving(changes, now)
+        return self._apply_list(listed, now, position)
+
+    def merge_targets(
+        self,
+        entries: Iterable[store_views.EntryStatement],
+        now: float,
+        position: store_views.Position,
+        complete_position: store_views.Position,
+    ) -> list[store_views.TargetChange]:
+        """Applies what a peer knows of the targets.
+
+        Ignored if the peer's targets are older than the known ones.
+
+        Args:
+            entries: All entries that the peer knows, and recent removals.
+            now: Time in seconds.
+            position: Position of the store that the peer's targets reflect.
+            complete_position: Position up to which the peer knows all changes.
+
+        Returns:
+            The changes of the known targets.
+        """
+        if self.has_target_list and position < self.targets_position:
+            return []
+        self.targets_position = position
+        return self._apply_list(entries, now, complete_position)
 
     def confirm_targets(
         self, position: store_views.Position, complete_at: float
@@ -150,36 +179,59 @@
         """Records that no change of the targets precedes a later position."""
         self.targets_position = max(self.targets_position, position)
 
-    def is_older_list(self, position: store_views.Position) -> bool:
-        """Returns whether a list is older than the known targets."""
-        return self.has_target_list and position < self.targets_position
-
     def update_target(
         self,
         target: target_records.Target | None,
         name: str,
         is_removed: bool,
         now: float,
+        position: store_views.Position = store_views.NO_POSITION,
     ) -> list[store_views.TargetChange]:
-        """Applies one change of the list of targets.
+        """Applies one change that was read from the store.
 
         Args:
             target: The changed entry; None if it is invalid.
             name: Name of the entry.
             is_removed: Whether the entry was removed.
             now: Time in seconds.
+            position: Position of the entry, or of the one that was removed.
 
         Returns:
             The changes of the known targets.
         """
         if is_removed:
-            changes = self.targets.remove(name, self._lapse_grace_end(), now)
+            # All earlier changes are known, so that the removal is a later one.
+            position = max(position, self.targets.order.complete_position)
+            changes = self.targets.remove(
+                name, self._lapse_grace_end(), now, position
+            )
         elif target is None:
-            changes = self.targets.remove(name, now, now)
+            changes = self.targets.remove(name, now, now, position)
         else:
-            changes = self.targets.put(target, now)
+            changes = self.targets.put(target, now, position)
         return self._record_leaving(changes, now)
 
+    def complete_targets(self, position: store_views.Position) -> None:
+        """Records that all changes up to a position of the store were read."""
+        self.targets_position = position
+        self.targets.order.complete(position)
+
+    def describe_entries(self) -> tuple[store_views.EntryStatement, ...]:
+        """Returns the known targets and recent removals, for a peer."""
+        order = self.targets.order
+        targets = self.targets.targets
+        entries = [
+            store_views.EntryStatement(name, target, order.find(name))
+            for name, target in targets.items()
+            if name in order.listed
+        ]
+        entries += [
+            store_views.EntryStatement(name, None, position)
+            for name, position in order.removed.items()
+            if name not in targets
+        ]
+        return tuple(entries)
+
     def record_store_state(self, is_up: bool, now: float) -> None:
         """Records whether the store responded to a call."""
         if is_up and not self.is_store_up:
@@ -385,10 +437,11 @@
             self.advance_targets(position)
             self._record_peer_position(position)
         changes = []
-        for target in news.targets:
-            changes += self.targets.put(target, now)
-        for name in news.removed:
-            changes += self.targets.remove(name, now, now)
+        for name, target, position in news.entries:
+            if target is None:
+                changes += self.targets.remove(name, now, now, position)
+            else:
+                changes += self.targets.put(target, now, position)
         return self._record_leaving(changes, now)
 
     def broadcast_recipients(self) -> tuple[list[str], list[str]]:
@@ -450,6 +503,18 @@
             self.newer_peer = address
             del self._mismatch_since[address]
 
+    def _apply_list(
+        self,
+        listed: Iterable[store_views.EntryStatement],
+        now: float,
+        complete_position: store_views.Position,
+    ) -> list[store_views.TargetChange]:
+        self.has_target_list = True
+        changes = self.targets.replace_all(
+            listed, complete_position, self._lapse_grace_end(), now
+        )
+        return self._record_leaving(changes, now)
+
     def _lapse_grace_end(self) -> float:
         """Returns when entries removed by a store outage are restored."""
         return self.store_recovered_at + store_views.LAPSE_GRACE_SECONDS
--- a/catkintrail/core/store_views.py
+++ b/catkintrail/core/store_views.py
@@ -13,6 +13,8 @@
 
 __all__ = [
     "ConfigurationView",
+    "EntryOrder",
+    "EntryStatement",
     "NO_POSITION",
     "Position",
     "REMOVAL_EVENTS",
@@ -30,6 +32,9 @@
 # A store that has come back from an older copy lists targets that were removed
 # since, until their entries have expired there once more.
 RESTORE_SECONDS = 5.0
+# A statement about an entry is not expected to be under way for longer.
+REMOVAL_RETENTION_SECONDS = 900.0
+MAX_REMOVALS = 20_000
 
 
 class Position(NamedTuple):
@@ -65,6 +70,101 @@
     return start.era == end.era and end.revision - start.revision <= len(known)
 
 
+class EntryStatement(NamedTuple):
+    """What the store or a peer states about the entry of a target.
+
+    Attributes:
+        name: Name of the entry.
+        target: The target; None if the entry was removed or is invalid.
+        position: Era and revision of the entry. For a removal, those of the
+            entry that was removed, or later ones before any new entry of that
+            name. NO_POSITION if unknown.
+    """
+
+    name: str
+    target: target_records.Target | None
+    position: Position
+
+
+class EntryOrder:
+    """Which statement about each entry of the store is the newest one.
+
+    Statements come from the store and from peers, and may be late by any time:
+    a peer may have been frozen. They are compared by the positions of the
+    entries, never by the time of their arrival. A removal is newer than an
+    entry of the same position. A statement without a position counts as the
+    newest.
+
+    Attributes:
+        listed: Position of each entry that is not removed, by name.
+        removed: Position of each known removal after `complete_position`, by
+            name.
+        complete_position: Up to here all changes of the store are known. An
+            entry of this or an earlier position that is not listed was removed.
+    """
+
+    def __init__(self) -> None:
+        self.listed: dict[str, Position] = {}
+        self.removed: dict[str, Position] = {}
+        self.complete_position = NO_POSITION
+        self._removed_at: dict[str, float] = {}
+
+    def find(self, name: str) -> Position:
+        """Returns a position as of which an entry is listed or removed."""
+        if name in self.listed:
+            return self.listed[name]
+        return self.removed.get(name, self.complete_position)
+
+    def put(self, name: str, position: Position) -> bool:
+        """Records an entry; returns False if it is outdated."""
+        if position != NO_POSITION:
+            if name in self.listed:
+                is_outdated = position < self.listed[name]
+            else:
+                is_outdated = position <= self.find(name)
+            if is_outdated:
+                return False
+        self.listed[name] = max(position, self.find(name))
+        self._forget_removal(name)
+        return True
+
+    def remove(self, name: str, position: Position, now: float) -> bool:
+        """Records the removal of an entry; returns False if it is outdated."""
+        known = self.find(name)
+        is_known = position != NO_POSITION and name in self.listed
+        if is_known and position < known:
+            return False
+        self.listed.pop(name, None)
+        self._forget_removal(name)
+        position = max(position, known)
+        if position > self.complete_position:
+            self.removed[name] = position
+            self._removed_at[name] = now
+            if len(self.removed) > MAX_REMOVALS:
+                self._forget_removal(next(iter(self.removed)))
+        return True
+
+    def complete(self, position: Position) -> None:
+        """Records that all changes up to a position are known."""
+        if position <= self.complete_position:
+            return
+        self.complete_position = position
+        for name in [n for n, p in self.removed.items() if p <= position]:
+            self._forget_removal(name)
+
+    def expire(self, now: float) -> None:
+        """Forgets removals that were recorded too long ago."""
+        while self.removed:
+            name = next(iter(self.removed))
+            if now - self._removed_at[name] <= REMOVAL_RETENTION_SECONDS:
+                return
+            self._forget_removal(name)
+
+    def _forget_removal(self, name: str) -> None:
+        self.removed.pop(name, None)
+        self._removed_at.pop(name, None)
+
+
 class ConfigurationView:
     """The newest known configuration and the age of this knowledge.
 
@@ -133,6 +233,7 @@
         targets: Listed targets by name, including those that are leaving.
         by_service: Targets that may be used, by service and name.
         departures: Targets that have announced their shutdown or were removed.
+        order: The newest statement about each entry.
         restored_at: Time in seconds at which the store was last seen to have
             come back from an older copy.
     """
@@ -143,6 +244,7 @@
         self.departures = departures or departure_records.DepartureRecord()
         self.targets: dict[str, target_records.Target] = {}
         self.by_service: dict[str, dict[str, target_records.Target]] = {}
+        self.order = EntryOrder()
         self._digest = 0
         self._is_digest_stale = True
         self.restored_at = float("-inf")
@@ -162,14 +264,18 @@
 
     def replace_all(
         self,
-        listed: list[target_records.Target],
+        listed: Iterable[EntryStatement],
+        position: Position,
         keep_until: float,
         now: float,
     ) -> list[TargetChange]:
-        """Replaces the listed targets.
+        """Applies a list, and removes the targets that it lacks.
+
+        What is known to be newer than the list stays.
 
         Args:
-            listed: All valid entries of the list.
+            listed: Statements about entries; the targets of all valid ones.
+            position: Position up to which the list has all changes.
             keep_until: Time in seconds until which targets without an entry
                 are kept.
             now: Time in seconds.
@@ -178,59 +284,49 @@
             The resulting changes.
         """
         changes = []
-        names = {target.name for target in listed}
-        for target in listed:
-            changes += self.put(target, now)
-        for name in list(self.targets):
-            if name not in names:
-                changes += self.remove(name, keep_until, now)
-        for name in self._doubtful.keys() - names:
-            del self._doubtful[name]
+        names = set()
+        for statement in listed:
+            if statement.target is None:
+                changes += self.remove(
+                    statement.name, now, now, statement.position
+                )
+            else:
+                names.add(statement.name)
+                changes += self.put(statement.target, now, statement.position)
+        for name in (self.targets.keys() | self.order.listed.keys()) - names:
+            changes += self.remove(name, keep_until, now, position)
+        self.order.complete(position)
         return changes
 
     def put(
-        self, target: target_records.Target, now: float
+        self,
+        target: target_records.Target,
+        now: float,
+        position: Position = NO_POSITION,
     ) -> list[TargetChange]:
-        """Adds or updates a target.
+        """Adds or updates a target, unless newer statements are known.
 
         Args:
             target: The entry.
             now: Time in seconds.
+            position: Position of the entry.
 
         Returns:
             The resulting changes.
         """
-        self._lapse_deadlines.pop(target.name, None)
-        # A target that has announced its shutdown is not used again until it
-        # restarts, even if an older entry that lacks the announcement arrives.
-        if self.departures.is_announced(target) and not target.is_leaving:
+        if not self.order.put(target.name, position):
             return []
-        self._doubtful.pop(target.name, None)
-        if self.departures.is_removed(target):
-            if now < self.restored_at + RESTORE_SECONDS:
-                self._doubtful[target.name] = target
-                return []
-            self.departures.readmit(target.name, target.born)
-        old = self.targets.get(target.name)
-        self.targets[target.name] = target
-        self._is_digest_stale = True
-        if target.is_leaving:
-            self.departures.add(target.name, target.born, now)
-            self._remove_from_services(target.name)
-            if old is None or not old.is_leaving:
-                return [TargetChange(target, "target_leaving")]
-            return []
-        if old is not None and old.service != target.service:
-            self._remove_from_services(target.name)
-        self.by_service.setdefault(target.service, {})[target.name] = target
-        if old is None or old.is_leaving or old.born != target.born:
-            return [TargetChange(target, "target_joined")]
-        return []
+        self._lapse_deadlines.pop(target.name, None)
+        return self._apply(target, now)
 
     def remove(
-        self, name: str, keep_until: float, now: float
+        self,
+        name: str,
+        keep_until: float,
+        now: float,
+        position: Position = NO_POSITION,
     ) -> list[TargetChange]:
-        """Processes the removal of a target's entry.
+        """Removes a target, unless newer statements about it are known.
 
         Args:
             name: Name of the target.
@@ -238,10 +334,13 @@
                 than `now` if its entry may have lapsed during an outage of
                 the store.
             now: Time in seconds.
+            position: Position of the removal.
 
         Returns:
             The resulting changes.
         """
+        if not self.order.remove(name, position, now):
+            return []
         self._doubtful.pop(name, None)
         target = self.targets.get(name)
         if target is None:
@@ -260,6 +359,7 @@
             The resulting changes.
         """
         self.departures.expire(now)
+        self.order.expire(now)
         changes = []
         for name, keep_until in list(self._lapse_deadlines.items()):
             if now > keep_until:
@@ -267,7 +367,7 @@
                 changes += self._drop(name, "target_lapsed", now)
         if now >= self.restored_at + RESTORE_SECONDS:
             for target in list(self._doubtful.values()):
-                changes += self.put(target, now)
+                changes += self._apply(target, now)
         return changes
 
     def leave(self, name: str, born: int, now: float) -> list[TargetChange]:
@@ -287,7 +387,37 @@
         target = self.targets.get(name)
         if target is None or target.is_leaving or born not in (0, target.born):
             return []
-        return self.put(target._replace(is_leaving=True), now)
+        return self._apply(target._replace(is_leaving=True), now)
+
+    def _apply(
+        self, target: target_records.Target, now: float
+    ) -> list[TargetChange]:
+        """Applies an entry that is not outdated."""
+        # A target that has announced its shutdown is not used again until it
+        # restarts, even if an older entry that lacks the announcement arrives.
+        if self.departures.is_announced(target) and not target.is_leaving:
+            return []
+        self._doubtful.pop(target.name, None)
+        if self.departures.is_removed(target):
+            if now < self.restored_at + RESTORE_SECONDS:
+                self._doubtful[target.name] = target
+                return []
+            self.departures.readmit(target.name, target.born)
+        old = self.targets.get(target.name)
+        self.targets[target.name] = target
+        self._is_digest_stale = True
+        if target.is_leaving:
+            self.departures.add(target.name, target.born, now)
+            self._remove_from_services(target.name)
+            if old is None or not old.is_leaving:
+                return [TargetChange(target, "target_leaving")]
+            return []
+        if old is not None and old.service != target.service:
+            self._remove_from_services(target.name)
+        self.by_service.setdefault(target.service, {})[target.name] = target
+        if old is None or old.is_leaving or old.born != target.born:
+            return [TargetChange(target, "target_joined")]
+        return []
 
     def _drop(self, name: str, event: str, now: float) -> list[TargetChange]:
         target = self.targets.pop(name, None)
--- a/catkintrail/fleet_state_updater.py
+++ b/catkintrail/fleet_state_updater.py
@@ -515,12 +515,14 @@
         proxy.update_configuration.defer(state.configuration, proven_at, source)
         proxy.apply_evacuations.defer(state.evacuations, source)
         # A watcher's own targets are newer, unless the store is unavailable.
-        if state.targets and not (status.is_watcher and self.is_store_up):
-            events = tuple(
-                fleet_state_source.TargetEvent(target.name, target, False)
-                for target in state.targets
+        has_targets = any(entry.target for entry in state.entries)
+        if has_targets and not (status.is_watcher and self.is_store_up):
+            proxy.merge_targets.defer(
+                state.entries,
+                state.targets_position,
+                state.complete_position,
+                source,
             )
-            proxy.replace_targets.defer(events, state.targets_position, source)
         return state.proof_age_seconds < STALE_PROOF_SECONDS
 
     def _log_history_expired(self, subject: str, error: Exception) -> None:
--- a/catkintrail/messages.py
+++ b/catkintrail/messages.py
@@ -582,15 +582,13 @@
     Attributes:
         sender: Name of the watcher.
         version: Version of the configuration known to the watcher.
-        targets: Entries of targets that changed.
-        removed: Names of targets that were removed.
+        entries: Entries of targets that changed or were removed.
         position: Era and revision of the store that the changes lead to.
     """
 
     sender: str
     version: int
-    targets: tuple[targets.Target, ...]
-    removed: tuple[str, ...]
+    entries: tuple[store_views.EntryStatement, ...]
     position: tuple[int, int]
 
 
--- a/catkintrail/platform/store.py
+++ b/catkintrail/platform/store.py
@@ -538,8 +538,11 @@
     if not isinstance(name, str):
         _LOG.warning("target_entry_unreadable", extra={"target": repr(name)})
         return None
+    revision = next(_decode_revisions([item]), -1)
     if is_removed:
-        return fleet_state_source.TargetEvent(name, None, True)
+        return fleet_state_source.TargetEvent(
+            name, None, True, revision=revision
+        )
     target = wire.decode_target(item)
     if target is None:
         _LOG.warning("target_entry_unreadable", extra={"target": name})
@@ -548,7 +551,7 @@
         target,
         False,
         wire.decode_cold_seconds(item),
-        next(_decode_revisions([item]), -1),
+        revision,
     )
 
 
--- a/catkintrail/ports/fleet_state_source.py
+++ b/catkintrail/ports/fleet_state_source.py
@@ -48,7 +48,8 @@
         is_removed: Whether the entry was removed.
         cold_seconds: For how long the target stays cold; None if the entry does
             not state it.
-        revision: Revision of the entry; -1 if it is not stated.
+        revision: Revision of the entry, of a removed one too; -1 if it is not
+            stated.
     """
 
     name: str
--- a/tests/relaying.py
+++ b/tests/relaying.py
@@ -9,6 +9,7 @@
 from catkintrail.core import target_notices
 from catkintrail.core import target_paths
 from catkintrail.core import route_table
+from catkintrail.core import store_views
 from catkintrail.core import targets as target_records
 from catkintrail.platform import engines
 
@@ -104,10 +105,18 @@
     router.fleet_state.update_configuration(
         configuration or make_configuration(), now
     )
-    router.fleet_state.replace_targets(list(targets), now)
+    router.fleet_state.replace_targets(list_entries(targets), now)
     return router
 
 
+def list_entries(targets, position=store_views.NO_POSITION):
+    """Returns statements about entries that have the same position."""
+    return [
+        store_views.EntryStatement(target.name, target, position)
+        for target in targets
+    ]
+
+
 def make_peer_address(address, zone="za"):
     return target_paths.PeerAddress(address, zone)
 
--- a/tests/test_fleet_state_updater.py
+++ b/tests/test_fleet_state_updater.py
@@ -99,14 +99,17 @@
 
     def list_targets(self):
         self._check("list")
-        return fleet_state_source.TargetUpdate(
-            self._events(), store_views.Position(1, 1)
-        )
+        return self._read_targets()
 
-    def watch_targets(self, revision, wait_seconds):
+    def watch_targets(self, position, wait_seconds):
         self._check("watch targets")
         time.sleep(0.1)
-        return fleet_state_source.TargetUpdate(self._events(), revision)
+        return self._read_targets()
+
+    def _read_targets(self):
+        return fleet_state_source.TargetUpdate(
+            self._events(), store_views.Position(1, self.version)
+        )
 
 
 class UpdaterTestCase(testtools.TestCase):
@@ -186,22 +189,24 @@
             self.wait_for(lambda status: status.proof_age_seconds < 1.0, 1.0)
 
     def test_older_list_of_a_peer_is_ignored(self):
-        def replace(names, position, source):
-            events = tuple(
-                fleet_state_source.TargetEvent(
-                    name, builders.make_target(name), False
-                )
-                for name in names
+        def merge(names, position):
+            entries = builders.list_entries(
+                map(builders.make_target, names), position
             )
-            self.client.proxy.replace_targets(events, position, source).get()
+            self.client.proxy.merge_targets(
+                entries, position, position, "peer"
+            ).get()
             return set(self.router.fleet_state.targets.targets)
 
-        known = replace(
-            ["e-1"], store_views.Position(1, 9), router_actor.STORE_SOURCE
+        event = fleet_state_source.TargetEvent(
+            "e-1", builders.make_target("e-1"), False
         )
-        older = replace(["e-1", "e-2"], store_views.Position(1, 8), "peer")
-        newer = replace(["e-1", "e-3"], store_views.Position(2, 1), "peer")
-        self.assertEqual(({"e-1"}, {"e-1"}), (known, older))
+        self.client.proxy.replace_targets(
+            (event,), store_views.Position(1, 9), router_actor.STORE_SOURCE
+        ).get()
+        older = merge(["e-1", "e-2"], store_views.Position(1, 8))
+        newer = merge(["e-1", "e-3"], store_views.Position(2, 1))
+        self.assertEqual({"e-1"}, older)
         self.assertEqual({"e-1", "e-3"}, newer)
 
     def test_failed_calls_are_followed_by_backoff(self):
@@ -245,7 +250,12 @@
             4,
             builders.make_configuration(4),
             0.5,
-            (builders.make_target("e-9"),),
+            tuple(
+                builders.list_entries(
+                    [builders.make_target("e-9")], store_views.Position(1, 5)
+                )
+            ),
+            store_views.Position(1, 5),
             store_views.Position(1, 5),
         )
         self.updater.start()
@@ -297,7 +307,12 @@
             4,
             builders.make_configuration(4),
             0.5,
-            (builders.make_target("e-9"),),
+            tuple(
+                builders.list_entries(
+                    [builders.make_target("e-9")], store_views.Position(1, 5)
+                )
+            ),
+            store_views.Position(1, 5),
             store_views.Position(1, 5),
         )
         self.updater.start()
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -15,6 +15,7 @@
 from catkintrail.platform import store
 from catkintrail.platform import wire
 from tests import platform_standins
+from tests import relaying
 from tests import test_fleet_state_updater as updater_tests
 
 DEEP = b"[" * 5_000 + b"]" * 5_000
@@ -189,7 +190,8 @@
         item = {"metadata": {"name": "odd"}, "spec": {**ENTRY, **changes}}
         target = wire.decode_target(item)
         if target is not None:
-            news = messages.FleetNews("i", 1, (target,), (), (1, 1))
+            entries = relaying.list_entries([target], (1, 1))
+            news = messages.FleetNews("i", 1, tuple(entries), (1, 1))
             self.assertEqual(news, messages.decode(messages.encode(news)))
 
     @settings(max_examples=300)
--- a/tests/test_store_views.py
+++ b/tests/test_store_views.py
@@ -44,7 +44,12 @@
         super().setUp()
         self.view = store_views.TargetView()
         self.target = relaying.make_target("e-1")
-        self.view.replace_all([self.target], 0.0, 100.0)
+        self.view.replace_all(
+            relaying.list_entries([self.target]),
+            store_views.NO_POSITION,
+            0.0,
+            100.0,
+        )
 
     def usable(self):
         return set(self.view.by_service.get("engines", {}))
@@ -109,9 +114,12 @@
     def usable(self):
         return set(self.state.targets.by_service.get("engines", {}))
 
+    def replace_targets(self, targets, now):
+        self.state.replace_targets(relaying.list_entries(targets), now)
+
     def restore(self, now):
         self.state.record_store_restored(2, now)
-        self.state.replace_targets([relaying.make_target("e-1")], now)
+        self.replace_targets([relaying.make_target("e-1")], now)
 
     def test_removed_target_is_not_used_again(self):
         self.restore(107.0)
@@ -130,11 +138,11 @@
     def test_target_that_was_born_anew_is_used_at_once(self):
         self.state.record_store_restored(2, 107.0)
         born_anew = relaying.make_target("e-1", born=2)
-        self.state.replace_targets([born_anew], 107.0)
+        self.replace_targets([born_anew], 107.0)
         self.assertEqual({"e-1"}, self.usable())
 
     def test_entry_that_is_written_again_later_is_used_at_once(self):
-        self.state.replace_targets([relaying.make_target("e-1")], 107.0)
+        self.replace_targets([relaying.make_target("e-1")], 107.0)
         self.assertEqual({"e-1"}, self.usable())
         self.assertFalse(
             self.state.targets.departures.contains(relaying.make_target("e-1"))
@@ -166,7 +174,8 @@
         self.assertEqual([], state.replace_targets([], 101.1))
         self.assertIn("e-1", state.targets.by_service["engines"])
         self.assertEqual([], state.expire(102.9))
-        state.replace_targets([relaying.make_target("e-1")], 102.9)
+        entries = relaying.list_entries([relaying.make_target("e-1")])
+        state.replace_targets(entries, 102.9)
         self.assertEqual([], state.expire(110.0))
 
     def test_removal_long_after_the_return_is_not_taken_for_a_lapse(self):
@@ -184,10 +193,10 @@
 
     def test_era_that_a_peer_reports_starts_the_time_for_lapses(self):
         state = self.router.fleet_state
-        state.replace_targets(
-            [relaying.make_target("e-1")], 100.0, store_views.Position(1, 9)
-        )
-        news = messages.FleetNews("a-2", 1, (), (), (2, 4))
+        position = store_views.Position(1, 9)
+        entries = relaying.list_entries([relaying.make_target("e-1")], position)
+        state.replace_targets(entries, 100.0, position)
+        news = messages.FleetNews("a-2", 1, (), (2, 4))
         state.handle_fleet_news("10.0.0.2", news, 101.0)
         state.record_store_restored(2, 105.0)
         self.assertEqual(["target_gone"], self.remove_target(105.1))
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -191,7 +191,9 @@
             self.now,
         )
         router.fleet_state.update_configuration(self.configuration, self.now)
-        router.fleet_state.replace_targets(self._targets, self.now)
+        router.fleet_state.replace_targets(
+            builders.list_entries(self._targets), self.now
+        )
 
         def send(recipients, message):
             data = messages.encode(message)
