A status outside 200 to 599 is no answer

Cause: no client of targets checked the range. The client of the product's own interface took 102 for a final status too.

Such a response is malformed now: the send may have run, and the caller gets 502 or a retry, as its route allows. Both new tests failed before: 600 was returned by the client of engines, 102 and 600 by that of services. Orders to engines need 200 and are not concerned.

--- a/catkintrail/adapters/target_client.py
+++ b/catkintrail/adapters/target_client.py
@@ -224,11 +224,14 @@
         connection.sock.settimeout(max(0.001, timeout))
         connection.timeout = max(0.001, timeout)
         connection.request(method, path, body, headers, preload_content=False)
-        return connection.getresponse()
+        response = connection.getresponse()
     except _TRANSPORT_ERRORS as error:
         raise _may_have_run_error(
             f"{connection.host}:{connection.port}: {error}"
         ) from error
+    if response.status not in verdicts.FINAL_STATUSES:
+        raise _may_have_run_error(f"{response.status} is no valid status")
+    return response
 
 
 def _read_all(response: urllib3.BaseHTTPResponse) -> bytes:
--- a/catkintrail/platform/engines.py
+++ b/catkintrail/platform/engines.py
@@ -348,6 +348,10 @@
                 continue
             if not isinstance(event, h11.Response):
                 raise self._make_failure("no response head was received")
+            if event.status_code not in verdicts.FINAL_STATUSES:
+                raise self._make_failure(
+                    f"{event.status_code} is no valid status"
+                )
             self._store_head(event)
             if self.headers_by_name.get(wire.ATTEMPT_ID) in (
                 None,
--- a/catkintrail/verdict.py
+++ b/catkintrail/verdict.py
@@ -3,7 +3,17 @@
 import enum
 from typing import NamedTuple
 
-__all__ = ["Reason", "Refusal", "STATUS_OF_REASON", "Verdict", "combine"]
+__all__ = [
+    "FINAL_STATUSES",
+    "Reason",
+    "Refusal",
+    "STATUS_OF_REASON",
+    "Verdict",
+    "combine",
+]
+
+# Statuses of responses that end an exchange (RFC 9110, section 15).
+FINAL_STATUSES = range(200, 600)
 
 
 class Verdict(enum.Enum):
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -513,6 +513,12 @@
         self.serve(make_response(extra=b"Content-Encoding: gzip\r\n"))
         self.assert_send_fails(MAY_HAVE_RUN)
 
+    def test_response_without_a_valid_status_may_have_run(self):
+        # Guards against answers whose status clients cannot understand.
+        for status in ("000", "099", "600", "999"):
+            self.serve(make_response(status=f"{status} Odd"))
+            self.assert_send_fails(MAY_HAVE_RUN)
+
     def test_malformed_response_may_have_run(self):
         self.serve(b"\0\1garbage\r\n\r\n")
         self.assert_send_fails(MAY_HAVE_RUN)
--- a/tests/test_target_client.py
+++ b/tests/test_target_client.py
@@ -91,6 +91,8 @@
             "not HTTP": (b"\x00\x01\x02 hello\r\n\r\n", True),
             "error without a verdict": (make_response(500, b"oops"), True),
             "gateway timeout": (make_response(504), True),
+            "informational status": (make_response(102), True),
+            "status beyond the last class": (make_response(600), True),
         }
         for name, (content, reads) in cases.items():
             for resets in (False, True):
