An unframed answer that ends during its upload is not whole

Cause: a body with neither a length nor chunks ends with its connection. A target whose process ends during an upload sends FIN first and the reset with the next bytes of the upload; read in between, the part looks whole.

Such an end counts only if all of the request was written and received and the connection was not reset.

Two of the four tests of EarlyEndTests failed before; a bare reset, and an answer that ends after its request of 16 MB was read, held before and hold.

--- a/catkintrail/adapters/sockets.py
+++ b/catkintrail/adapters/sockets.py
@@ -1,9 +1,13 @@
 """Sockets whose class is chosen after they were opened, and their state."""
 
+import array
+import contextlib
+import fcntl
 import select
 import socket
+import termios
 
-__all__ = ["AdoptedSocket", "has_event"]
+__all__ = ["AdoptedSocket", "has_event", "has_failed", "has_unsent_bytes"]
 
 
 class AdoptedSocket(socket.socket):
@@ -25,3 +29,22 @@
     poll = select.poll()
     poll.register(connection, events)
     return bool(poll.poll(0))
+
+
+def has_failed(connection: socket.socket) -> bool:
+    """Returns whether the other end has reset a connection."""
+    poll = select.poll()
+    poll.register(connection, 0)
+    return any(flags & select.POLLERR for _, flags in poll.poll(0))
+
+
+def has_unsent_bytes(connection: socket.socket) -> bool:
+    """Returns whether bytes were written that the other end has not received.
+
+    Returns:
+        False also where the system does not tell.
+    """
+    count = array.array("i", [0])
+    with contextlib.suppress(OSError):
+        fcntl.ioctl(connection, termios.TIOCOUTQ, count)
+    return count[0] > 0
--- a/catkintrail/platform/engines.py
+++ b/catkintrail/platform/engines.py
@@ -380,6 +380,7 @@
             if isinstance(event, h11.Data):
                 return bytes(event.data)
             if isinstance(event, h11.EndOfMessage):
+                self._check_end()
                 self._is_complete = True
             else:
                 raise self._make_failure("the response is truncated")
@@ -408,6 +409,27 @@
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
 
+    def _check_end(self) -> None:
+        """Checks that a body was ended by its target.
+
+        A body that is not framed ends with the connection. A target that ends
+        the connection while the request is on its way, or resets it, may not
+        have sent all of the body.
+
+        Raises:
+            errors.TargetError: The body may be truncated.
+        """
+        if self.is_framed or not self._is_ended_by_target:
+            return
+        if (
+            not self._is_request_sent
+            or sockets.has_unsent_bytes(self._socket)
+            or sockets.has_failed(self._socket)
+        ):
+            raise self._make_failure(
+                "the connection ended before the request was received"
+            )
+
     def _encode_request(self) -> bytes:
         request = self.request
         remaining_ms = (request.deadline - self.client.clock()) * 1000.0
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -609,6 +609,79 @@
         self.assert_truncated(respond)
 
 
+class EarlyEndTests(EngineClientTestCase):
+    """A response without framing that ends before its request was read."""
+
+    BODY = b"x" * (16 << 20)
+
+    def setUp(self):
+        super().setUp()
+        self.part = make_response(b"part of it").replace(
+            b"Content-Length: 10\r\n", b""
+        )
+
+    def reads_part(self, end, **changes):
+        """Returns whether the part was read as a whole response."""
+
+        def respond(connection):
+            connection.sendall(self.part)
+            end(connection)
+            # The server stays there until the response was read.
+            self.is_read.wait(5.0)
+
+        self.is_read = threading.Event()
+        self.serve(respond)
+        try:
+            body = self.read_all(self.send(**changes))
+        except errors.TargetError as error:
+            self.assertEqual(MAY_HAVE_RUN, error.verdict)
+            return False
+        finally:
+            self.is_read.set()
+        self.assertEqual(b"part of it", body)
+        return True
+
+    def end_sending(self, connection):
+        connection.shutdown(socket.SHUT_WR)
+
+    def test_end_during_the_upload_is_no_end_of_the_response(self):
+        # Guards against a part of a response that is passed on as the whole.
+        self.assertFalse(self.reads_part(self.end_sending, body=self.BODY))
+
+    def test_reset_during_the_upload_is_no_end_of_the_response(self):
+        self.assertFalse(self.reads_part(reset_connection, body=self.BODY))
+
+    def test_reset_after_the_end_is_no_end_of_the_response(self):
+        def end_and_reset(connection):
+            connection.sendall(self.part)
+            self.end_sending(connection)
+            reset_connection(connection)
+            self.is_reset.set()
+
+        self.is_reset = threading.Event()
+        self.serve(end_and_reset)
+        response = self.send(body=b"x" * 100_000)
+        self.is_reset.wait(5.0)
+        time.sleep(0.05)
+        self.assertRaises(errors.TargetError, self.read_all, response)
+
+    def test_end_after_the_request_was_read_is_the_end(self):
+        def read_and_end(connection):
+            (data,) = self.server.requests[-1]
+            left = len(self.BODY) - len(data.partition(b"\r\n\r\n")[2])
+            while left > 0:
+                left -= len(connection.recv(65536))
+            connection.sendall(self.part)
+            self.end_sending(connection)
+            self.is_read.wait(5.0)
+
+        self.is_read = threading.Event()
+        self.serve(read_and_end)
+        response = self.send(wait=5.0, body=self.BODY)
+        self.assertEqual(b"part of it", self.read_all(response))
+        self.is_read.set()
+
+
 class KeepAliveServer:
     """Responds to any number of requests on any number of connections."""
 
