A tunnel does not end an answer that its target broke off

The peer looks at what it has not passed on, what the target's machine has not acknowledged and whether the connection was reset, and sends RESET then.

--- a/catkintrail/adapters/tunnel_server.py
+++ b/catkintrail/adapters/tunnel_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import select
 import socket
 import threading
 from typing import Callable
@@ -11,6 +12,7 @@
 
 from catkintrail.adapters import keep_alive
 from catkintrail.adapters import peer_tunnels
+from catkintrail.adapters import sockets
 from catkintrail.core import targets as target_records
 
 __all__ = ["TunnelServer"]
@@ -159,9 +161,22 @@
     far_writer: asyncio.StreamWriter,
 ) -> None:
     """Copies bytes until one side ends, and then ends the other."""
+
+    def is_request_received() -> bool:
+        near_socket = writer.get_extra_info("socket")
+        far_socket = far_writer.get_extra_info("socket")
+        return not (
+            sockets.has_event(near_socket, select.POLLIN)
+            or far_writer.transport.get_write_buffer_size()
+            or sockets.has_unsent_bytes(far_socket)
+            or sockets.has_failed(far_socket)
+        )
+
     tasks = [
         asyncio.create_task(_copy_requests(reader, far_writer)),
-        asyncio.create_task(_copy_responses(far_reader, writer)),
+        asyncio.create_task(
+            _copy_responses(far_reader, writer, is_request_received)
+        ),
     ]
     try:
         await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -183,11 +198,15 @@
 
 
 async def _copy_responses(
-    far_reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    far_reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    is_request_received: Callable[[], bool],
 ) -> None:
     """Copies what the target sends, until it ends its connection.
 
-    Ends without a frame if the target does not respond any more.
+    Ends without a frame if the target does not respond any more. A target that
+    ends its connection before it has received all that was sent to it may not
+    have sent all of its response; for the near end, that is a reset.
     """
     end = peer_tunnels.END
     while True:
@@ -199,6 +218,8 @@
             end = peer_tunnels.RESET
             break
         if not data:
+            if not is_request_received():
+                end = peer_tunnels.RESET
             break
         writer.write(
             peer_tunnels.FRAME_HEAD.pack(peer_tunnels.DATA, len(data)) + data
--- a/tests/test_peer_tunnels.py
+++ b/tests/test_peer_tunnels.py
@@ -344,6 +344,8 @@
 class ResponseTests(TunnelTestCase):
     """Responses to requests that are sent through a peer."""
 
+    # Less than the buffers of a tunnel.
+    UPLOAD_BYTES = 200_000
     response = WHOLE
     ends_with_reset = False
     ends = False
@@ -368,17 +370,19 @@
 
         threading.Thread(target=answer, daemon=True).start()
 
-    def send(self, wait=5.0):
+    def send(self, wait=5.0, **changes):
         return self.client.send(
             self.target,
-            engine_tests.make_request(),
+            engine_tests.make_request(**changes),
             caller_watch.CallerConnection(),
             time.monotonic() + wait,
             time.monotonic,
         )
 
     def read(self):
-        response = self.send()
+        return self.read_body(self.send())
+
+    def read_body(self, response):
         body = b""
         while data := response.read(time.monotonic() + 5.0):
             body += data
@@ -430,6 +434,22 @@
         self.assertEqual(verdicts.Verdict.MAY_HAVE_RUN, error.verdict)
         self.assertFalse(error.is_broken_off)
 
+    def test_end_during_the_upload_is_no_end_of_the_response(self):
+        # Guards against a part of a response that is passed on as the whole,
+        # when the tunnel has taken all of the request and the target has not.
+        def answer(connection):
+            connection.recv(65536)
+            connection.sendall(HEAD + b"\r\nsome")
+            connection.shutdown(socket.SHUT_WR)
+
+        self.serve = answer
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        body = b"x" * self.UPLOAD_BYTES
+        for _ in range(5):
+            response = self.send(body=body)
+            self.assertRaises(errors.TargetError, self.read_body, response)
+            response.close()
+
     def test_reset_of_the_target_is_its_own_break(self):
         self.response = HEAD + b"\r\nsome"
         self.ends_with_reset = True
