Unfinished events are counted, and answers without memory end with a word

Where an answer found no memory, its caller saw a closed connection, and the log said caller_left.

Cause: only whole answers were in the budget for callers. A spent budget was told as a lost caller. And a failed send kept its frames, with all that it had received, until its request had ended.

Beyond 64 KiB, an unfinished event takes bytes of the budget. What finds none ends with 502 and its reason, is not sent again and is not counted against its target.

--- a/catkintrail/adapters/caller_connections.py
+++ b/catkintrail/adapters/caller_connections.py
@@ -215,15 +215,21 @@
         if not is_writable:
             raise TimeoutError("the caller does not read")
 
-    def hold_more(self, size: int) -> None:
+    def hold_more(self, size: int) -> bool:
         """Counts bytes of an answer that is kept for the caller.
 
+        Returns:
+            Whether there is memory for them.
+
         Raises:
-            ConnectionError: The budget for callers is spent.
+            ConnectionError: The connection had to give way.
         """
-        self._kept_bytes += size
-        if not self._owner.memory.hold(self.held, self._kept_bytes):
-            raise ConnectionAbortedError("the memory for callers is spent")
+        is_held = self._owner.memory.hold(self.held, self._kept_bytes + size)
+        if is_held:
+            self._kept_bytes += size
+        elif self.held.is_ended:
+            raise ConnectionAbortedError("the connection had to give way")
+        return is_held
 
     def take_body(self) -> bytes:
         """Returns the body of the request, and drops the buffers."""
--- a/catkintrail/errors.py
+++ b/catkintrail/errors.py
@@ -11,6 +11,7 @@
     "ConflictError",
     "FrameError",
     "HistoryExpiredError",
+    "MemorySpentError",
     "Mistake",
     "OutcomeUnknownError",
     "PlatformError",
@@ -166,6 +167,16 @@
         super().__init__(f"the target answered {status}", verdicts.Verdict.RAN)
 
 
+class MemorySpentError(TargetError):
+    """A response is given up, as there is no memory to keep it in."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            "there is no memory left for the response",
+            verdicts.Verdict.MAY_HAVE_RUN,
+        )
+
+
 class CallerDisconnectedError(CatkintrailError):
     """The caller has closed its connection."""
 
--- a/catkintrail/platform/caller_requests.py
+++ b/catkintrail/platform/caller_requests.py
@@ -209,7 +209,8 @@
 
     def hold(self, size: int) -> None:
         """Counts bytes of an answer that wait for the caller."""
-        self._call_writer(self._request.conn.hold_more, size)
+        if not self._call_writer(self._request.conn.hold_more, size):
+            raise errors.MemorySpentError()
 
     def abort(self) -> None:
         """Closes the connection, so that the caller detects a truncation."""
@@ -217,9 +218,9 @@
         self._request.chunked_write = False
         self._request.sent_headers = True
 
-    def _call_writer(self, function: Callable, *arguments: Any) -> None:
+    def _call_writer(self, function: Callable, *arguments: Any) -> Any:
         try:
-            function(*arguments)
+            return function(*arguments)
         except OSError as error:
             raise errors.CallerDisconnectedError(str(error)) from error
 
--- a/catkintrail/ports/relaying.py
+++ b/catkintrail/ports/relaying.py
@@ -94,7 +94,11 @@
         """Sends a part of the body."""
 
     def hold(self, size: int) -> None:
-        """Counts bytes of an answer that are kept until it is whole."""
+        """Counts bytes of an answer that are kept before they are sent.
+
+        Raises:
+            errors.MemorySpentError: There is no memory for them.
+        """
 
     def abort(self) -> None:
         """Closes the connection, so that the caller detects a truncation."""
--- a/catkintrail/relay.py
+++ b/catkintrail/relay.py
@@ -162,6 +162,8 @@
                     request, route.name, "answered", progress
                 )
                 return
+            # Its frames hold what was received of the response.
+            failure = failure.with_traceback(None)
 
     def _place(
         self,
@@ -239,6 +241,8 @@
     ) -> Refusal | None:
         """Returns why a failed request is not retried; None if it may be."""
         verdict = progress.verdict
+        if isinstance(failure, errors.MemorySpentError):
+            return Refusal(verdict, verdicts.Reason.OVERLOADED, str(failure))
         if verdict is not Verdict.NOT_RUN and not route.is_retryable:
             return Refusal(verdict, verdicts.Reason.TARGET_FAILED, str(failure))
         if progress.send_count >= route.max_sends:
@@ -318,7 +322,7 @@
                 outcome = "interrupted"
                 return error
             is_target_fault = not error.is_paused and not isinstance(
-                error, errors.TargetNotCalledError
+                error, (errors.TargetNotCalledError, errors.MemorySpentError)
             )
             waited_seconds = self.clock() - sent_at
             is_silent = error.is_silent and (
--- a/catkintrail/response_forwarder.py
+++ b/catkintrail/response_forwarder.py
@@ -31,6 +31,9 @@
 # this fraction of the route's timeout.
 PLAIN_RESPONSE_TIMEOUT_FRACTION = 0.45
 MAX_RESPONSE_BYTES = 4 << 20
+# Unfinished events up to this size are not counted, so that usual streams are
+# not cut when others have spent the memory.
+FREE_EVENT_BYTES = 64 << 10
 
 Verdict = verdicts.Verdict
 
@@ -100,8 +103,9 @@
         Raises:
             errors.TargetResponseError: The target responded with a failure
                 that may be retried, or that interrupts a started stream.
-            errors.TargetError: The response is cut, too long or unsigned, or
-                is not the continuation of a started stream.
+            errors.TargetError: The response is cut, too long or unsigned, is
+                not the continuation of a started stream, or there is no memory
+                for it.
         """
         chunks = []
         size = 0
@@ -156,7 +160,8 @@
                 seconds.
 
         Raises:
-            errors.TargetError: The stream is cut, stalled or malformed.
+            errors.TargetError: The stream is cut, stalled or malformed, or
+                there is no memory for an unfinished event.
         """
         content_type = _find_content_type(response.headers)
         if progress.has_started:
@@ -177,6 +182,7 @@
         )
         read_deadline = first_event_deadline
         is_first = True
+        held_bytes = FREE_EVENT_BYTES
         while data := response.read(min(progress.deadline, read_deadline)):
             try:
                 events = reader.feed(data)
@@ -187,6 +193,9 @@
                 raise errors.TargetError(
                     str(error), Verdict.MAY_HAVE_RUN
                 ) from error
+            if len(reader.pending) > held_bytes:
+                writer.hold(len(reader.pending) - held_bytes)
+                held_bytes = len(reader.pending)
             if events:
                 if is_first:
                     is_first = False
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -8,6 +8,7 @@
 import testtools
 from testtools import matchers
 
+from catkintrail import errors
 from catkintrail.adapters import caller_watch
 from catkintrail.core import route_table
 from catkintrail.platform import callers
@@ -434,6 +435,24 @@
         self.assertTrue(disconnected.wait(2.0))
 
 
+class SpentMemoryTests(CallerServerTestCase):
+    """Answers for which no memory is left."""
+
+    def test_caller_gets_the_answer_that_is_sent_instead(self):
+        # Guards against connections that are closed without an answer.
+        def hold(request, writer, caller):
+            self.server.memory.budget.total = 10_000
+            try:
+                writer.hold(100_000)
+            except errors.MemorySpentError:
+                writer.start(502, (), 2)
+                writer.write(b"no")
+
+        self.handler = hold
+        response = self.send_and_read(HEAD + b"Content-Length: 0\r\n\r\n")
+        self.assertTrue(response.startswith(b"HTTP/1.1 502 "), response)
+
+
 class ThreadTests(CallerServerTestCase):
 
     def test_added_threads_serve_more_concurrent_requests(self):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -19,9 +19,14 @@
 
 
 class FakeResponseWriter:
-    """Records the response to a caller."""
+    """Records the response to a caller.
+
+    Attributes:
+        budget: Bytes that may be held.
+    """
 
     def __init__(self):
+        self.budget = 1 << 30
         self.status = 0
         self.headers = {}
         self.length = None
@@ -40,7 +45,9 @@
             self.on_write()
 
     def hold(self, size):
-        pass
+        self.budget -= size
+        if self.budget < 0:
+            raise errors.MemorySpentError()
 
     def abort(self):
         self.is_aborted = True
@@ -288,6 +295,49 @@
         self.assertEqual((500, b"2"), (self.reply.status, self.reply.body))
 
 
+class SpentMemoryTests(RelayTestCase):
+    """Responses that cannot be kept until they may be forwarded."""
+
+    PART = b"x" * 60_000
+
+    def setUp(self):
+        super().setUp()
+        self.reply.budget = 200_000
+
+    def assert_refused(self):
+        self.assertEqual(502, self.reply.status)
+        self.assertIn(b"memory", self.reply.body)
+        self.assertEqual("refused", self.metrics.outcome)
+        self.assertEqual(1, len(self.targets.sends))
+        self.assert_no_load_counted()
+
+    def test_unfinished_event_is_counted(self):
+        # Guards against targets that fill the memory with events without end.
+        parts = [b"data: "] + [self.PART] * 8
+        self.serve(FakeTargetResponse(200, parts))
+        self.assert_refused()
+
+    def test_whole_events_are_not_counted(self):
+        self.reply.budget = 0
+        parts = [event(n, "x" * 50_000) for n in range(8)]
+        self.serve(FakeTargetResponse(200, parts))
+        self.assertEqual(b"".join(parts), self.reply.body)
+
+    def test_response_that_cannot_be_kept_is_refused(self):
+        # Guards against connections that are closed without an answer.
+        for path in ("/book/a", "/look/a"):
+            self.serve(FakeTargetResponse(200, [self.PART] * 8), path=path)
+            self.assert_refused()
+            self.reply = FakeResponseWriter()
+            self.reply.budget = 200_000
+
+    def test_stream_that_has_begun_is_cut(self):
+        parts = [event(0), b"data: "] + [self.PART] * 8
+        self.serve(FakeTargetResponse(200, parts))
+        self.assertEqual(event(0), self.reply.body)
+        self.assertTrue(self.reply.is_aborted)
+
+
 class QuarantineTests(RelayTestCase):
     """Requests under which targets have broken responses off."""
 
