A stream that this instance ends at its exit does not look complete

It is the class of the end during an upload: any end of an unframed answer was taken as its target's.

Cause: an instance that stops ends what still runs by shutting the socket to the target down; the read that follows returns nothing, as if the target had closed.

The client of targets remembers that it ended the exchange, and reports a failure that is not the target's. The stream is cut, as framed ones were.

--- a/catkintrail/platform/engines.py
+++ b/catkintrail/platform/engines.py
@@ -310,6 +310,7 @@
         self._has_sent_bytes = False
         self.is_framed = True
         self._is_closed = False
+        self._is_interrupted = False
         self._is_ended_by_target = False
         self._sent_at = 0.0
         self._extend = extend
@@ -405,6 +406,7 @@
 
     def interrupt(self) -> None:
         """Ends a blocking call on the connection in another thread."""
+        self._is_interrupted = True
         # The socket may be closed already.
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
@@ -520,6 +522,8 @@
                 if event is not h11.NEED_DATA:
                     return event
                 data = self._receive(until)
+                if not data and self._is_interrupted:
+                    raise self._make_failure("the exchange was ended here")
                 self._is_ended_by_target = not data
                 self._http.receive_data(data)
         except OSError as error:
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -665,6 +665,22 @@
         time.sleep(0.05)
         self.assertRaises(errors.TargetError, self.read_all, response)
 
+    def test_end_by_this_instance_is_no_end_of_the_response(self):
+        # Guards against streams that look complete when a process stops.
+        def respond(connection):
+            connection.sendall(self.part)
+            self.is_read.wait(5.0)
+
+        self.serve(respond)
+        response = self.send()
+        until = time.monotonic() + 5.0
+        self.assertEqual(b"part of it", response.read(until))
+        response.interrupt()
+        error = self.assertRaises(errors.TargetError, response.read, until)
+        self.assertFalse(error.is_broken_off)
+        response.close()
+        self.is_read.set()
+
     def test_end_after_the_request_was_read_is_the_end(self):
         def read_and_end(connection):
             (data,) = self.server.requests[-1]
