A displaced connection with a request does not close the port for callers

Callers saw: each new connection refused, for as long as the process lives, after a crowd had come to the limit of connections.

Cause: the loop of the port went through a list of ready connections in which those displaced by new ones were still present. A thread closed such a connection a second time, and cheroot ends the server when that fails.

Ready connections are passed on before new ones are accepted, and an error on closing is logged. The new test plays the order of events and failed before with the same error.

--- a/catkintrail/adapters/caller_connections.py
+++ b/catkintrail/adapters/caller_connections.py
@@ -243,7 +243,12 @@
         self._received = bytearray()
         self._owner.memory.release(self.held)
         self._owner.remove_connection(self)
-        super().close()
+        try:
+            super().close()
+        except OSError as error:
+            # In a thread of the pool, it would end the whole server.
+            self._owner.record_fault(str(error))
+            self.socket.close()
 
     def _read_request(self) -> bool:
         """Reads for one turn; returns whether a request is whole."""
--- a/catkintrail/adapters/caller_server.py
+++ b/catkintrail/adapters/caller_server.py
@@ -67,12 +67,16 @@
         checked_at = self._owner.clock()
         while not self._stop_requested:
             timeout = RESUME_SECONDS if self._paused else expiration_interval
+            has_new_callers = False
             for descriptor, conn in list(self._selector.select(timeout)):
                 if conn is self.server:
-                    self._accept_all()
+                    has_new_callers = True
                 else:
                     self._selector.unregister(descriptor)
                     self.server.process_conn(conn)
+            # New connections may displace those that are still registered.
+            if has_new_callers:
+                self._accept_all()
             now = self._owner.clock()
             for conn in self._take_paused(now):
                 self.server.process_conn(conn)
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -62,6 +62,22 @@
         connection.sendall(data)
         return self.read_response(connection)
 
+    def delay_selector(self, *delays):
+        """Makes the selector slow, as on a busy machine.
+
+        Args:
+            *delays: Seconds that each of the next connections takes.
+        """
+        process = self.server._server.process_conn
+        remaining = list(delays)
+
+        def process_slowly(connection):
+            process(connection)
+            if remaining:
+                time.sleep(remaining.pop())
+
+        self.server._server.process_conn = process_slowly
+
     def read_response(self, connection):
         response = b""
         while b"\r\n\r\n" not in response:
@@ -177,22 +193,6 @@
         for connection in busy:
             self.assertIn(b" 200 ", self.read_response(connection))
 
-    def delay_selector(self, *delays):
-        """Makes the selector slow, as on a busy machine.
-
-        Args:
-            *delays: Seconds that each of the next connections takes.
-        """
-        process = self.server._server.process_conn
-        remaining = list(delays)
-
-        def process_slowly(connection):
-            process(connection)
-            if remaining:
-                time.sleep(remaining.pop())
-
-        self.server._server.process_conn = process_slowly
-
     def is_refused(self):
         try:
             self.connect().close()
@@ -435,6 +435,29 @@
         self.assertTrue(disconnected.wait(2.0))
 
 
+class FullServerTests(CallerServerTestCase):
+    """New connections at the limit, which take the place of idle ones."""
+
+    def test_request_on_a_connection_that_is_displaced_ends_no_port(self):
+        # Guards against a port that closes for good: a connection is displaced
+        # by a new one in the moment in which its next request arrives.
+        request = HEAD + b"Content-Length: 0\r\n\r\n"
+        connections = [self.connect() for _ in range(2)]
+        for connection in connections:
+            self.assertIn(b" 200 ", self.send_and_read(request, connection))
+        self.server.max_connections = 2
+        time.sleep(0.1)
+        self.delay_selector(0.5)
+        connections[1].sendall(request)
+        time.sleep(0.1)
+        new = self.connect()
+        time.sleep(0.1)
+        connections[0].sendall(request)
+        time.sleep(0.6)
+        self.assertIn(b" 200 ", self.send_and_read(request, new))
+        self.assertIn(b" 200 ", self.send_and_read(request))
+
+
 class SpentMemoryTests(CallerServerTestCase):
     """Answers for which no memory is left."""
 
