Requests that wait unread in time get no 408

Callers saw: 408, though their whole request had reached the machine in time, from an instance whose port thread was busy.

Cause: the check for time limits ran after a pass over the ready connections and ended those that had become ready meanwhile.

A connection with unread bytes is read first, and refused then if its request is not whole.

--- a/catkintrail/adapters/caller_server.py
+++ b/catkintrail/adapters/caller_server.py
@@ -94,11 +94,17 @@
     def _expire(self, threshold: float) -> None:
         """Ends connections whose callers have let a time limit pass.
 
+        Those with bytes that were not read yet may have been in time.
+
         Args:
             threshold: The time in seconds.
         """
         for descriptor, conn in list(self._selector.connections):
-            if conn is not self.server and conn.is_expired(threshold):
+            if (
+                conn is not self.server
+                and conn.is_expired(threshold)
+                and not sockets.has_event(conn.socket, select.POLLIN)
+            ):
                 self._selector.unregister(descriptor)
                 conn.expire()
         # Paced connections are not in the selector, which would show that
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -368,6 +368,18 @@
         self.assertThat(seconds, matchers.LessThan(2.0))
         self.assertEqual([], self.requests)
 
+    def test_request_that_waits_unread_does_not_time_out(self):
+        # Guards against 408 for requests that came in time to a busy instance.
+        request = HEAD + b"Content-Length: 0\r\n\r\n"
+        connections = [self.connect() for _ in range(2)]
+        time.sleep(0.1)
+        self.delay_selector(0.8)
+        for connection in connections:
+            connection.sendall(request)
+            time.sleep(0.1)
+        for connection in connections:
+            self.assertIn(b" 200 ", self.read_response(connection))
+
     def test_idle_connection_outlives_the_header_timeout(self):
         connection = self.connect()
         self.send_and_read(HEAD + b"Content-Length: 0\r\n\r\n", connection)
