Show crashes of engines that come at once counting as one (case 19)

review/19/run.sh, run twice: nine requests with a crashing part reached engines later than 3 s after the fifth crash, where three may (exit 1). With TROUBLE=0 no engine crashed (exit 0).

--- a/review/standins4/harness.py
+++ b/review/standins4/harness.py
@@ -391,15 +391,29 @@
         self.runs = []
         self.run = run
         self.record = record
+        self.on_start = lambda: None
+        self._connections = set()
+        self._lock = threading.Lock()
         engine = self
 
         class EngineHandler(Handler):
 
+            def setup(self):
+                super().setup()
+                with engine._lock:
+                    engine._connections.add(self.connection)
+
+            def finish(self):
+                with engine._lock:
+                    engine._connections.discard(self.connection)
+                super().finish()
+
             def do_POST(self):  # pylint: disable=invalid-name
                 engine.handle(self)
 
             do_GET = do_POST
 
+        self._handler = EngineHandler
         self._server = serve(EngineHandler)
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
 
@@ -470,9 +484,26 @@
             [("Instance-Id", self.name), ("Content-Type", "application/json")],
         )
 
-    def close(self):
+    def crash(self, back_seconds):
+        """Ends the port and all connections; starts anew after a while."""
+        self._server.socket.close()
+        with self._lock:
+            connections = list(self._connections)
+        for connection in connections:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
         self._server.shutdown()
-        self._server.server_close()
+        timer = threading.Timer(back_seconds, self._start_again)
+        timer.daemon = True
+        timer.start()
+
+    def _start_again(self):
+        port = int(self.address.rpartition(":")[2])
+        self._server = serve(self._handler, port=port)
+        self.born = int(time.time() * 1000)
+        self.on_start()
 
 
 def begin_stream(engine, handler, is_chunked=True):
@@ -634,6 +665,9 @@
 
     def add_engine(self, name, service, run, zone="falun"):
         engine = Engine(name, service, run, self.record, zone)
+        engine.on_start = lambda: self.store.put(
+            "servers", name, engine.entry()
+        )
         self.engines.append(engine)
         self.store.put("servers", name, engine.entry())
         return engine
@@ -738,6 +772,7 @@
     headers=(),
     is_engine=False,
     is_kept=False,
+    parts="5c1e07a2:800",
 ):
     """Returns the bytes of a client's request."""
     lines = [
@@ -751,7 +786,7 @@
         lines += [
             "Model: m",
             "Token-Counts: 1460,80",
-            f"Prompt-Prefix: 5c1e07a2:800,{attempt}:660",
+            f"Prompt-Prefix: {parts},{attempt}:660",
         ]
     lines += [f"{name}: {value}" for name, value in headers]
     if not is_kept:
