--- a/review/standins4/harness.py
+++ b/review/standins4/harness.py
@@ -383,7 +383,7 @@
         runs: Attempt ids of the requests that were run, with times.
     """
 
-    def __init__(self, name, service, run, record, zone="falun"):
+    def __init__(self, name, service, run, record, zone="falun", port=0):
         self.name = name
         self.service = service
         self.zone = zone
@@ -414,7 +414,7 @@
             do_GET = do_POST
 
         self._handler = EngineHandler
-        self._server = serve(EngineHandler)
+        self._server = serve(EngineHandler, port=port)
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
 
     def entry(self, state="ready"):
