--- a/review/standins4/harness.py
+++ b/review/standins4/harness.py
@@ -242,7 +242,6 @@
         self._revision = 10
         self._objects = {}
         self._changes = []
-        self._cuts = 0
         self._changed = threading.Condition()
         store = self
 
@@ -288,12 +287,6 @@
                 self._changed.notify_all()
             return time.monotonic()
 
-    def cut_watches(self):
-        """Cuts off the watches that are waiting."""
-        with self._changed:
-            self._cuts += 1
-            self._changed.notify_all()
-
     def handle(self, handler):
         """Answers a call."""
         self.calls += 1
@@ -315,9 +308,6 @@
             answer = self._read(parts, arguments.get("after-rev", ""))
         else:
             answer = self._write(handler.command, parts, body)
-        if answer is None:
-            handler.close_connection = True
-            return
         status, content = answer
         handler.reply(
             status,
@@ -344,15 +334,12 @@
     def _watch(self, kind, revision, seconds):
         end = time.monotonic() + seconds
         with self._changed:
-            cuts = self._cuts
             while True:
                 events = [
                     {"object": item, "removed": is_removed}
                     for number, other, item, is_removed in self._changes
                     if number > revision and other == kind
                 ]
-                if cuts != self._cuts:
-                    return None
                 left = end - time.monotonic()
                 if events or left <= 0:
                     return 200, {"events": events, "as-of": self._revision}
@@ -622,16 +609,6 @@
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return connection
 
-    def log_lines(self):
-        path = self._case.folder / f"{self.name}.log"
-        lines = []
-        for line in path.read_text(errors="replace").splitlines():
-            try:
-                lines.append(json.loads(line))
-            except ValueError:
-                lines.append({"event": "unreadable", "line": line})
-        return lines
-
 
 class CannotRunError(Exception):
     """The case could not be played."""
@@ -714,13 +691,15 @@
     """
     case = None
     status = 2
+    # The processes that the case has started end with it.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         case = Case(folder, **options)
         broken = run(case)
         for text in broken:
             case.record.write(f"BROKEN: {text}")
         status = 1 if broken else 0
-    except Exception:  # pylint: disable=broad-exception-caught
+    except (Exception, SystemExit):  # pylint: disable=broad-exception-caught
         text = traceback.format_exc()
         print(text, file=sys.stderr)
         if case is not None:
@@ -771,7 +750,6 @@
     deadline_ms=10_000,
     headers=(),
     is_engine=False,
-    is_kept=False,
     parts="5c1e07a2:800",
 ):
     """Returns the bytes of a client's request."""
@@ -789,8 +767,7 @@
             f"Prompt-Prefix: {parts},{attempt}:660",
         ]
     lines += [f"{name}: {value}" for name, value in headers]
-    if not is_kept:
-        lines.append("Connection: close")
+    lines.append("Connection: close")
     if body or method == "POST":
         lines.append(f"Content-Length: {len(body)}")
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- a/review/standins4/service_process.py
+++ b/review/standins4/service_process.py
@@ -44,9 +44,7 @@
 
 def main():
     name, port = sys.argv[1], int(sys.argv[2])
-    engine = harness.Engine(
-        name, "rotatjanst", answer, _Printer(), port=port
-    )
+    engine = harness.Engine(name, "rotatjanst", answer, _Printer(), port=port)
     print(engine.born, flush=True)
     threading.Event().wait()
 
