Refuse requests over the limits on callers, never cut them

Cause: a size was checked twice, with two copies of one limit. The parser of the head had none until the first tick, the connection had the default of 4 MiB; it took a length over its own copy for 0, as the parser was expected to have refused such a request. The two copies may also differ for a moment when a configuration lowers the limit.

Not the memory budget: what gives way there is closed, not served.

Change: the connection alone checks, with one reading of the limits, and refuses what is over them. Before a configuration is known the answer is 503 with Retry-After instead of 413, as the limits to come may allow the request, and callers do not come again after 413.

Tests: UnknownLimitsTests, four of six failed before (one body of 0 bytes was served; 413 for a chunked body; a limit lowered between the two checks).

--- a/catkintrail/adapters/caller_connections.py
+++ b/catkintrail/adapters/caller_connections.py
@@ -40,6 +40,8 @@
 # A request has to grow by this much in this time.
 PROGRESS_BYTES = 1024
 PROGRESS_SECONDS = 10.0
+# Statuses of requests that a higher limit would have allowed.
+TOO_LARGE_STATUSES = (413, 431)
 # A reset discards bytes that the caller has not received yet. It is delayed
 # this long for a caller that reads late.
 RESET_DELAY_SECONDS = 1.0
@@ -138,6 +140,8 @@
         # send a head.
         self._deadline = now + owner.limits.header_timeout_ms / 1000.0
         self._is_new = True
+        # Whether the limits were not known when the head was read.
+        self._has_default_limits = False
         self._search_from = 0
         self._progress_end = now + PROGRESS_SECONDS
         self._progress_bytes = 0
@@ -348,6 +352,8 @@
         try:
             rest = self._body.feed(data)
         except request_bodies.BodyError as error:
+            if error.status in TOO_LARGE_STATUSES:
+                raise self._reject_size(error.status, str(error)) from error
             raise Rejection(error.status, str(error)) from error
         self._received += rest
         self._hold(self._body.held_bytes + len(rest))
@@ -362,19 +368,31 @@
         self.held.started_at = now
         self._deadline = now + self._owner.limits.header_timeout_ms / 1000.0
 
+    def _reject_size(self, status: int, reason: str) -> Rejection:
+        """Returns the refusal of a request that is over a limit.
+
+        Limits that are not known yet may allow it.
+        """
+        if self._has_default_limits:
+            return Rejection(503, f"{reason}, or the limits are not known yet")
+        return Rejection(status, reason)
+
     def _read_head(self) -> bytes:
         """Parses the head if it has arrived; returns the bytes behind it.
 
         The request stays None if the head is not whole.
         """
         received = self._received
+        # Looked up in this order, as the limits are set before the mark.
+        self._has_default_limits = not self._owner.has_limits
+        limits = self._owner.limits
         end = _find_head_end(received, self._search_from)
         self._search_from = max(0, len(received) - 3)
+        head_bytes = end if end >= 0 else len(received)
+        if head_bytes > limits.max_header_bytes:
+            raise self._reject_size(413, "the head is too large")
         if end < 0:
-            if len(received) <= self._owner.limits.max_header_bytes:
-                return b""
-            # The parser reports what is too large.
-            end = len(received)
+            return b""
         head, rest = bytes(received[:end]), bytes(received[end:])
         self._received = bytearray()
         self._search_from = 0
@@ -386,7 +404,6 @@
             raise ConnectionAbortedError("the head is malformed")
         self._request = request
         self._is_new = False
-        limits = self._owner.limits
         if request.chunked_read:
             self._body = request_bodies.ChunkedBody(
                 limits.max_body_bytes, limits.max_header_bytes
@@ -394,9 +411,7 @@
         else:
             length = int(request.inheaders.get(b"Content-Length", 0))
             if length > limits.max_body_bytes:
-                # The request is answered without its body.
-                length = 0
-                request.close_connection = True
+                raise self._reject_size(413, "request body is too large")
             self._body = request_bodies.LengthBody(length)
         now = self.clock()
         seconds, sources = self._owner.describe_body(request, now)
--- a/catkintrail/adapters/caller_guard.py
+++ b/catkintrail/adapters/caller_guard.py
@@ -25,6 +25,8 @@
 
     Attributes:
         limits: Limits on the size and duration of callers' requests.
+        has_limits: Whether the limits are those of a configuration; the
+            defaults hold until one is known.
         clock: Returns the time in seconds.
         max_connections: Maximum number of connections.
         memory: The budget of bytes held for callers.
@@ -40,6 +42,7 @@
         max_connections: int,
     ) -> None:
         self.limits = limits
+        self.has_limits = False
         self.clock = clock
         self.max_connections = max_connections
         self.memory = caller_memory.CallerMemory(budget_bytes, clock)
--- a/catkintrail/platform/callers.py
+++ b/catkintrail/platform/callers.py
@@ -205,10 +205,13 @@
             )
 
     def apply_limits(self, limits: route_table.CallerLimits) -> None:
-        """Sets the limits on callers' requests."""
+        """Sets the limits on callers' requests.
+
+        The connections check sizes themselves, so that a request is refused
+        and read by one and the same limit.
+        """
         self.limits = limits
-        self._server.max_request_header_size = limits.max_header_bytes
-        self._server.max_request_body_size = limits.max_body_bytes
+        self.has_limits = True
         self._server.timeout = (
             limits.idle_timeout_ms / 1000.0 + IDLE_MARGIN_SECONDS
         )
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+from unittest import mock
 
 import testtools
 from testtools import matchers
@@ -11,6 +12,7 @@
 from catkintrail import errors
 from catkintrail.adapters import caller_watch
 from catkintrail.core import route_table
+from catkintrail.platform import caller_requests
 from catkintrail.platform import callers
 from tests import processes
 from tests import waits
@@ -33,16 +35,21 @@
         self.watch.start()
         self.addCleanup(self.watch.stop)
         self.port = processes.free_ports(1)[0]
-        self.server = callers.CallerServer(
+        self.server = self.make_server()
+        self.server.start()
+        self.addCleanup(self.server.stop, 0.1)
+
+    def make_server(self, limits=LIMITS):
+        server = callers.CallerServer(
             f"127.0.0.1:{self.port}",
             (4, 12),
             self.call_handler,
             self.watch,
             time.monotonic,
         )
-        self.server.apply_limits(LIMITS)
-        self.server.start()
-        self.addCleanup(self.server.stop, 0.1)
+        if limits is not None:
+            server.apply_limits(limits)
+        return server
 
     def call_handler(self, request, writer, caller):
         self.handler(request, writer, caller)
@@ -330,6 +337,78 @@
         )
 
 
+class UnknownLimitsTests(CallerServerTestCase):
+    """Requests that come before the limits on callers are known.
+
+    Guards against requests that run with an empty body as theirs is longer than
+    the default limit (UNASKED after a restart).
+    """
+
+    def setUp(self):
+        super().setUp()
+        default = route_table.CallerLimits()
+        self.long_body = b"x" * (default.max_body_bytes + 1)
+        self.long_field = b"X-A: " + b"a" * default.max_header_bytes + b"\r\n"
+
+    def make_server(self):
+        return super().make_server(None)
+
+    def send(self, data):
+        connection = self.connect()
+        with contextlib.suppress(OSError):
+            connection.sendall(data)
+        return self.read_response(connection)
+
+    def send_long_body(self):
+        head = HEAD + b"Content-Length: %d\r\n\r\n" % len(self.long_body)
+        return self.send(head + self.long_body)
+
+    def test_body_over_the_default_limit_is_refused(self):
+        response = self.send_long_body()
+        self.assertEqual([], [len(request.body) for request in self.requests])
+        self.assertIn(b" 503 ", response)
+        self.assertIn(b"Retry-After: ", response)
+
+    def test_chunked_body_over_the_default_limit_is_refused(self):
+        head = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+        chunk = b"%x\r\n" % len(self.long_body) + self.long_body
+        response = self.send(head + chunk + b"\r\n0\r\n\r\n")
+        self.assertEqual([], self.requests)
+        self.assertIn(b" 503 ", response)
+
+    def test_head_over_the_default_limit_is_refused(self):
+        response = self.send(HEAD + self.long_field + b"\r\n")
+        self.assertEqual([], self.requests)
+        self.assertIn(b" 503 ", response)
+
+    def test_request_within_the_default_limits_is_served(self):
+        response = self.send(HEAD + b"Content-Length: 1\r\n\r\nx")
+        self.assertIn(b" 200 ", response)
+
+    def test_body_within_the_limits_that_became_known_is_whole(self):
+        self.server.apply_limits(LIMITS._replace(max_body_bytes=8 << 20))
+        self.assertIn(b" 200 ", self.send_long_body())
+        self.assertEqual(self.long_body, self.requests[0].body)
+
+    def test_limits_lowered_while_a_head_is_read_leave_no_body_out(self):
+        # The check of the head's parser and that of the connection once had
+        # limits of their own, which could differ.
+        parse_request = caller_requests.Request.parse_request
+
+        def lower_limits(request):
+            parse_request(request)
+            self.server.apply_limits(LIMITS)
+
+        self.server.apply_limits(LIMITS._replace(max_body_bytes=8 << 20))
+        with mock.patch.object(
+            caller_requests.Request, "parse_request", lower_limits
+        ):
+            self.send_long_body()
+        self.assertEqual(
+            [self.long_body], [request.body for request in self.requests]
+        )
+
+
 class SlowCallerTests(CallerServerTestCase):
     """Callers that send slowly do not occupy a thread for long."""
 
