Move the writer to callers into a module of its own

Nothing but the place of SocketWriter and of WOULD_BLOCK changes. test_platform_callers, test_untrusted_callers and test_startup_imports pass.

--- a/catkintrail/adapters/caller_connections.py
+++ b/catkintrail/adapters/caller_connections.py
@@ -9,22 +9,20 @@
 import logging
 import select
 import socket
-import ssl
 import time
 from typing import Any
 
 from cheroot import server as cheroot_server
 
 from catkintrail.adapters import caller_memory
+from catkintrail.adapters import caller_writer
 from catkintrail.adapters import request_bodies
 from catkintrail.adapters import sockets
 
-__all__ = ["CallerConnection", "CallerRequest", "Rejection", "SocketWriter"]
+__all__ = ["CallerConnection", "CallerRequest", "Rejection"]
 
 _LOG = logging.getLogger("catkintrail.callers")
 
-# A TLS handshake is a part of the first reads.
-WOULD_BLOCK = (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError)
 READ_BYTES = 64 << 10
 # One turn of a thread at a connection: reads, and processor time for parsing.
 TURN_READS = 16
@@ -74,41 +72,6 @@
             self.conn.wfile.write(b"0\r\n\r\n")
 
 
-class SocketWriter:
-    """Writes to a caller without a buffer; waits while the caller is slow.
-
-    Attributes:
-        bytes_written: Number of bytes written.
-    """
-
-    def __init__(self, connection: "CallerConnection") -> None:
-        self.bytes_written = 0
-        self._connection = connection
-
-    def write(self, data: bytes) -> int:
-        """Writes all bytes.
-
-        Raises:
-            TimeoutError: The caller does not read.
-            OSError: The connection has ended.
-        """
-        connection = self._connection
-        view = memoryview(data)
-        while view:
-            try:
-                sent = connection.socket.send(view)
-            except WOULD_BLOCK:
-                connection.await_reader()
-                continue
-            self.bytes_written += sent
-            connection.held.progress_at = connection.clock()
-            view = view[sent:]
-        return len(data)
-
-    def close(self) -> None:
-        """Does nothing, as nothing is buffered."""
-
-
 class CallerConnection(cheroot_server.HTTPConnection):
     """A connection that reads its requests without waiting.
 
@@ -152,7 +115,11 @@
         self._kept_bytes = 0
 
         def make_file(_: Any, mode: str, __: int) -> Any:
-            return io.BytesIO() if "r" in mode else SocketWriter(self)
+            return (
+                io.BytesIO()
+                if "r" in mode
+                else caller_writer.SocketWriter(self)
+            )
 
         super().__init__(server, sock, make_file)
         sock.setblocking(False)
@@ -306,7 +273,7 @@
             for _ in range(TURN_READS):
                 try:
                     data = self.socket.recv(READ_BYTES)
-                except WOULD_BLOCK:
+                except sockets.WOULD_BLOCK:
                     break
                 if not data:
                     self._end_early()
--- a/catkintrail/adapters/sockets.py
+++ b/catkintrail/adapters/sockets.py
@@ -5,10 +5,12 @@
 import fcntl
 import select
 import socket
+import ssl
 import struct
 import termios
 
 __all__ = [
+    "WOULD_BLOCK",
     "AdoptedSocket",
     "has_event",
     "has_failed",
@@ -16,6 +18,9 @@
     "set_reset_on_close",
 ]
 
+# A TLS handshake is a part of the first reads.
+WOULD_BLOCK = (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError)
+
 
 class AdoptedSocket(socket.socket):
     """Takes over the connection of another socket, with its time-out."""
