Apply a configuration where it comes into force, not at the next tick

Cause: the thread of the ticks copied limits, organisations and the services that are engines from the router, while requests were admitted as soon as the router had the configuration.

Change: the actor of the router calls a listener with each configuration that comes into force, before it handles the next call. So no request is admitted under a configuration that is not applied. The ticks only divide connections.

Tests: test_relay_daemon, ConfigurationTests: both failed before (the limits were the defaults, no engine service was known). test_relay_daemon.TickTests loses an attribute of its fixture that no longer exists.

--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -59,6 +59,7 @@
 COORDINATOR_PAUSE_SECONDS = 1.0
 
 Clock = Callable[[], float]
+ConfigurationListener = Callable[[route_table.Configuration], None]
 
 
 class PendingPlacement(NamedTuple):
@@ -91,9 +92,21 @@
         send: fleet_broadcast.Send,
         clock: Clock,
         unix_clock: Clock = time.time,
+        on_configuration: ConfigurationListener = lambda configuration: None,
     ) -> None:
+        """Initializes the actor.
+
+        Args:
+            router: The router.
+            send: Sends a datagram.
+            clock: Returns the time in seconds.
+            unix_clock: Returns the Unix time in seconds.
+            on_configuration: Called with each configuration that comes into
+                force, before a request is admitted under it.
+        """
         super().__init__()
         self._router = router
+        self._on_configuration = on_configuration
         self._send = send
         self._clock = clock
         self._unix_clock = unix_clock
@@ -422,6 +435,7 @@
             },
         )
         self._cold_exchange.apply_configuration(configuration)
+        self._on_configuration(configuration)
         empty_regions = regions.find_empty_regions(
             configuration, router.settings.regions
         )
--- a/catkintrail/relay_daemon.py
+++ b/catkintrail/relay_daemon.py
@@ -115,7 +115,10 @@
             settings, int(started_at * 1000), rng, started_at
         )
         self.actor = router_actor.RouterActor.start(
-            router, self.datagrams.send, clock.boot_seconds
+            router,
+            self.datagrams.send,
+            clock.boot_seconds,
+            on_configuration=self._apply_configuration,
         )
         self.router = router_client.RouterClient(
             self.actor,
@@ -193,7 +196,6 @@
         self.http = bounded_http.make_pool_manager(MAX_PEER_POOLS)
         self._stop_request = stop_request.StopRequest()
         self._settings_text = settings_text
-        self._applied_version = -1
         self._services: dict[str, route_table.Service] = {}
         self._evacuation_gauges = zone_metrics.EvacuationGauges(
             self.metrics.set
@@ -364,20 +366,28 @@
         self.client.close_idle()
         self.callers.add_threads()
         status = self.router.status()
-        if status.version != self._applied_version:
-            state = self.router.peer_state(self._applied_version)
-            if state.configuration is not None:
-                self._applied_version = state.configuration.version
-                self._services = state.configuration.services
-                self.client.engine_services = frozenset(
-                    service.name
-                    for service in self._services.values()
-                    if service.engine is not None
-                )
-                self.callers.apply_limits(state.configuration.limits)
-                self.callers.organisations = state.configuration.organisations
         self.connector.peers = status.peers
-        instances = len(status.peers) + 1
+        self._share_connections(len(status.peers) + 1)
+
+    def _apply_configuration(
+        self, configuration: route_table.Configuration
+    ) -> None:
+        """Applies a configuration outside the router.
+
+        Called by the thread of the actor, so that no request is admitted under
+        a configuration that is not applied here.
+        """
+        self._services = configuration.services
+        self.client.engine_services = frozenset(
+            service.name
+            for service in self._services.values()
+            if service.engine is not None
+        )
+        self.callers.apply_limits(configuration.limits)
+        self.callers.organisations = configuration.organisations
+
+    def _share_connections(self, instances: int) -> None:
+        """Divides the connections that targets accept by all instances."""
         self.client.connection_shares = {
             service.name: service.max_connections // instances
             for service in self._services.values()
