Forward the events that arrive together with a fault of their stream

A faulty engine had sent the event and noise in one write.

Cause: EventSequence.accept moves the position of the stream with each event of a read. If a later event of the same read is a fault (events without ids do not end, or an id is missing), the forwarder raised before it had sent the earlier ones. The retry resumed behind them; where they were the first ones, the second run began anew and its first event was dropped as a repetition.

Not the reader: events that it drops (an unfinished one is too long) do not move the position.

Change: EventSequence.select returns the events to forward and the fault behind them; the events are sent first. Events without an id right before the fault are left out, as they may be noise. Sent first also when there is no memory for the unfinished rest. Of streams that cannot be resumed the caller gets all sound events before the cut.

Tests: test_events_that_arrive_with_a_fault_are_forwarded and test_events_that_arrive_with_a_fault_end_a_stream_that_is_cut failed before (resumed from the start instead of after event 0; two events dropped).

--- a/catkintrail/core/event_stream.py
+++ b/catkintrail/core/event_stream.py
@@ -1,6 +1,6 @@
 """Splitting of server-sent event streams and checks of event order."""
 
-from typing import NamedTuple
+from typing import Iterable, NamedTuple
 
 from catkintrail import errors
 
@@ -107,6 +107,29 @@
         self.last = event.number
         return True
 
+    def select(
+        self, events: Iterable[Event]
+    ) -> tuple[list[Event], errors.FrameError | None]:
+        """Processes events that were received together.
+
+        Returns:
+            The events to forward, and the fault behind them; None if there is
+            none. All of them have to be forwarded, as `last` is beyond them.
+            Repeated events are left out, and so are those without an id right
+            before a fault, which may be a part of it.
+        """
+        selected = []
+        for event in events:
+            try:
+                is_accepted = self.accept(event)
+            except errors.FrameError as error:
+                while selected and selected[-1].number < 0:
+                    selected.pop()
+                return selected, error
+            if is_accepted:
+                selected.append(event)
+        return selected, None
+
 
 def _event_end(data: bytes) -> int:
     """Returns the end offset of the first event; -1 if it is incomplete."""
--- a/catkintrail/response_forwarder.py
+++ b/catkintrail/response_forwarder.py
@@ -185,17 +185,16 @@
         held_bytes = FREE_EVENT_BYTES
         while data := response.read(min(progress.deadline, read_deadline)):
             try:
-                events = reader.feed(data)
-                progress.send_events += len(events)
-                self._end_trial(progress)
-                events = [e for e in events if progress.sequence.accept(e)]
+                received = reader.feed(data)
             except errors.FrameError as error:
                 raise errors.TargetError(
                     str(error), Verdict.MAY_HAVE_RUN
                 ) from error
-            if len(reader.pending) > held_bytes:
-                writer.hold(len(reader.pending) - held_bytes)
-                held_bytes = len(reader.pending)
+            progress.send_events += len(received)
+            self._end_trial(progress)
+            # The position of the stream moves with the events that are selected
+            # here, so they are sent whatever follows them.
+            events, fault = progress.sequence.select(received)
             if events:
                 if is_first:
                     is_first = False
@@ -208,6 +207,13 @@
                 read_deadline = progress.deadline
                 if may_resume:
                     read_deadline = self.clock() + stall_seconds
+            if fault is not None:
+                raise errors.TargetError(
+                    str(fault), Verdict.MAY_HAVE_RUN
+                ) from fault
+            if len(reader.pending) > held_bytes:
+                writer.hold(len(reader.pending) - held_bytes)
+                held_bytes = len(reader.pending)
         if reader.pending.strip():
             raise errors.TargetError(
                 "the stream ended in the middle of an event",
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -568,6 +568,38 @@
         )
         self.assertEqual(event(0) + event(1) + event(2), self.reply.body)
 
+    def test_events_that_arrive_with_a_fault_are_forwarded(self):
+        # Guards against a stream that is resumed behind an event that came in
+        # one read with noise, or with a gap, and was never forwarded.
+        noise = b"~ no answer ~\n\n" * 200
+        for read, position in (
+            (event(0) + noise, 0),
+            (event(0) + event(1) + noise, 1),
+            (event(0) + event(2), 0),
+        ):
+            self.reply = FakeResponseWriter()
+            rest = b"".join(event(number) for number in range(position + 1, 4))
+            self.serve(
+                FakeTargetResponse(200, [read]),
+                FakeTargetResponse(200, [rest]),
+            )
+            self.assertEqual(
+                [position], [s[1].resume_after for s in self.targets.sends[1:]]
+            )
+            whole = b"".join(event(number) for number in range(4))
+            self.assertEqual(whole, self.reply.body)
+            self.assertFalse(self.reply.is_aborted)
+
+    def test_events_that_arrive_with_a_fault_end_a_stream_that_is_cut(self):
+        # Guards against sound events that are dropped with what follows them.
+        routes = (builders.make_route(is_resumable=False),)
+        self.router.fleet_state.update_configuration(
+            builders.make_configuration(2, routes=routes), 100.0
+        )
+        self.serve(FakeTargetResponse(200, [event(0) + event(1) + event(3)]))
+        self.assertEqual(event(0) + event(1), self.reply.body)
+        self.assertTrue(self.reply.is_aborted)
+
     def test_stream_that_cannot_be_resumed_is_aborted(self):
         self.serve(
             FakeTargetResponse(200, [event(0), target_error(MAY_HAVE_RUN)]),
