Count the engines that bad requests end at the same moment

Cause: crashes less than 0.1 s apart counted as one, as a power failure ends many engines at once. So two bursts of six crashes were two of the three that convict a part.

Not a matter of news between instances (each knew all six), nor of the part being proven (no engine had written on it).

Change: a power failure does not follow a request to its next engine. If one of the requests was sent again after its engine had ended, and ended another one in the same moment, each engine counts. Without such a request two of a moment count, so that one moment convicts nothing, but the next crash does. Traits that engines have written on are judged as before.

Messages: CrashReport stays as it was. Whether a request was sent again is known to its own instance only, which judges by it and tells the quarantine as before; older and newer builds read both in the same way.

--- a/catkintrail/adapters/quarantine_exchange.py
+++ b/catkintrail/adapters/quarantine_exchange.py
@@ -42,7 +42,7 @@
         _log_crash(crash)
         added = self._router.quarantine.record_crash(crash, now)
         _log_quarantines(added, self._router.settings.name)
-        report = messages.CrashReport(*crash, 0.0)
+        report = _make_crash_report(crash, 0.0)
         self._spread(self._make_news(now, (report,), tuple(added)))
 
     def record_survival(self, target: str, born: int, now: float) -> None:
@@ -127,7 +127,7 @@
         """Returns messages with what is known of quarantines."""
         quarantine = self._router.quarantine
         reports = [
-            messages.CrashReport(*crash, age_seconds * 1000.0)
+            _make_crash_report(crash, age_seconds)
             for crash, age_seconds in quarantine.crashes(now, max_age_seconds)
         ]
         news = [
@@ -237,6 +237,20 @@
             self._spread(news)
 
 
+def _make_crash_report(
+    crash: request_quarantine.EngineCrash, age_seconds: float
+) -> messages.CrashReport:
+    """Returns the report of a crash, without what only its sender judges."""
+    return messages.CrashReport(
+        crash.target,
+        crash.born,
+        crash.traits,
+        crash.has_begun,
+        crash.has_ended,
+        age_seconds * 1000.0,
+    )
+
+
 def _log_crash(crash: request_quarantine.EngineCrash) -> None:
     _LOG.warning(
         "request_crash",
@@ -244,6 +258,7 @@
             "target": crash.target,
             "traits": crash.traits,
             "has_begun": crash.has_begun,
+            "is_resend": crash.is_resend,
         },
     )
 
--- a/catkintrail/adapters/router_client.py
+++ b/catkintrail/adapters/router_client.py
@@ -116,13 +116,14 @@
         target: target_records.Target,
         traits: tuple[str, ...],
         has_begun: bool,
+        is_resend: bool,
     ) -> None:
         """Records that a target broke off a response at its start.
 
         Waits, so that a retry is decided with this crash in mind.
         """
         crash = request_quarantine.EngineCrash(
-            target.name, target.born, traits, has_begun
+            target.name, target.born, traits, has_begun, is_resend=is_resend
         )
         future = self.proxy.record_request_crash(crash)
         _await_result(future)
--- a/catkintrail/core/request_quarantine.py
+++ b/catkintrail/core/request_quarantine.py
@@ -9,8 +9,12 @@
 or before it: the traits of its request are suspected. Several crashes under one
 request convict its fingerprint; several requests with crashes convict a part
 that they share. A trait on which an engine has written an answer is not, unless
-far more engines ended on it later. Engines that end at the same moment are
-likely to have a common cause, such as a power failure, and count once.
+far more engines ended on it later.
+
+Engines that end at the same moment may have a common cause, such as a power
+failure, and convict nothing by themselves. But a power failure does not follow
+a request to its next engine: if one of the requests was sent again after its
+engine had ended, and ended another one in the same moment, each engine counts.
 
 An engine that has ended a connection may live on. If it is seen to, its
 evidence is withdrawn, and its later evidence counts only if it then ends. Few
@@ -30,8 +34,11 @@
 CRASHES_OF_UNPROVEN_TRAITS = 3
 # The same for traits on which an engine has written since they were first seen.
 CRASHES_OF_PROVEN_TRAITS = 8
-# Crashes closer together count as one.
+# Crashes closer together are of one moment.
 CRASH_GAP_SECONDS = 0.1
+# Crashes of one moment that count for an unproven trait, unless a request went
+# from one to another. They do not convict without a crash at another moment.
+MAX_CRASHES_PER_MOMENT = CRASHES_OF_UNPROVEN_TRAITS - 1
 QUARANTINE_SECONDS = 600.0
 # After a quarantine, one further crash renews it for this long.
 PROBATION_SECONDS = 3_600.0
@@ -94,6 +101,8 @@
         traits: Traits of the request.
         has_begun: Whether the head of the response had arrived.
         has_ended: Whether the engine was found to be gone afterwards.
+        is_resend: Whether the request was sent to the engine after it had ended
+            another one. Known to the instance that has sent it only.
     """
 
     target: str
@@ -101,6 +110,7 @@
     traits: tuple[str, ...]
     has_begun: bool
     has_ended: bool = False
+    is_resend: bool = False
 
 
 class Remainder(NamedTuple):
@@ -139,12 +149,14 @@
         requests: Traits of each request whose response broke off.
         begun: Those among them of which the head of the response had arrived.
         has_ended: Whether the engine was found to be gone afterwards.
+        resent: Those among them that had ended another engine before.
     """
 
     at: float
     requests: frozenset[Traits]
     begun: frozenset[Traits]
     has_ended: bool = False
+    resent: frozenset[Traits] = frozenset()
 
     @property
     def accused(self) -> frozenset[Traits]:
@@ -232,14 +244,16 @@
         traits = frozenset(crash.traits)
         key = (crash.target, crash.born)
         known = self._crashes.pop(key, _Evidence(now, frozenset(), frozenset()))
-        requests, begun = known.requests, known.begun
+        requests, begun, resent = known.requests, known.begun, known.resent
         has_ended = known.has_ended or crash.has_ended
         if len(requests) < MAX_REQUESTS_PER_CRASH:
             requests |= {traits}
             if crash.has_begun:
                 begun |= {traits}
+            if crash.is_resend:
+                resent |= {traits}
         self._crashes[key] = _Evidence(
-            min(known.at, now), requests, begun, has_ended
+            min(known.at, now), requests, begun, has_ended, resent
         )
         if len(self._crashes) > MAX_CRASHES:
             del self._crashes[next(iter(self._crashes))]
@@ -634,34 +648,55 @@
     ) -> list[float]:
         """Returns the times of the crashes that convict a trait.
 
-        Crashes close together count as one. A part is convicted only by crashes
-        under different requests, as few as explain all of them.
+        A part is convicted only by crashes under different requests, as few as
+        explain all of them.
 
         Args:
             trait: The trait.
             ignored: A quarantine that is taken not to explain crashes.
         """
+        crashes = self._find_independent_crashes(trait, ignored)
+        if not _is_fingerprint(trait):
+            crashes = _select_under_different_requests(crashes)
+        return [crash.at for crash in crashes]
+
+    def _find_independent_crashes(
+        self, trait: str, ignored: Traits | None
+    ) -> list[_Crash]:
+        """Returns the crashes under a trait that have no common cause.
+
+        Of crashes close together few count, unless the trait is unproven and
+        one of its requests went from one crash to another.
+        """
         proven_at = self._proven_at.get(trait, float("-inf"))
-        crashes = []
-        last = float("-inf")
         counted = [
             evidence
             for key, evidence in self._crashes.items()
-            if self._counts(key)
+            if self._counts(key) and evidence.at > proven_at
         ]
+        moments: list[list[_Crash]] = []
+        followed: set[int] = set()
         for evidence in sorted(counted, key=lambda e: e.at):
-            if (
-                evidence.at <= proven_at
-                or evidence.at - last < CRASH_GAP_SECONDS
-            ):
-                continue
             culprits = self._find_culprits(trait, evidence, ignored)
-            if culprits:
-                crashes.append(_Crash(evidence.at, culprits))
-                last = evidence.at
-        if not _is_fingerprint(trait):
-            crashes = _select_under_different_requests(crashes)
-        return [crash.at for crash in crashes]
+            if not culprits:
+                continue
+            crash = _Crash(evidence.at, culprits)
+            if not moments or crash.at - moments[-1][0].at >= CRASH_GAP_SECONDS:
+                moments.append([crash])
+                continue
+            resent = _name_requests(trait, evidence.resent)
+            if any(resent & earlier.culprits for earlier in moments[-1]):
+                followed.add(len(moments) - 1)
+            moments[-1].append(crash)
+        crashes = []
+        for number, moment in enumerate(moments):
+            if trait in self._proven_at:
+                crashes += moment[:1]
+            elif number in followed:
+                crashes += moment
+            else:
+                crashes += moment[:MAX_CRASHES_PER_MOMENT]
+        return crashes
 
     def _find_culprits(
         self, trait: str, evidence: _Evidence, ignored: Traits | None
@@ -723,6 +758,16 @@
     return Trial(0, failed, now + TRIAL_PAUSES_SECONDS[failed])
 
 
+def _name_requests(trait: str, requests: Iterable[Traits]) -> Traits:
+    """Returns the fingerprints of the requests with a trait."""
+    return frozenset(
+        name
+        for traits in requests
+        if trait in traits
+        for name in filter(_is_fingerprint, traits)
+    )
+
+
 def _is_of_one_request(combination: Traits) -> bool:
     return any(map(_is_fingerprint, combination))
 
--- a/catkintrail/ports/relaying.py
+++ b/catkintrail/ports/relaying.py
@@ -312,10 +312,18 @@
         target: target_records.Target,
         traits: tuple[str, ...],
         has_begun: bool,
+        is_resend: bool,
     ) -> None:
         """Records that a target broke off a response at its start.
 
         The next `find_quarantine` takes it into account.
+
+        Args:
+            target: The target.
+            traits: Traits of the request.
+            has_begun: Whether the head of the response had arrived.
+            is_resend: Whether the request was sent after another target had
+                broken off its response in the same way.
         """
 
     def begin_trial(self, traits: tuple[str, ...]) -> bool:
--- a/catkintrail/relay.py
+++ b/catkintrail/relay.py
@@ -443,8 +443,12 @@
         if error.is_broken_off and progress.send_events <= MAX_STARTING_EVENTS:
             progress.is_trial = False
             self.router.record_request_crash(
-                placement.target, progress.traits, progress.has_response
+                placement.target,
+                progress.traits,
+                progress.has_response,
+                progress.has_crashed,
             )
+            progress.has_crashed = True
 
     def _record_proof(
         self, progress: request_progress.Progress, is_success: bool
--- a/catkintrail/request_progress.py
+++ b/catkintrail/request_progress.py
@@ -20,6 +20,7 @@
         traits: What may be quarantined, see core.request_quarantine.
         is_trial: Whether the request is sent though it is quarantined.
         verdict: Whether the request may have run on any target so far.
+        has_crashed: Whether a target has broken off its response at the start.
         has_response: Whether the head of a response to the current send has
             arrived.
         send_events: Number of events received in the current send.
@@ -50,6 +51,7 @@
         self.traits = (fingerprint, *request.prompt_parts)
         self.is_trial = False
         self.verdict = verdicts.Verdict.NOT_RUN
+        self.has_crashed = False
         self.has_response = False
         self.send_events = 0
         self.counted_at: float | None = None
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -176,7 +176,7 @@
         until = self.router.quarantine.find(parts, self.clock())
         return None if until is None else until - self.clock()
 
-    def record_request_crash(self, target, parts, has_begun):
+    def record_request_crash(self, target, parts, has_begun, is_resend):
         crash = request_quarantine.EngineCrash(
             target.name, target.born, parts, has_begun
         )
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -21,10 +21,14 @@
         self.quarantine = request_quarantine.RequestQuarantine()
         self.engines = 0
 
-    def crash(self, now, *parts, target=None, has_begun=True):
+    def crash(self, now, *parts, target=None, has_begun=True, is_resend=False):
         self.engines += 1
         crash = request_quarantine.EngineCrash(
-            target or f"e-{self.engines}", 1, parts, has_begun
+            target or f"e-{self.engines}",
+            1,
+            parts,
+            has_begun,
+            is_resend=is_resend,
         )
         return self.quarantine.record_crash(crash, now)
 
@@ -225,6 +229,70 @@
             self.assertEqual({}, self.quarantine.quarantined)
 
 
+class MomentTests(QuarantineTestCase):
+    """Crashes at the same moment.
+
+    Guards against engines that crash by bad requests at once and count as one
+    crash (BUDGET).
+    """
+
+    def crash_twice(self, now, count, name, *parts, own=0):
+        """Requests crash an engine each, and then another one each.
+
+        Args:
+            now: Time in seconds.
+            count: Number of requests.
+            name: Returns the fingerprint of a request.
+            *parts: Parts of all requests.
+            own: Number of requests that this instance itself sends again.
+        """
+        for is_resend in (False, True):
+            for number in range(count):
+                self.crash(
+                    now + 0.001 * number + 0.012 * is_resend,
+                    name(number),
+                    *parts,
+                    is_resend=is_resend and number < own,
+                )
+
+    def name(self, number):
+        return f"{request_quarantine.FINGERPRINT_PREFIX}{number}"
+
+    def test_part_of_requests_that_crash_engines_at_once(self):
+        self.quarantine.record_proof(("common",), 99.0)
+        self.crash_twice(100.0, LIMIT, self.name, "common", "bad", own=1)
+        self.assertTrue(self.is_quarantined(100.1, self.name(9), "bad"))
+        self.assertFalse(self.is_quarantined(100.1, self.name(9), "common"))
+
+    def test_equal_requests_that_crash_engines_at_once(self):
+        self.crash_twice(100.0, LIMIT, lambda _: self.name(0), "p", own=1)
+        self.assertTrue(self.is_quarantined(100.1, self.name(0), "p"))
+        self.assertFalse(self.is_quarantined(100.1, self.name(1), "p"))
+
+    def test_requests_that_peers_send_again_may_have_been_sent_at_once(self):
+        self.crash_twice(100.0, 9, lambda _: self.name(0), "p")
+        self.assertFalse(self.is_quarantined(100.1, self.name(0), "p"))
+
+    def test_request_that_crashed_an_engine_long_ago_is_no_witness(self):
+        self.crash(90.0, self.name(0), "p")
+        for number in range(9):
+            self.crash(100.0, self.name(number), "p", is_resend=number == 0)
+        self.quarantine.record_proof(("p",), 100.5)
+        self.assertFalse(self.is_quarantined(100.6, self.name(9), "p"))
+
+    def test_part_in_use_outlasts_a_power_failure(self):
+        self.quarantine.record_proof(("common",), 99.9)
+        self.crash_twice(100.0, 30, self.name, "common", own=30)
+        self.assertFalse(self.is_quarantined(100.1, self.name(40), "common"))
+
+    def test_crash_at_another_moment_convicts(self):
+        for number in range(LIMIT):
+            self.crash(100.0 + 0.001 * number, self.name(number), "bad")
+        self.assertFalse(self.is_quarantined(104.0, self.name(9), "bad"))
+        self.crash(105.0, self.name(5), "bad")
+        self.assertTrue(self.is_quarantined(105.0, self.name(9), "bad"))
+
+
 class ReleaseTests(QuarantineTestCase):
 
     def convict(self, now):
@@ -499,8 +567,7 @@
         self.fleet.cut_zones |= set(cut_zones)
         for number in range(400):
             self.fleet.at(0.05 * number, self.send_sound, number)
-        for number in range(60):
-            self.fleet.at(4.0 + 0.25 * number, self.send_bad, number)
+        self.schedule_bad()
         self.fleet.run(20.0)
         return max(
             sum(
@@ -511,6 +578,10 @@
             if len(times) >= crashes
         )
 
+    def schedule_bad(self):
+        for number in range(60):
+            self.fleet.at(4.0 + 0.25 * number, self.send_bad, number)
+
     def is_quarantined(self, address, traits):
         quarantine = self.fleet.router(address).quarantine
         return quarantine.find(traits, self.fleet.now) is not None
@@ -540,14 +611,16 @@
 
         self.fleet.at(self.RUN_SECONDS, answer)
 
-    def break_off(self, address, engine, traits, is_bad=True):
+    def break_off(self, address, engine, traits, is_bad=True, is_resend=False):
         """Records a response that broke off as its engine crashed."""
         has_begun = self.HEAD_COMES_FIRST and is_bad
-        crash = request_quarantine.EngineCrash(engine, 1, traits, has_begun)
+        crash = request_quarantine.EngineCrash(
+            engine, 1, traits, has_begun, is_resend=is_resend
+        )
         self.fleet.actors[address].record_request_crash(crash)
 
-    def send_bad(self, number, sends=2):
-        address = self.choose_instance()
+    def send_bad(self, number, sends=2, sender=None, is_resend=False):
+        address = sender or self.choose_instance()
         bad, traits = self.make_bad_traits(number)
         if self.is_refused(address, traits):
             return
@@ -555,9 +628,10 @@
 
         def end_engine():
             self.crashes[bad].append(self.fleet.now)
-            self.break_off(address, f"e-{self.fleet.now}", traits)
+            engine = f"e-{number}-{self.fleet.now}"
+            self.break_off(address, engine, traits, is_resend=is_resend)
             if sends > 1:
-                self.send_bad(number, sends - 1)
+                self.send_bad(number, sends - 1, sender, sender is not None)
 
         self.fleet.at(self.CRASH_SECONDS, end_engine)
 
@@ -636,6 +710,59 @@
             self.assertIsNotNone(found)
 
 
+class BurstTestCase(BadPartTestCase):
+    """Several requests with a bad part come at once, one at an instance."""
+
+    CRASH_SECONDS = 0.01
+    PAUSE_SECONDS = 5.0
+    SENDS = 2
+
+    def setUp(self):
+        super().setUp()
+        self.burst = 3
+
+    def schedule_bad(self):
+        for number in range(3 * self.burst):
+            burst, place = divmod(number, self.burst)
+            address = sorted(self.fleet.actors)[place]
+            self.fleet.at(
+                4.0 + self.PAUSE_SECONDS * burst,
+                self.send_bad,
+                number,
+                self.SENDS,
+                address,
+            )
+
+    def check(self):
+        late = self.play({"za": 2, "zb": 2, "zc": 2}, self.CRASHES)
+        self.assertLessEqual(late, self.MAX_ARRIVALS)
+        self.assertEqual(0, self.refused)
+
+
+class BurstTests(BurstTestCase):
+
+    def test_bursts_of_three(self):
+        self.check()
+
+    def test_burst_at_each_instance(self):
+        self.burst = 6
+        self.check()
+
+
+class SingleSendBurstTests(BurstTestCase):
+    """The same on a route whose requests are sent once at most."""
+
+    SENDS = 1
+
+    def test_bursts_of_three(self):
+        self.check()
+
+    def test_bursts_of_five(self):
+        # Nothing tells such a burst from a power failure.
+        self.burst = 5
+        self.check()
+
+
 class HeadlessCrashTests(BadPartTestCase):
     """Engines crash before they send the head of a response."""
 
@@ -646,7 +773,7 @@
     # waited beside it.
     MAX_REFUSED = 200
 
-    def break_off(self, address, engine, traits, is_bad=True):
+    def break_off(self, address, engine, traits, is_bad=True, is_resend=False):
         broken = [(address, traits, True)]
         for tenant in self.rng.sample(range(10), self.QUEUED):
             own = self.name(b"queued%d%f" % (tenant, self.fleet.now))
@@ -654,7 +781,9 @@
             broken.append((self.choose_instance(), queued, False))
         self.rng.shuffle(broken)
         for at, broken_off, has_caused in broken:
-            super().break_off(at, engine, broken_off, has_caused)
+            super().break_off(
+                at, engine, broken_off, has_caused, is_resend and has_caused
+            )
 
     def test_24_instances(self):
         late = self.play({"za": 8, "zb": 8, "zc": 8}, self.CRASHES)
