Suspect the parts of prompts that have very many

Cause: the decoder of Prompt-Prefix returned no parts at all for more than 64 shared ones, and none if one id was longer than 64 characters. Such a request had its own fingerprint as its only trait.

Not a matter of evidence that is lost or withdrawn: the lines of all crashes are in the logs of all instances.

Change: - All parts of a head of usual size are kept (2,048 parts, 16 KiB of ids), beyond that the first ones; an id that is too long is replaced by its digest, an empty one is left out. - Suspects that no evidence tells apart are judged together: 1,300 parts took the actor a second a crash otherwise (a test of 288 such crashes did not end in 300 s). - The evidence is bounded by its traits as well, to what 64 parts could fill. - News of quarantines are split so that each message fits into a datagram; one that was too long was dropped as a whole.

Messages: their form stays. An older build reads reports with more traits as before and judges by them; requests that it reports itself have none of these parts, as before. Several messages in place of one mean the same.

Tests: PromptPartTests, four failed before; test_messages_fit_into_datagrams failed with the exchange as it was; LongConversationTests. The test test_malformed_headers_have_no_parts demanded the fault for two inputs, a long id and 99 entries ("a:1," * 99). They are in tests of their own now, which state the parts that are kept as exactly.

--- a/catkintrail/adapters/quarantine_exchange.py
+++ b/catkintrail/adapters/quarantine_exchange.py
@@ -5,7 +5,7 @@
 """
 
 import logging
-from typing import Iterable
+from typing import Callable, Collection, Iterable, Iterator, TypeVar
 
 from catkintrail import messages
 from catkintrail.adapters import fleet_broadcast
@@ -16,9 +16,15 @@
 __all__ = ["QuarantineExchange"]
 
 _LOG = logging.getLogger("catkintrail.quarantine")
+_Item = TypeVar("_Item")
 
-# Limit of the crashes of engines in one message.
-MAX_CRASHES_PER_MESSAGE = 8
+# Limit of the crashes, or of the quarantines, in one message.
+MAX_ITEMS_PER_MESSAGE = 8
+# Limit of the traits in one message, in encoded bytes. Requests of long
+# conversations have traits of some 20 KB; a datagram takes 60,000 bytes.
+MAX_TRAIT_BYTES_PER_MESSAGE = 24 << 10
+# Bytes that encode the length of a string.
+STRING_HEAD_BYTES = 3
 # Crashes are repeated to peers for this long.
 CRASH_NEWS_SECONDS = 10.0
 
@@ -126,26 +132,18 @@
     ) -> list[messages.QuarantineNews]:
         """Returns messages with what is known of quarantines."""
         quarantine = self._router.quarantine
-        reports = [
+        reports = tuple(
             _make_crash_report(crash, age_seconds)
             for crash, age_seconds in quarantine.crashes(now, max_age_seconds)
-        ]
-        news = [
-            self._make_news(
-                now, tuple(reports[start : start + MAX_CRASHES_PER_MESSAGE])
-            )
-            for start in range(0, len(reports), MAX_CRASHES_PER_MESSAGE)
-        ]
+        )
         survivals = tuple(
             messages.SurvivalReport(target, born, age_seconds * 1000.0)
             for target, born, age_seconds in quarantine.survivors(
                 now, max_age_seconds
             )
         )
-        if quarantine.quarantined or survivals:
-            added = tuple(quarantine.quarantined)
-            news.append(self._make_news(now, added=added, survivals=survivals))
-        return news
+        added = tuple(quarantine.quarantined)
+        return self._make_news(now, reports, added, survivals=survivals)
 
     def _make_news(
         self,
@@ -154,19 +152,32 @@
         added: tuple[request_quarantine.Traits, ...] = (),
         released: Iterable[request_quarantine.Traits] = (),
         survivals: tuple[messages.SurvivalReport, ...] = (),
-    ) -> messages.QuarantineNews:
+    ) -> list[messages.QuarantineNews]:
+        """Returns messages, each of which fits into a datagram."""
         quarantined = self._router.quarantine.quarantined
-        return messages.QuarantineNews(
-            self._router.settings.name,
-            crashes,
-            tuple(
-                self._make_report(traits, now)
-                for traits in added
-                if traits in quarantined
-            ),
-            tuple(tuple(sorted(traits)) for traits in released),
-            survivals,
-        )
+        quarantines = [
+            self._make_report(traits, now)
+            for traits in added
+            if traits in quarantined
+        ]
+        name = self._router.settings.name
+        news = [
+            messages.QuarantineNews(name, group, (), (), ())
+            for group in _group(crashes, lambda report: report.traits)
+        ]
+        news += [
+            messages.QuarantineNews(name, (), group, (), ())
+            for group in _group(quarantines, lambda report: report.traits)
+        ]
+        news += [
+            messages.QuarantineNews(name, (), (), group, ())
+            for group in _group(map(tuple, map(sorted, released)), tuple)
+        ]
+        if survivals:
+            # A peer has to know of survivals before it judges by crashes.
+            first = messages.QuarantineNews(name, (), (), (), survivals)
+            news = [first, *news]
+        return news
 
     def _make_report(
         self, traits: request_quarantine.Traits, now: float
@@ -184,8 +195,11 @@
             next_ms,
         )
 
-    def _spread(self, news: messages.QuarantineNews) -> None:
-        fleet_broadcast.spread(self._router.fleet_state, self._send, news)
+    def _spread(self, news: list[messages.QuarantineNews]) -> None:
+        for message in news:
+            fleet_broadcast.spread(
+                self._router.fleet_state, self._send, message
+            )
 
     def handle(
         self, address: str, news: messages.QuarantineNews, now: float
@@ -234,7 +248,25 @@
         if (is_new or added or released) and fleet_broadcast.passes_news_on(
             peers, address
         ):
-            self._spread(news)
+            self._spread([news])
+
+
+def _group(
+    items: Iterable[_Item], get_traits: Callable[[_Item], Collection[str]]
+) -> Iterator[tuple[_Item, ...]]:
+    """Yields groups of items that fit into a message."""
+    group: list[_Item] = []
+    size = 0
+    for item in items:
+        item_bytes = sum(len(t) + STRING_HEAD_BYTES for t in get_traits(item))
+        is_full = size + item_bytes > MAX_TRAIT_BYTES_PER_MESSAGE
+        if group and (is_full or len(group) == MAX_ITEMS_PER_MESSAGE):
+            yield tuple(group)
+            group, size = [], 0
+        group.append(item)
+        size += item_bytes
+    if group:
+        yield tuple(group)
 
 
 def _make_crash_report(
--- a/catkintrail/core/request_quarantine.py
+++ b/catkintrail/core/request_quarantine.py
@@ -58,6 +58,8 @@
 PROOF_SECONDS = 300.0
 MAX_CRASHES = 256
 MAX_REQUESTS_PER_CRASH = 32
+# Traits in the evidence; each one in several requests counts several times.
+MAX_EVIDENCE_TRAITS = 1 << 19
 MAX_PROVEN_TRAITS = 20_000
 MAX_QUARANTINES = 64
 
@@ -158,6 +160,11 @@
     has_ended: bool = False
     resent: frozenset[Traits] = frozenset()
 
+    @property
+    def size(self) -> int:
+        """Number of traits, those of each request for themselves."""
+        return sum(map(len, self.requests))
+
     @property
     def accused(self) -> frozenset[Traits]:
         """Requests whose parts may be at fault.
@@ -255,9 +262,8 @@
         self._crashes[key] = _Evidence(
             min(known.at, now), requests, begun, has_ended, resent
         )
-        if len(self._crashes) > MAX_CRASHES:
-            del self._crashes[next(iter(self._crashes))]
-        self._update_suspects()
+        self.suspects |= set(filter(_is_fingerprint, traits))
+        self._drop_oldest()
         if not self._counts(key):
             return []
         self._fail_trials(traits, now)
@@ -556,6 +562,19 @@
         }
         return ended
 
+    def _drop_oldest(self) -> None:
+        """Drops old evidence that is beyond the bounds of memory."""
+        size = sum(evidence.size for evidence in self._crashes.values())
+        has_dropped = False
+        while len(self._crashes) > MAX_CRASHES or (
+            size > MAX_EVIDENCE_TRAITS and len(self._crashes) > 1
+        ):
+            oldest = next(iter(self._crashes))
+            size -= self._crashes.pop(oldest).size
+            has_dropped = True
+        if has_dropped:
+            self._update_suspects()
+
     def _update_suspects(self) -> None:
         self.suspects = frozenset(
             trait
@@ -627,16 +646,37 @@
 
     def _find_guilty(self, suspects: Traits) -> Traits | None:
         """Returns the suspects with the most crashes, if there are too many."""
-        times = {trait: self._crash_times(trait) for trait in suspects}
-        guilty = [
-            trait
-            for trait in suspects
-            if len(times[trait]) >= self._limit(trait)
-        ]
+        guilty = []
+        for alike in self._group_alike(suspects):
+            times = self._crash_times(min(alike))
+            if len(times) >= self._limit(min(alike)):
+                guilty.append((times, alike))
         if not guilty:
             return None
-        worst = max(sorted(guilty), key=lambda trait: len(times[trait]))
-        return frozenset(t for t in guilty if times[t] == times[worst])
+        guilty.sort(key=lambda entry: min(entry[1]))
+        worst, _ = max(guilty, key=lambda entry: len(entry[0]))
+        return frozenset().union(
+            *(alike for times, alike in guilty if times == worst)
+        )
+
+    def _group_alike(self, suspects: Traits) -> list[Traits]:
+        """Returns groups of suspects that no evidence tells apart.
+
+        A long conversation has hundreds of parts, but few such groups.
+        """
+        by_proof = collections.defaultdict(set)
+        for trait in suspects:
+            by_proof[self._proven_at.get(trait)].add(trait)
+        groups = [frozenset(group) for group in by_proof.values()]
+        for evidence in self._crashes.values():
+            for traits in evidence.requests:
+                groups = [
+                    part
+                    for group in groups
+                    for part in (group & traits, group - traits)
+                    if part
+                ]
+        return groups
 
     def _limit(self, trait: str) -> int:
         if trait in self._proven_at:
--- a/catkintrail/platform/wire.py
+++ b/catkintrail/platform/wire.py
@@ -1,5 +1,6 @@
 """Decodes the platform's headers and objects into catkintrail's types."""
 
+import hashlib
 import logging
 import math
 import re
@@ -114,8 +115,13 @@
 MAX_SLOTS = 1_000_000
 # Messages between instances have integers of 64 bits.
 MAX_TIME_MS = 1 << 62
-MAX_PROMPT_PARTS = 64
+# Bounds of the parts of one prompt that are told to peers. A head of usual size
+# has fewer.
+MAX_PROMPT_PARTS = 2_048
+MAX_PROMPT_PARTS_CHARACTERS = 16 << 10
+# Longer ids are replaced by their digests.
 MAX_PROMPT_PART_CHARACTERS = 64
+PROMPT_PART_DIGEST_BYTES = 16
 
 # A host name or an IP address. Labels have at most 63 characters (RFC 1035).
 _HOST = re.compile(
@@ -140,14 +146,30 @@
 
     Returns:
         Ids of the parts that other requests may share, in order: all but the
-        last one. Empty if the header is malformed.
+        last one. Of more than can be told to peers the first ones, which most
+        requests share.
     """
     names = [entry.partition(":")[0].strip() for entry in text.split(",")[:-1]]
-    if len(names) > MAX_PROMPT_PARTS:
-        return ()
-    if not all(0 < len(n) <= MAX_PROMPT_PART_CHARACTERS for n in names):
-        return ()
-    return tuple(name.lower() for name in names)
+    parts = []
+    size = 0
+    for name in dict.fromkeys(names):
+        if not name:
+            continue
+        part = _shorten_prompt_part(name.lower())
+        size += len(part)
+        if len(parts) == MAX_PROMPT_PARTS or size > MAX_PROMPT_PARTS_CHARACTERS:
+            break
+        parts.append(part)
+    return tuple(parts)
+
+
+def _shorten_prompt_part(name: str) -> str:
+    if len(name) <= MAX_PROMPT_PART_CHARACTERS:
+        return name
+    digest = hashlib.blake2b(
+        name.encode(), digest_size=PROMPT_PART_DIGEST_BYTES
+    )
+    return digest.hexdigest()
 
 
 def decode_retry_after(text: str) -> float | None:
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -2,11 +2,15 @@
 
 import collections
 import random
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
 import testtools
 
+from catkintrail import messages
+from catkintrail.adapters import datagrams
+from catkintrail.adapters import quarantine_exchange
 from catkintrail.core import request_quarantine
 from tests import relaying as builders
 from tests import virtual_fleet
@@ -804,6 +808,62 @@
     HEAD_COMES_FIRST = True
 
 
+class LongConversationTests(BadPartTestCase):
+    """Prompts have hundreds of parts, one of which is bad."""
+
+    PARTS = tuple(f"{number:08x}" for number in range(1_300))
+
+    def make_bad_traits(self, number):
+        _, traits = super().make_bad_traits(number)
+        return "bad", (*traits, *self.PARTS)
+
+    def test_6_instances(self):
+        late = self.play({"za": 2, "zb": 2, "zc": 2}, self.CRASHES)
+        self.assertLessEqual(late, self.MAX_ARRIVALS)
+        self.assertEqual(0, self.refused)
+
+    def test_messages_fit_into_datagrams(self):
+        # Guards against evidence that is dropped as it is too long to send.
+        router = builders.make_router()
+        sent = []
+        exchange = quarantine_exchange.QuarantineExchange(
+            router, lambda addresses, news: sent.append(news)
+        )
+        for number in range(40):
+            _, traits = self.make_bad_traits(number)
+            crash = request_quarantine.EngineCrash(
+                f"e-{number}", 1, (f"own{number % 10}", *traits), True
+            )
+            exchange.record_crash(crash, 100.0 + number % 4)
+            router.quarantine.record_survival(f"f-{number}", 1, 100.0)
+        sent.clear()
+        exchange.greet("10.0.0.2", 104.0)
+        crashes = [report for news in sent for report in news.crashes]
+        self.assertEqual(40, len(crashes))
+        self.assertNotEqual([], [q for news in sent for q in news.quarantines])
+        self.assertEqual(40, sum(len(news.survivals) for news in sent))
+        for news in sent:
+            self.assertLessEqual(
+                len(messages.encode(news)), datagrams.MAX_DATAGRAM_BYTES
+            )
+
+    def test_evidence_is_bounded(self):
+        quarantine = request_quarantine.RequestQuarantine()
+        bound = 20_000
+        with mock.patch.object(
+            request_quarantine, "MAX_EVIDENCE_TRAITS", bound
+        ):
+            for number in range(32):
+                crash = request_quarantine.EngineCrash(
+                    f"e-{number // 4}", 1, (f"p{number}", *self.PARTS), True
+                )
+                quarantine.record_crash(crash, 100.0)
+        reported = quarantine.crashes(100.0)
+        size = sum(len(crash.traits) for crash, _ in reported)
+        self.assertLessEqual(size, bound)
+        self.assertGreater(size, bound / 2)
+
+
 class RepeatedRequestTests(BadPartTests):
     """Two bad requests that come again and again."""
 
