Keep the request that ended an engine among many that waited there

Callers would see: a part that crashes engines is not quarantined where more than 32 requests wait at each of them.

Cause: the evidence of a crash keeps 32 requests. One whose response had begun, which is the accused one, was dropped in silence if 32 others came first.

Change: requests whose responses had begun have a bound of their own.

Test: test_request_that_had_begun_is_accused_behind_many_that_waited failed before.

--- a/catkintrail/core/request_quarantine.py
+++ b/catkintrail/core/request_quarantine.py
@@ -253,7 +253,11 @@
         known = self._crashes.pop(key, _Evidence(now, frozenset(), frozenset()))
         requests, begun, resent = known.requests, known.begun, known.resent
         has_ended = known.has_ended or crash.has_ended
-        if len(requests) < MAX_REQUESTS_PER_CRASH:
+        if len(requests) < MAX_REQUESTS_PER_CRASH or (
+            # Those that waited at the engine do not hide the one that ended it.
+            crash.has_begun
+            and len(begun) < MAX_REQUESTS_PER_CRASH
+        ):
             requests |= {traits}
             if crash.has_begun:
                 begun |= {traits}
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -98,6 +98,18 @@
         self.assertTrue(self.is_quarantined(103.0, "bad"))
         self.assertFalse(self.is_quarantined(103.0, "rare"))
 
+    def test_request_that_had_begun_is_accused_behind_many_that_waited(self):
+        # Guards against evidence whose bound is filled by sound requests.
+        waiting = request_quarantine.MAX_REQUESTS_PER_CRASH + 5
+        for crash in range(LIMIT):
+            target = f"e-{crash}"
+            now = 100.0 + crash
+            for number in range(waiting):
+                part = f"w{crash}-{number}"
+                self.crash(now, part, target=target, has_begun=False)
+            self.crash(now, f"p{crash}", "bad", target=target)
+        self.assertTrue(self.is_quarantined(104.0, "q", "bad"))
+
     def test_crashes_at_one_moment_have_another_cause(self):
         # A zone loses power: many engines break off at once.
         for number in range(30):
