Part the quarantine of requests by subject

The evidence about crashes, its judgement and the trials are modules of core/quarantine now; the quarantine itself stays where it was. The judgement is plain functions of what is known (conviction.Findings).

Behaviour is the same, but for one thing that cannot be seen: parts are grouped by the crashes that count, not by all. The tests keep their assertions; they use the new modules (test_relay reads evidence.suspects), and the fixture of test_platform_callers takes its limits from the class.

--- a/catkintrail/adapters/quarantine_exchange.py
+++ b/catkintrail/adapters/quarantine_exchange.py
@@ -12,6 +12,7 @@
 from catkintrail.core import request_quarantine
 from catkintrail.core import request_router
 from catkintrail.core import store_views
+from catkintrail.core.quarantine import crash_evidence
 
 __all__ = ["QuarantineExchange"]
 
@@ -42,7 +43,7 @@
         self._send = send
 
     def record_crash(
-        self, crash: request_quarantine.EngineCrash, now: float
+        self, crash: crash_evidence.EngineCrash, now: float
     ) -> None:
         """Records a response that broke off at its start; tells the fleet."""
         _log_crash(crash)
@@ -94,9 +95,7 @@
 
     def restore(
         self,
-        remainders: dict[
-            request_quarantine.Traits, request_quarantine.Remainder
-        ],
+        remainders: dict[crash_evidence.Traits, request_quarantine.Remainder],
         now: float,
     ) -> None:
         """Applies quarantines that have outlasted the instances."""
@@ -128,7 +127,7 @@
     def _snapshot(
         self,
         now: float,
-        max_age_seconds: float = request_quarantine.EVIDENCE_SECONDS,
+        max_age_seconds: float = crash_evidence.EVIDENCE_SECONDS,
     ) -> list[messages.QuarantineNews]:
         """Returns messages with what is known of quarantines."""
         quarantine = self._router.quarantine
@@ -149,8 +148,8 @@
         self,
         now: float,
         crashes: tuple[messages.CrashReport, ...] = (),
-        added: tuple[request_quarantine.Traits, ...] = (),
-        released: Iterable[request_quarantine.Traits] = (),
+        added: tuple[crash_evidence.Traits, ...] = (),
+        released: Iterable[crash_evidence.Traits] = (),
         survivals: tuple[messages.SurvivalReport, ...] = (),
     ) -> list[messages.QuarantineNews]:
         """Returns messages, each of which fits into a datagram."""
@@ -180,7 +179,7 @@
         return news
 
     def _make_report(
-        self, traits: request_quarantine.Traits, now: float
+        self, traits: crash_evidence.Traits, now: float
     ) -> messages.QuarantineReport:
         quarantine = self._router.quarantine
         trial = quarantine.trials[traits]
@@ -209,7 +208,7 @@
         is_new = False
         added = []
         for report in news.crashes:
-            crash = request_quarantine.EngineCrash(*report[:-1])
+            crash = crash_evidence.EngineCrash(*report[:-1])
             is_new = is_new or not quarantine.is_known(crash)
             at = now - report.age_ms / 1000.0
             added += quarantine.record_crash(crash, at)
@@ -270,7 +269,7 @@
 
 
 def _make_crash_report(
-    crash: request_quarantine.EngineCrash, age_seconds: float
+    crash: crash_evidence.EngineCrash, age_seconds: float
 ) -> messages.CrashReport:
     """Returns the report of a crash, without what only its sender judges."""
     return messages.CrashReport(
@@ -283,7 +282,7 @@
     )
 
 
-def _log_crash(crash: request_quarantine.EngineCrash) -> None:
+def _log_crash(crash: crash_evidence.EngineCrash) -> None:
     _LOG.warning(
         "request_crash",
         extra={
@@ -296,7 +295,7 @@
 
 
 def _log_quarantines(
-    combinations: Iterable[request_quarantine.Traits], source: str
+    combinations: Iterable[crash_evidence.Traits], source: str
 ) -> None:
     for traits in combinations:
         _LOG.warning(
@@ -306,7 +305,7 @@
 
 
 def _log_releases(
-    combinations: Iterable[request_quarantine.Traits], source: str
+    combinations: Iterable[crash_evidence.Traits], source: str
 ) -> None:
     for traits in combinations:
         _LOG.warning(
--- a/catkintrail/adapters/router_actor.py
+++ b/catkintrail/adapters/router_actor.py
@@ -31,6 +31,7 @@
 from catkintrail.core import store_views
 from catkintrail.core import target_paths
 from catkintrail.core import targets as target_records
+from catkintrail.core.quarantine import crash_evidence
 from catkintrail.core.target_speed import speed_changes
 from catkintrail.core.zones import evacuation
 from catkintrail.core.zones import regions
@@ -310,9 +311,7 @@
             _log_ejection(target, is_silent, self._router.settings.name)
         self._broadcast_load(update)
 
-    def record_request_crash(
-        self, crash: request_quarantine.EngineCrash
-    ) -> None:
+    def record_request_crash(self, crash: crash_evidence.EngineCrash) -> None:
         """Records a response that broke off at its start; tells the fleet."""
         self._quarantine_exchange.record_crash(crash, self._clock())
 
@@ -332,16 +331,14 @@
 
     def restore_quarantines(
         self,
-        remainders: dict[
-            request_quarantine.Traits, request_quarantine.Remainder
-        ],
+        remainders: dict[crash_evidence.Traits, request_quarantine.Remainder],
     ) -> None:
         """Applies quarantines that have outlasted the instances."""
         self._quarantine_exchange.restore(remainders, self._clock())
 
     def quarantine_statuses(
         self,
-    ) -> dict[request_quarantine.Traits, router_status.QuarantineStatus]:
+    ) -> dict[crash_evidence.Traits, router_status.QuarantineStatus]:
         """Returns the quarantines in force."""
         now = self._clock()
         quarantine = self._router.quarantine
@@ -356,7 +353,7 @@
             if until > now
         }
 
-    def owns_quarantine(self, traits: request_quarantine.Traits) -> bool:
+    def owns_quarantine(self, traits: crash_evidence.Traits) -> bool:
         """Returns whether this instance stores a quarantine for all."""
         peers = self._router.fleet_state.peers
         own = self._router.settings.address
--- a/catkintrail/adapters/router_client.py
+++ b/catkintrail/adapters/router_client.py
@@ -12,6 +12,7 @@
 from catkintrail.core import service_retry_budget
 from catkintrail.core import target_notices
 from catkintrail.core import targets as target_records
+from catkintrail.core.quarantine import crash_evidence
 
 __all__ = ["PEER_TIMEOUT_SECONDS", "RouterClient"]
 
@@ -122,7 +123,7 @@
 
         Waits, so that a retry is decided with this crash in mind.
         """
-        crash = request_quarantine.EngineCrash(
+        crash = crash_evidence.EngineCrash(
             target.name, target.born, traits, has_begun, is_resend=is_resend
         )
         future = self.proxy.record_request_crash(crash)
@@ -145,9 +146,7 @@
 
     def restore_quarantines(
         self,
-        remainders: dict[
-            request_quarantine.Traits, request_quarantine.Remainder
-        ],
+        remainders: dict[crash_evidence.Traits, request_quarantine.Remainder],
     ) -> None:
         """Applies stored quarantines; waits until they are in force."""
         future = self.proxy.restore_quarantines(remainders)
@@ -155,14 +154,14 @@
 
     def quarantine_statuses(
         self,
-    ) -> dict[request_quarantine.Traits, router_status.QuarantineStatus]:
+    ) -> dict[crash_evidence.Traits, router_status.QuarantineStatus]:
         """Returns the quarantines in force."""
         if not self.quarantine.quarantined:
             return {}
         future = self.proxy.quarantine_statuses()
         return _await_result(future)
 
-    def owns_quarantine(self, traits: request_quarantine.Traits) -> bool:
+    def owns_quarantine(self, traits: crash_evidence.Traits) -> bool:
         """Returns whether this instance stores a quarantine for all."""
         future = self.proxy.owns_quarantine(traits)
         return _await_result(future)
--- /dev/null
+++ b/catkintrail/core/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Evidence about requests that crash engines, and its judgement; no I/O."""
--- a/catkintrail/core/request_quarantine.py
+++ b/catkintrail/core/request_quarantine.py
@@ -24,96 +24,23 @@
 of a clock that keeps running while the machine is suspended.
 """
 
-import collections
-import hashlib
 from typing import Iterable, NamedTuple
 
-__all__ = ["EngineCrash", "RequestQuarantine", "make_fingerprint"]
-
-# Crashes after which traits that no engine has written on are quarantined.
-CRASHES_OF_UNPROVEN_TRAITS = 3
-# The same for traits on which an engine has written since they were first seen.
-CRASHES_OF_PROVEN_TRAITS = 8
-# Crashes closer together are of one moment.
-CRASH_GAP_SECONDS = 0.1
-# Crashes of one moment that count for an unproven trait, unless a request went
-# from one to another. They do not convict without a crash at another moment.
-MAX_CRASHES_PER_MOMENT = CRASHES_OF_UNPROVEN_TRAITS - 1
+from catkintrail.core.quarantine import conviction
+from catkintrail.core.quarantine import crash_evidence
+from catkintrail.core.quarantine import trials
+
+__all__ = ["Remainder", "RequestQuarantine"]
+
 QUARANTINE_SECONDS = 600.0
 # After a quarantine, one further crash renews it for this long.
 PROBATION_SECONDS = 3_600.0
-# Pauses before the trials: after the quarantine began, and after each trial
-# that has crashed an engine.
-TRIAL_PAUSES_SECONDS = (0.5, 1.0)
-# After a crash on trial, the next trial begins this long after the quarantine
-# at the latest.
-TRIAL_WINDOW_SECONDS = 3.0
-# How long the outcome of a trial is awaited; doubles with each one.
-TRIAL_SECONDS = 2.0
-# An engine that is gone this long after it ended a connection has ended then.
-END_SECONDS = 10.0
 # A withdrawn quarantine is not taken from a peer for this long.
 WITHDRAWAL_SECONDS = 60.0
-EVIDENCE_SECONDS = 600.0
 PROOF_SECONDS = 300.0
-MAX_CRASHES = 256
-MAX_REQUESTS_PER_CRASH = 32
-# Traits in the evidence; each one in several requests counts several times.
-MAX_EVIDENCE_TRAITS = 1 << 19
 MAX_PROVEN_TRAITS = 20_000
 MAX_QUARANTINES = 64
 
-# Part ids of prompts have no colon.
-FINGERPRINT_PREFIX = "request:"
-FINGERPRINT_BYTES = 16
-FIELD_LENGTH_BYTES = 8
-
-Traits = frozenset[str]
-
-
-def make_fingerprint(method: str, uri: str, caller: str, body: bytes) -> str:
-    """Returns what identifies a request that comes again.
-
-    The hash is BLAKE2b (RFC 7693).
-
-    Args:
-        method: HTTP method.
-        uri: Path and query.
-        caller: Name of the organisation, or "" for none.
-        body: The body.
-    """
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    for field in (
-        method.encode(),
-        uri.encode("utf-8", "surrogateescape"),
-        caller.encode(),
-        body,
-    ):
-        digest.update(len(field).to_bytes(FIELD_LENGTH_BYTES))
-        digest.update(field)
-    return FINGERPRINT_PREFIX + digest.hexdigest()
-
-
-class EngineCrash(NamedTuple):
-    """An engine that broke off a response at its start, or before it.
-
-    Attributes:
-        target: Name of the engine.
-        born: Start time of the engine, in Unix milliseconds; 0 if unknown.
-        traits: Traits of the request.
-        has_begun: Whether the head of the response had arrived.
-        has_ended: Whether the engine was found to be gone afterwards.
-        is_resend: Whether the request was sent to the engine after it had ended
-            another one. Known to the instance that has sent it only.
-    """
-
-    target: str
-    born: int
-    traits: tuple[str, ...]
-    has_begun: bool
-    has_ended: bool = False
-    is_resend: bool = False
-
 
 class Remainder(NamedTuple):
     """What is left of a quarantine that has outlasted the instances.
@@ -127,67 +54,6 @@
     failed: int
 
 
-class Trial(NamedTuple):
-    """The trials of a quarantine.
-
-    Attributes:
-        begun: Number of requests that were let through.
-        failed: Number of crashes since the quarantine began.
-        next_at: Time in seconds from which a request is let through.
-        last_at: Time in seconds until which one is.
-    """
-
-    begun: int
-    failed: int
-    next_at: float
-    last_at: float = float("inf")
-
-
-class _Evidence(NamedTuple):
-    """The end of an engine.
-
-    Attributes:
-        at: Time in seconds.
-        requests: Traits of each request whose response broke off.
-        begun: Those among them of which the head of the response had arrived.
-        has_ended: Whether the engine was found to be gone afterwards.
-        resent: Those among them that had ended another engine before.
-    """
-
-    at: float
-    requests: frozenset[Traits]
-    begun: frozenset[Traits]
-    has_ended: bool = False
-    resent: frozenset[Traits] = frozenset()
-
-    @property
-    def size(self) -> int:
-        """Number of traits, those of each request for themselves."""
-        return sum(map(len, self.requests))
-
-    @property
-    def accused(self) -> frozenset[Traits]:
-        """Requests whose parts may be at fault.
-
-        An engine that crashes when it begins to write may do so before the head
-        of the response. But if some response had just begun, the others were
-        only waiting at the same engine.
-        """
-        return self.begun or self.requests
-
-
-class _Crash(NamedTuple):
-    """A crash, with the requests that may have caused it.
-
-    Attributes:
-        at: Time in seconds.
-        culprits: Fingerprints of the requests.
-    """
-
-    at: float
-    culprits: Traits
-
-
 class RequestQuarantine:
     """The quarantined combinations of traits, and the evidence against traits.
 
@@ -199,27 +65,23 @@
         quarantined: Combinations with the times in seconds at which their
             quarantines end. Replaced at each change, so that other threads may
             read it.
-        suspects: Fingerprints that crashes speak against; replaced likewise.
         trials: The trials of the quarantines.
+        evidence: The ends of engines, and which engines lived on.
     """
 
     def __init__(self) -> None:
-        self.quarantined: dict[Traits, float] = {}
-        self.suspects: Traits = frozenset()
-        self.trials: dict[Traits, Trial] = {}
-        self._crashes: dict[tuple[str, int], _Evidence] = {}
-        # Engines that lived on after they had ended a connection, and since
-        # when that is known.
-        self._survivors: dict[tuple[str, int], float] = {}
-        self._withdrawn_at: dict[Traits, float] = {}
+        self.quarantined: dict[crash_evidence.Traits, float] = {}
+        self.trials: dict[crash_evidence.Traits, trials.Trial] = {}
+        self.evidence = crash_evidence.CrashEvidence()
+        self._withdrawn_at: dict[crash_evidence.Traits, float] = {}
         self._proven_at: dict[str, float] = {}
-        self._probation: dict[Traits, float] = {}
+        self._probation: dict[crash_evidence.Traits, float] = {}
 
     def find(self, traits: Iterable[str], now: float) -> float | None:
         """Returns until when a request is quarantined; None if it is not.
 
         Args:
-            traits: Traits of the request.
+            traits: crash_evidence.Traits of the request.
             now: Time in seconds.
 
         Returns:
@@ -236,7 +98,9 @@
         ]
         return max(ends, default=None)
 
-    def record_crash(self, crash: EngineCrash, now: float) -> list[Traits]:
+    def record_crash(
+        self, crash: crash_evidence.EngineCrash, now: float
+    ) -> list[crash_evidence.Traits]:
         """Records a crash that this instance or a peer has seen.
 
         Args:
@@ -246,35 +110,19 @@
         Returns:
             Combinations that are quarantined from now on.
         """
-        if self.is_known(crash):
+        if self.evidence.is_known(crash):
             return []
-        traits = frozenset(crash.traits)
-        key = (crash.target, crash.born)
-        known = self._crashes.pop(key, _Evidence(now, frozenset(), frozenset()))
-        requests, begun, resent = known.requests, known.begun, known.resent
-        has_ended = known.has_ended or crash.has_ended
-        if len(requests) < MAX_REQUESTS_PER_CRASH or (
-            # Those that waited at the engine do not hide the one that ended it.
-            crash.has_begun
-            and len(begun) < MAX_REQUESTS_PER_CRASH
-        ):
-            requests |= {traits}
-            if crash.has_begun:
-                begun |= {traits}
-            if crash.is_resend:
-                resent |= {traits}
-        self._crashes[key] = _Evidence(
-            min(known.at, now), requests, begun, has_ended, resent
-        )
-        self.suspects |= set(filter(_is_fingerprint, traits))
-        self._drop_oldest()
-        if not self._counts(key):
+        self.evidence.add(crash, now)
+        if not self.evidence.counts((crash.target, crash.born)):
             return []
+        traits = frozenset(crash.traits)
         self._fail_trials(traits, now)
         added = self._renew(traits, now)
         return added + self._convict(traits, now)
 
-    def record_end(self, target: str, born: int, now: float) -> list[Traits]:
+    def record_end(
+        self, target: str, born: int, now: float
+    ) -> list[crash_evidence.Traits]:
         """Records that an engine is gone, or has started anew.
 
         Args:
@@ -286,20 +134,22 @@
             Combinations that are quarantined from now on.
         """
         key = (target, born)
-        evidence = self._crashes.get(key)
-        if evidence is None or not 0.0 <= now - evidence.at <= END_SECONDS:
+        end = self.evidence.ends.get(key)
+        if end is None or (
+            not 0.0 <= now - end.at <= crash_evidence.END_SECONDS
+        ):
             return []
-        counted = self._counts(key)
-        self._crashes[key] = evidence._replace(has_ended=True)
+        counted = self.evidence.counts(key)
+        self.evidence.ends[key] = end._replace(has_ended=True)
         added = []
         if not counted:
-            for traits in sorted(evidence.requests, key=sorted):
+            for traits in sorted(end.requests, key=sorted):
                 added += self._convict(traits, now)
         return added
 
     def record_survival(
         self, target: str, born: int, now: float
-    ) -> list[Traits]:
+    ) -> list[crash_evidence.Traits]:
         """Records that an engine has lived on after it ended a connection.
 
         Args:
@@ -311,19 +161,16 @@
             Combinations that are no longer quarantined.
         """
         key = (target, born)
-        counted = self._counts(key)
-        self._survivors.pop(key, None)
-        self._survivors[key] = now
-        if len(self._survivors) > MAX_CRASHES:
-            del self._survivors[next(iter(self._survivors))]
-        evidence = self._crashes.get(key)
-        if evidence is None or evidence.has_ended or not counted:
+        counted = self.evidence.counts(key)
+        self.evidence.add_survival(target, born, now)
+        end = self.evidence.ends.get(key)
+        if end is None or end.has_ended or not counted:
             return []
         released = []
         for combination in list(self.quarantined):
-            if not any(combination <= traits for traits in evidence.requests):
+            if not any(combination <= traits for traits in end.requests):
                 continue
-            if self._is_convicted(combination):
+            if conviction.is_convicted(self._findings(), combination):
                 self._restore_trial(combination, now)
             else:
                 released.append(combination)
@@ -332,23 +179,27 @@
         return released
 
     def survivors(
-        self, now: float, max_age_seconds: float = EVIDENCE_SECONDS
+        self,
+        now: float,
+        max_age_seconds: float = crash_evidence.EVIDENCE_SECONDS,
     ) -> list[tuple[str, int, float]]:
         """Returns names, starts and ages in seconds of what was survived."""
         return [
             (*key, now - at)
-            for key, at in self._survivors.items()
+            for key, at in self.evidence.survivors.items()
             if now - at <= max_age_seconds
         ]
 
     def is_survivor(self, target: str, born: int) -> bool:
         """Returns whether an engine has lived on after such an end."""
-        return (target, born) in self._survivors
+        return (target, born) in self.evidence.survivors
 
-    def record_start(self, target: str, born: int, now: float) -> list[Traits]:
+    def record_start(
+        self, target: str, born: int, now: float
+    ) -> list[crash_evidence.Traits]:
         """Records that an engine has started; earlier starts have ended."""
         added = []
-        for name, other in list(self._crashes):
+        for name, other in list(self.evidence.ends):
             if name == target and other != born:
                 added += self.record_end(name, other, now)
         return added
@@ -359,21 +210,21 @@
         May be called while another thread changes the quarantine.
         """
         known = frozenset(traits)
-        trials = self.trials
+        begun = self.trials
         return all(
-            combination in trials
-            and trials[combination].next_at
-            <= now
-            <= trials[combination].last_at
+            combination in begun
+            and begun[combination].next_at <= now <= begun[combination].last_at
             for combination, until in self.quarantined.items()
             if combination <= known and until > now
         )
 
-    def begin_trial(self, traits: Iterable[str], now: float) -> list[Traits]:
+    def begin_trial(
+        self, traits: Iterable[str], now: float
+    ) -> list[crash_evidence.Traits]:
         """Lets a quarantined request through, if a trial is due.
 
         Args:
-            traits: Traits of the request.
+            traits: crash_evidence.Traits of the request.
             now: Time in seconds.
 
         Returns:
@@ -390,14 +241,14 @@
         ]
         for combination in matching:
             trial = self.trials[combination]
-            pause = TRIAL_SECONDS * 2**trial.begun
+            pause = trials.TRIAL_SECONDS * 2**trial.begun
             self.trials[combination] = trial._replace(
                 begun=trial.begun + 1, next_at=now + pause
             )
         return matching
 
     def merge_trial(
-        self, combination: Traits, begun: int, next_at: float
+        self, combination: crash_evidence.Traits, begun: int, next_at: float
     ) -> bool:
         """Applies what a peer knows of the trials of a quarantine.
 
@@ -418,12 +269,16 @@
         Fingerprints are too many to record, unless crashes speak against them.
         May be called while another thread changes the quarantine.
         """
-        suspects = self.suspects
+        suspects = self.evidence.suspects
         return tuple(
-            t for t in traits if not _is_fingerprint(t) or t in suspects
+            t
+            for t in traits
+            if not crash_evidence.is_fingerprint(t) or t in suspects
         )
 
-    def record_proof(self, traits: Iterable[str], now: float) -> list[Traits]:
+    def record_proof(
+        self, traits: Iterable[str], now: float
+    ) -> list[crash_evidence.Traits]:
         """Records that an engine has written an answer on a request.
 
         Returns:
@@ -443,7 +298,7 @@
 
     def accept(
         self,
-        combination: Traits,
+        combination: crash_evidence.Traits,
         seconds: float,
         now: float,
         failed: int = 0,
@@ -461,11 +316,7 @@
         """
         if not combination:
             return True
-        if all(
-            trait in self._proven_at
-            and len(self._crash_times(trait)) < CRASHES_OF_PROVEN_TRAITS
-            for trait in combination
-        ):
+        if conviction.is_refuted(self._findings(), combination):
             return False
         if (
             combination not in self.quarantined
@@ -476,7 +327,10 @@
         return True
 
     def restore(
-        self, combination: Traits, remainder: Remainder, now: float
+        self,
+        combination: crash_evidence.Traits,
+        remainder: Remainder,
+        now: float,
     ) -> bool:
         """Applies a quarantine that has outlasted the instances.
 
@@ -488,16 +342,20 @@
         """
         if combination in self.quarantined:
             return False
-        failed = len(TRIAL_PAUSES_SECONDS) - (0 if remainder.failed else 1)
+        failed = len(trials.TRIAL_PAUSES_SECONDS) - (
+            0 if remainder.failed else 1
+        )
         self.accept(combination, remainder.seconds, now, failed)
         if combination not in self.quarantined:
             return False
-        self.trials[combination] = _make_trial(failed, now)
+        self.trials[combination] = trials.make_trial(failed, now)
         return True
 
     def crashes(
-        self, now: float, max_age_seconds: float = EVIDENCE_SECONDS
-    ) -> list[tuple[EngineCrash, float]]:
+        self,
+        now: float,
+        max_age_seconds: float = crash_evidence.EVIDENCE_SECONDS,
+    ) -> list[tuple[crash_evidence.EngineCrash, float]]:
         """Returns the crashes that speak against traits without a proof.
 
         Args:
@@ -509,51 +367,36 @@
         """
         return [
             (
-                EngineCrash(
+                crash_evidence.EngineCrash(
                     *key,
                     tuple(sorted(traits)),
-                    traits in evidence.begun,
-                    evidence.has_ended,
+                    traits in end.begun,
+                    end.has_ended,
                 ),
-                now - evidence.at,
+                now - end.at,
             )
-            for key, evidence in self._crashes.items()
-            if now - evidence.at <= max_age_seconds and self._counts(key)
-            for traits in evidence.requests
+            for key, end in self.evidence.ends.items()
+            if now - end.at <= max_age_seconds and self.evidence.counts(key)
+            for traits in end.requests
             if not traits <= self._proven_at.keys()
         ]
 
-    def is_known(self, crash: EngineCrash) -> bool:
+    def is_known(self, crash: crash_evidence.EngineCrash) -> bool:
         """Returns whether a crash is recorded."""
-        evidence = self._crashes.get((crash.target, crash.born))
-        return (
-            evidence is not None
-            and frozenset(crash.traits) in evidence.requests
-            and (evidence.has_ended or not crash.has_ended)
-        )
+        return self.evidence.is_known(crash)
 
-    def expire(self, now: float) -> list[Traits]:
+    def expire(self, now: float) -> list[crash_evidence.Traits]:
         """Drops old evidence; returns quarantines that have ended."""
         ended = [c for c, until in self.quarantined.items() if until <= now]
         for combination in ended:
             self._remove(combination)
             self._probation[combination] = now + PROBATION_SECONDS
-        self._crashes = {
-            key: evidence
-            for key, evidence in self._crashes.items()
-            if now - evidence.at <= EVIDENCE_SECONDS
-        }
-        self._survivors = {
-            key: at
-            for key, at in self._survivors.items()
-            if now - at <= EVIDENCE_SECONDS
-        }
+        self.evidence.expire(now)
         self._withdrawn_at = {
             combination: at
             for combination, at in self._withdrawn_at.items()
             if now - at <= WITHDRAWAL_SECONDS
         }
-        self._update_suspects()
         while self._proven_at:
             oldest = next(iter(self._proven_at))
             if now - self._proven_at[oldest] <= PROOF_SECONDS:
@@ -566,29 +409,9 @@
         }
         return ended
 
-    def _drop_oldest(self) -> None:
-        """Drops old evidence that is beyond the bounds of memory."""
-        size = sum(evidence.size for evidence in self._crashes.values())
-        has_dropped = False
-        while len(self._crashes) > MAX_CRASHES or (
-            size > MAX_EVIDENCE_TRAITS and len(self._crashes) > 1
-        ):
-            oldest = next(iter(self._crashes))
-            size -= self._crashes.pop(oldest).size
-            has_dropped = True
-        if has_dropped:
-            self._update_suspects()
-
-    def _update_suspects(self) -> None:
-        self.suspects = frozenset(
-            trait
-            for evidence in self._crashes.values()
-            for traits in evidence.requests
-            for trait in traits
-            if _is_fingerprint(trait)
-        )
-
-    def _renew(self, traits: Traits, now: float) -> list[Traits]:
+    def _renew(
+        self, traits: crash_evidence.Traits, now: float
+    ) -> list[crash_evidence.Traits]:
         """Quarantines combinations again that were so before."""
         renewed = [
             combination
@@ -597,192 +420,62 @@
         ]
         for combination in renewed:
             self._add(combination, now + QUARANTINE_SECONDS)
-            self.trials[combination] = _make_trial(
-                len(TRIAL_PAUSES_SECONDS), now
+            self.trials[combination] = trials.make_trial(
+                len(trials.TRIAL_PAUSES_SECONDS), now
             )
         return renewed
 
-    def _convict(self, traits: Traits, now: float) -> list[Traits]:
+    def _findings(self) -> conviction.Findings:
+        return conviction.Findings(
+            self.evidence.counted_ends(), self._proven_at, self.quarantined
+        )
+
+    def _convict(
+        self, traits: crash_evidence.Traits, now: float
+    ) -> list[crash_evidence.Traits]:
         """Quarantines what is at fault among the traits of a request."""
         added = []
         # Fingerprints first: what they explain does not convict parts.
         for suspects in _split(traits):
-            guilty = self._find_guilty(suspects)
+            guilty = conviction.find_guilty(self._findings(), suspects)
             if guilty and guilty not in self.quarantined:
                 added.append(guilty)
                 self._add(guilty, now + QUARANTINE_SECONDS)
-                self.trials[guilty] = _make_trial(0, now)
+                self.trials[guilty] = trials.make_trial(0, now)
         return added
 
-    def _is_convicted(self, combination: Traits) -> bool:
-        """Returns whether the evidence suffices for a quarantine."""
-        return all(
-            len(self._crash_times(trait, combination)) >= self._limit(trait)
-            for trait in combination
-        )
-
-    def _counts(self, key: tuple[str, int]) -> bool:
-        """Returns whether the evidence of an engine counts."""
-        evidence = self._crashes.get(key)
-        return evidence is not None and (
-            evidence.has_ended or key not in self._survivors
-        )
-
-    def _fail_trials(self, traits: Traits, now: float) -> None:
+    def _fail_trials(self, traits: crash_evidence.Traits, now: float) -> None:
         for combination, trial in list(self.trials.items()):
             if combination <= traits:
                 self._set_trial(combination, trial.failed + 1, now)
 
-    def _restore_trial(self, combination: Traits, now: float) -> None:
+    def _restore_trial(
+        self, combination: crash_evidence.Traits, now: float
+    ) -> None:
         """Repeats a trial whose engine was found to live on."""
         trial = self.trials[combination]
         self._set_trial(combination, max(0, trial.failed - 1), now)
 
-    def _set_trial(self, combination: Traits, failed: int, now: float) -> None:
+    def _set_trial(
+        self, combination: crash_evidence.Traits, failed: int, now: float
+    ) -> None:
         """Sets when the next trial may begin after some have failed."""
-        trial = _make_trial(failed, now)
+        trial = trials.make_trial(failed, now)
         if combination in self.trials:
             trial = trial._replace(begun=self.trials[combination].begun)
         if failed:
             begun_at = self.quarantined[combination] - QUARANTINE_SECONDS
-            trial = trial._replace(last_at=begun_at + TRIAL_WINDOW_SECONDS)
+            trial = trial._replace(
+                last_at=begun_at + trials.TRIAL_WINDOW_SECONDS
+            )
         self.trials[combination] = trial
 
-    def _find_guilty(self, suspects: Traits) -> Traits | None:
-        """Returns the suspects with the most crashes, if there are too many."""
-        guilty = []
-        for alike in self._group_alike(suspects):
-            times = self._crash_times(min(alike))
-            if len(times) >= self._limit(min(alike)):
-                guilty.append((times, alike))
-        if not guilty:
-            return None
-        guilty.sort(key=lambda entry: min(entry[1]))
-        worst, _ = max(guilty, key=lambda entry: len(entry[0]))
-        return frozenset().union(
-            *(alike for times, alike in guilty if times == worst)
-        )
-
-    def _group_alike(self, suspects: Traits) -> list[Traits]:
-        """Returns groups of suspects that no evidence tells apart.
-
-        A long conversation has hundreds of parts, but few such groups.
-        """
-        by_proof = collections.defaultdict(set)
-        for trait in suspects:
-            by_proof[self._proven_at.get(trait)].add(trait)
-        groups = [frozenset(group) for group in by_proof.values()]
-        for evidence in self._crashes.values():
-            for traits in evidence.requests:
-                groups = [
-                    part
-                    for group in groups
-                    for part in (group & traits, group - traits)
-                    if part
-                ]
-        return groups
-
-    def _limit(self, trait: str) -> int:
-        if trait in self._proven_at:
-            return CRASHES_OF_PROVEN_TRAITS
-        return CRASHES_OF_UNPROVEN_TRAITS
-
-    def _crash_times(
-        self, trait: str, ignored: Traits | None = None
-    ) -> list[float]:
-        """Returns the times of the crashes that convict a trait.
-
-        A part is convicted only by crashes under different requests, as few as
-        explain all of them.
-
-        Args:
-            trait: The trait.
-            ignored: A quarantine that is taken not to explain crashes.
-        """
-        crashes = self._find_independent_crashes(trait, ignored)
-        if not _is_fingerprint(trait):
-            crashes = _select_under_different_requests(crashes)
-        return [crash.at for crash in crashes]
-
-    def _find_independent_crashes(
-        self, trait: str, ignored: Traits | None
-    ) -> list[_Crash]:
-        """Returns the crashes under a trait that have no common cause.
-
-        Of crashes close together few count, unless the trait is unproven and
-        one of its requests went from one crash to another.
-        """
-        proven_at = self._proven_at.get(trait, float("-inf"))
-        counted = [
-            evidence
-            for key, evidence in self._crashes.items()
-            if self._counts(key) and evidence.at > proven_at
-        ]
-        moments: list[list[_Crash]] = []
-        followed: set[int] = set()
-        for evidence in sorted(counted, key=lambda e: e.at):
-            culprits = self._find_culprits(trait, evidence, ignored)
-            if not culprits:
-                continue
-            crash = _Crash(evidence.at, culprits)
-            if not moments or crash.at - moments[-1][0].at >= CRASH_GAP_SECONDS:
-                moments.append([crash])
-                continue
-            resent = _name_requests(trait, evidence.resent)
-            if any(resent & earlier.culprits for earlier in moments[-1]):
-                followed.add(len(moments) - 1)
-            moments[-1].append(crash)
-        crashes = []
-        for number, moment in enumerate(moments):
-            if trait in self._proven_at:
-                crashes += moment[:1]
-            elif number in followed:
-                crashes += moment
-            else:
-                crashes += moment[:MAX_CRASHES_PER_MOMENT]
-        return crashes
-
-    def _find_culprits(
-        self, trait: str, evidence: _Evidence, ignored: Traits | None
-    ) -> Traits:
-        """Returns the requests with a trait that may have caused a crash.
-
-        A crash that a quarantined combination explains speaks against no other
-        trait, except that a part is suspected if its requests are.
-
-        Returns:
-            Fingerprints; for requests without one, names that stand for them.
-        """
-        requests = (
-            evidence.requests if _is_fingerprint(trait) else evidence.accused
-        )
-        candidates = [t for t in requests if trait in t]
-        if not candidates:
-            return frozenset()
-        explaining = [
-            combination
-            for combination in self.quarantined
-            if combination != ignored
-            and any(combination <= traits for traits in evidence.requests)
-        ]
-        if explaining:
-            is_part = not _is_fingerprint(trait)
-            if not (is_part and all(map(_is_of_one_request, explaining))):
-                return frozenset()
-            candidates = [
-                t for t in candidates if any(c <= t for c in explaining)
-            ]
-        return frozenset(
-            next(filter(_is_fingerprint, traits), f"{evidence.at} {number}")
-            for number, traits in enumerate(candidates)
-        )
-
-    def _add(self, combination: Traits, until: float) -> None:
+    def _add(self, combination: crash_evidence.Traits, until: float) -> None:
         kept = list(self.quarantined.items())[-MAX_QUARANTINES + 1 :]
         self.quarantined = {**dict(kept), combination: until}
         self.trials = {c: t for c, t in self.trials.items() if c in dict(kept)}
 
-    def _remove(self, combination: Traits) -> None:
+    def _remove(self, combination: crash_evidence.Traits) -> None:
         self.quarantined = {
             traits: until
             for traits, until in self.quarantined.items()
@@ -791,52 +484,9 @@
         self.trials.pop(combination, None)
 
 
-def _is_fingerprint(trait: str) -> bool:
-    return trait.startswith(FINGERPRINT_PREFIX)
-
-
-def _make_trial(failed: int, now: float) -> Trial:
-    """Returns the trials after some have crashed an engine."""
-    if failed >= len(TRIAL_PAUSES_SECONDS):
-        return Trial(0, failed, float("inf"))
-    return Trial(0, failed, now + TRIAL_PAUSES_SECONDS[failed])
-
-
-def _name_requests(trait: str, requests: Iterable[Traits]) -> Traits:
-    """Returns the fingerprints of the requests with a trait."""
-    return frozenset(
-        name
-        for traits in requests
-        if trait in traits
-        for name in filter(_is_fingerprint, traits)
-    )
-
-
-def _is_of_one_request(combination: Traits) -> bool:
-    return any(map(_is_fingerprint, combination))
-
-
-def _split(traits: Traits) -> tuple[Traits, Traits]:
+def _split(
+    traits: crash_evidence.Traits,
+) -> tuple[crash_evidence.Traits, crash_evidence.Traits]:
     """Returns the fingerprint of a request, and the parts of its prompt."""
-    fingerprint = frozenset(filter(_is_fingerprint, traits))
+    fingerprint = frozenset(filter(crash_evidence.is_fingerprint, traits))
     return fingerprint, traits - fingerprint
-
-
-def _select_under_different_requests(crashes: list[_Crash]) -> list[_Crash]:
-    """Returns crashes that need a culprit each.
-
-    The culprits are as few as explain all crashes, found by the greedy
-    algorithm for hitting sets.
-    """
-    selected = []
-    left = crashes
-    while left:
-        counts = collections.Counter(
-            name for crash in left for name in crash.culprits
-        )
-        culprit = max(sorted(counts), key=counts.__getitem__)
-        selected.append(
-            next(crash for crash in left if culprit in crash.culprits)
-        )
-        left = [crash for crash in left if culprit not in crash.culprits]
-    return sorted(selected)
--- a/catkintrail/messages.py
+++ b/catkintrail/messages.py
@@ -593,7 +593,7 @@
 
 
 class CrashReport(NamedTuple):
-    """A crash of an engine; see core.request_quarantine.EngineCrash.
+    """A crash of an engine; see core.quarantine.crash_evidence.EngineCrash.
 
     Attributes:
         age_ms: Time since the crash.
--- a/catkintrail/quarantine_keeper.py
+++ b/catkintrail/quarantine_keeper.py
@@ -13,6 +13,7 @@
 from catkintrail import errors
 from catkintrail.adapters import router_client
 from catkintrail.core import request_quarantine
+from catkintrail.core.quarantine import crash_evidence
 from catkintrail.ports import quarantine_store
 
 __all__ = ["QuarantineKeeper"]
@@ -28,7 +29,7 @@
 # An end that is further ahead cannot be due to differing clocks.
 MAX_END_SECONDS = 2 * request_quarantine.QUARANTINE_SECONDS
 
-Traits = request_quarantine.Traits
+Traits = crash_evidence.Traits
 
 
 class QuarantineKeeper:
--- a/catkintrail/request_progress.py
+++ b/catkintrail/request_progress.py
@@ -1,8 +1,8 @@
 """State of a caller's request while it is relayed."""
 
 from catkintrail import verdict as verdicts
-from catkintrail.core import request_quarantine
 from catkintrail.core import event_stream
+from catkintrail.core.quarantine import crash_evidence
 from catkintrail.ports import relaying
 
 __all__ = ["PROVING_EVENTS", "Progress"]
@@ -45,7 +45,7 @@
     ) -> None:
         self.request = request
         self.deadline = deadline
-        fingerprint = request_quarantine.make_fingerprint(
+        fingerprint = crash_evidence.make_fingerprint(
             request.method, request.uri, organisation, request.body
         )
         self.traits = (fingerprint, *request.prompt_parts)
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -27,6 +27,9 @@
 
 class CallerServerTestCase(testtools.TestCase):
 
+    # None if no configuration is known.
+    limits = LIMITS
+
     def setUp(self):
         super().setUp()
         self.requests = []
@@ -39,7 +42,7 @@
         self.server.start()
         self.addCleanup(self.server.stop, 0.1)
 
-    def make_server(self, limits=LIMITS):
+    def make_server(self):
         server = callers.CallerServer(
             f"127.0.0.1:{self.port}",
             (4, 12),
@@ -47,8 +50,8 @@
             self.watch,
             time.monotonic,
         )
-        if limits is not None:
-            server.apply_limits(limits)
+        if self.limits is not None:
+            server.apply_limits(self.limits)
         return server
 
     def call_handler(self, request, writer, caller):
@@ -344,15 +347,14 @@
     the default limit (UNASKED after a restart).
     """
 
+    limits = None
+
     def setUp(self):
         super().setUp()
         default = route_table.CallerLimits()
         self.long_body = b"x" * (default.max_body_bytes + 1)
         self.long_field = b"X-A: " + b"a" * default.max_header_bytes + b"\r\n"
 
-    def make_server(self):
-        return super().make_server(None)
-
     def send(self, data):
         connection = self.connect()
         with contextlib.suppress(OSError):
--- a/tests/test_quarantine_keeper.py
+++ b/tests/test_quarantine_keeper.py
@@ -11,6 +11,8 @@
 from catkintrail.adapters import router_client
 from catkintrail.core import request_quarantine
 from catkintrail.core import request_router
+from catkintrail.core.quarantine import conviction
+from catkintrail.core.quarantine import crash_evidence
 from catkintrail.platform import store
 from catkintrail.ports import quarantine_store
 from tests import platform_standins
@@ -50,8 +52,8 @@
         )
 
     def convict(self, keeper, *traits):
-        for number in range(request_quarantine.CRASHES_OF_UNPROVEN_TRAITS):
-            crash = request_quarantine.EngineCrash(
+        for number in range(conviction.CRASHES_OF_UNPROVEN_TRAITS):
+            crash = crash_evidence.EngineCrash(
                 f"e-{number}-{self.now}", 1, traits, True
             )
             keeper.router.proxy.record_request_crash(crash).get()
@@ -121,7 +123,7 @@
         self.now += LENGTH_SECONDS
         keeper.router.proxy.tick().get()
         self.now += 0.1
-        crash = request_quarantine.EngineCrash("e-9", 1, tuple(BAD), True)
+        crash = crash_evidence.EngineCrash("e-9", 1, tuple(BAD), True)
         keeper.router.proxy.record_request_crash(crash).get()
         self.assertIsNotNone(self.find(keeper, *BAD))
         for _ in range(6):
@@ -164,7 +166,7 @@
             self.now += 0.6
             self.assertTrue(keeper.router.begin_trial(traits))
             if failed:
-                crash = request_quarantine.EngineCrash("e-9", 1, traits, True)
+                crash = crash_evidence.EngineCrash("e-9", 1, traits, True)
                 keeper.router.proxy.record_request_crash(crash).get()
             self.now += quarantine_keeper.MIN_AGE_SECONDS
             keeper.synchronise()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -8,7 +8,7 @@
 from catkintrail import relay
 from catkintrail import verdict as verdicts
 from catkintrail.core import memory_lease
-from catkintrail.core import request_quarantine
+from catkintrail.core.quarantine import crash_evidence
 from catkintrail.ports import relaying
 from tests import relaying as builders
 
@@ -177,7 +177,7 @@
         return None if until is None else until - self.clock()
 
     def record_request_crash(self, target, parts, has_begun, is_resend):
-        crash = request_quarantine.EngineCrash(
+        crash = crash_evidence.EngineCrash(
             target.name, target.born, parts, has_begun
         )
         self.router.quarantine.record_crash(crash, self.clock())
@@ -345,10 +345,10 @@
         super().setUp()
         broken = target_error(MAY_HAVE_RUN, is_broken_off=True)
         self.serve(broken, broken, path="/look/a")
-        self.traits = tuple(self.router.quarantine.suspects)
+        self.traits = tuple(self.router.quarantine.evidence.suspects)
         for number in range(3):
             self.now += 0.2
-            crash = request_quarantine.EngineCrash(
+            crash = crash_evidence.EngineCrash(
                 f"gone-{number}", 1, self.traits, False
             )
             added = self.router.quarantine.record_crash(crash, self.now)
